--- /dev/null
+++ b/slatechute/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Bench commands."""
--- /dev/null
+++ b/slatechute/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the slatechute program."""
--- /dev/null
+++ b/slatechute/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' folder: models, merge, storage and spread."""
--- /dev/null
+++ b/slatechute/errors.py
@@ -0,0 +1,128 @@
+"""Exceptions of slatechute.
+
+Errors that concern a request carry the step and the peer at which they arose
+and whether the request may have run.
+"""
+
+import enum
+
+__all__ = [
+    "AuthenticationError",
+    "ConfigurationError",
+    "FrameError",
+    "Outcome",
+    "PlatformError",
+    "Reason",
+    "RequestError",
+    "SettingsError",
+    "SlatechuteError",
+    "Step",
+]
+
+
+class Step(enum.StrEnum):
+    """Steps of a request, in the order in which it passes them."""
+
+    ADDRESS = "address"
+    ACCEPTED = "accepted"
+    WAITING = "waiting"
+    GRANTED = "granted"
+    CONNECTING = "connecting"
+    WRITING = "writing"
+    WRITTEN = "written"
+    READING = "reading"
+    DONE = "done"
+
+
+class Outcome(enum.StrEnum):
+    """What is known about a request that got no answer from a target."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused or sent again; also the metric label."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    CALLER_GONE = "caller_gone"
+    CONNECT_FAILED = "connect_failed"
+    CONNECTION_LOST = "connection_lost"
+    DEADLINE = "deadline"
+    DUPLICATE_REQUEST_ID = "duplicate_request_id"
+    EXPIRED_REQUEST_ID = "expired_request_id"
+    FOREIGN_REQUEST_ID = "foreign_request_id"
+    HEDGE = "hedge"
+    LEASE_STALE = "lease_stale"
+    NO_TARGETS = "no_targets"
+    OVERLOAD = "overload"
+    QUARANTINED = "quarantined"
+    QUEUE_FULL = "queue_full"
+    REQUEST_TABLE_FULL = "request_table_full"
+    STOPPING = "stopping"
+    TARGET_SHED = "target_shed"
+    UNKNOWN_SERVICE = "unknown_service"
+
+
+class SlatechuteError(Exception):
+    """Base of all errors of slatechute."""
+
+
+class SettingsError(SlatechuteError):
+    """Settings cannot be used; the message lists every problem."""
+
+
+class ConfigurationError(SlatechuteError):
+    """A configuration folder is not valid.
+
+    Attributes:
+        problems: One line for each problem, with file and key.
+    """
+
+    def __init__(self, problems: list[str]):
+        super().__init__("; ".join(problems))
+        self.problems = problems
+
+
+class PlatformError(SlatechuteError):
+    """The platform service did not answer or answered with an error."""
+
+
+class FrameError(SlatechuteError):
+    """A frame from a peer is malformed, oversized or of unknown type."""
+
+
+class AuthenticationError(SlatechuteError):
+    """A peer did not prove that it knows the fleet key."""
+
+
+class RequestError(SlatechuteError):
+    """A request ended without an answer from a target.
+
+    Attributes:
+        step: Step at which the request ended.
+        peer: Entry or target concerned, empty when there was none.
+        reason: Reason, also the label of the refusal counter.
+        outcome: Whether the request certainly did not run.
+        retry_after_ms: When the caller may come back.
+        status: HTTP status towards the caller.
+    """
+
+    def __init__(
+        self,
+        reason: Reason,
+        step: Step,
+        peer: str = "",
+        *,
+        outcome: Outcome = Outcome.NOT_RUN,
+        retry_after_ms: int = 1000,
+        status: int = 503,
+    ):
+        super().__init__(f"{reason} at {step} ({peer or 'no peer'}): {outcome}")
+        self.reason = reason
+        self.step = step
+        self.peer = peer
+        self.outcome = outcome
+        self.retry_after_ms = retry_after_ms
+        self.status = status
--- /dev/null
+++ b/slatechute/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small replaceable fakes of platform, targets and callers."""
--- /dev/null
+++ b/slatechute/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entries."""
--- /dev/null
+++ b/slatechute/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of the platform service."""
--- /dev/null
+++ b/slatechute/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that choose a slot for a request."""
--- /dev/null
+++ b/slatechute/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of slatechute; the folders mirror the package."""
