--- /dev/null
+++ b/slatechute/configuration/models.py
@@ -0,0 +1,123 @@
+"""Validated models of the merged configuration folder."""
+
+import dataclasses
+import fnmatch
+
+import pydantic
+
+__all__ = ["Configuration", "FleetRules", "RequestRule", "Route", "Service"]
+
+# RFC 9110, section 9.2.2.
+_IDEMPOTENT_METHODS = frozenset(
+    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
+)
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestRule:
+    """How one request is treated.
+
+    Attributes:
+        repeatable: Whether the request may run more than once.
+        bulk: Whether the answer is large.
+        deadline_ms: Time limit when the caller names none.
+    """
+
+    repeatable: bool
+    bulk: bool
+    deadline_ms: int
+
+
+class FleetRules(_Model):
+    """Rules for all services.
+
+    Attributes:
+        keep_ms: How long callers may keep an address answer.
+        retry_ratio: Retries allowed for each recent request.
+        hedge_ratio: Hedged exchanges allowed for each recent request.
+        measure_per_target_s: Probes a second for each target, whole fleet.
+    """
+
+    keep_ms: int = pydantic.Field(default=2000, ge=100, le=60_000)
+    retry_ratio: float = pydantic.Field(default=0.1, ge=0, le=1)
+    hedge_ratio: float = pydantic.Field(default=0.05, ge=0, le=1)
+    measure_per_target_s: float = pydantic.Field(default=0.2, ge=0, le=10)
+
+
+class Route(_Model):
+    """Requests of a service that are treated alike.
+
+    Attributes:
+        methods: HTTP methods; empty for all.
+        path: Glob pattern of the path.
+        repeatable: Whether they may run twice; None lets the method decide.
+        bulk: Whether the answers are large.
+        deadline_ms: Overrides the deadline of the service.
+    """
+
+    methods: list[str] = []
+    path: str = pydantic.Field(default="*", min_length=1, max_length=512)
+    repeatable: bool | None = None
+    bulk: bool = False
+    deadline_ms: int | None = pydantic.Field(default=None, ge=1, le=600_000)
+
+    def matches(self, method: str, path: str) -> bool:
+        """Return whether the route covers a request."""
+        if self.methods and method not in self.methods:
+            return False
+        return fnmatch.fnmatchcase(path, self.path)
+
+    @property
+    def literal_length(self) -> int:
+        """Length of the pattern before its first wildcard."""
+        ends = [self.path.find(mark) for mark in "*?["]
+        return min([end for end in ends if end >= 0], default=len(self.path))
+
+
+class Service(_Model):
+    """One service and its targets.
+
+    Attributes:
+        slots: Requests that a target runs at a time.
+        connections: Connections that a target accepts.
+        deadline_ms: Default time limit of a request.
+        queue_length: Requests that may wait at one entry.
+        routes: Routes by name.
+    """
+
+    slots: int = pydantic.Field(ge=1, le=10_000)
+    connections: int = pydantic.Field(default=256, ge=1, le=100_000)
+    deadline_ms: int = pydantic.Field(default=2000, ge=1, le=600_000)
+    queue_length: int = pydantic.Field(default=256, ge=0, le=100_000)
+    routes: dict[str, Route] = {}
+
+    def rule_for(self, method: str, path: str) -> RequestRule:
+        """Return the rule of the matching route with the longest literal.
+
+        >>> Service(slots=2).rule_for("POST", "/deposit").repeatable
+        False
+        """
+        best: Route | None = None
+        for name in sorted(self.routes):
+            route = self.routes[name]
+            if route.matches(method, path) and (
+                best is None or route.literal_length > best.literal_length
+            ):
+                best = route
+        route = best or Route()
+        repeatable = route.repeatable
+        if repeatable is None:
+            repeatable = method in _IDEMPOTENT_METHODS
+        deadline_ms = route.deadline_ms or self.deadline_ms
+        return RequestRule(repeatable, route.bulk, deadline_ms)
+
+
+class Configuration(_Model):
+    """The merged folder."""
+
+    fleet: FleetRules = FleetRules()
+    services: dict[str, Service] = {}
--- /dev/null
+++ b/slatechute/messages.py
@@ -0,0 +1,267 @@
+"""Messages between entries and their CBOR frames.
+
+A frame is a CBOR array `[tag, field, ...]`. Unknown trailing fields are
+ignored and missing ones take their defaults, so that two versions of the
+messages can run side by side during a roll-out.
+"""
+
+import dataclasses
+from typing import ClassVar
+
+import cbor2
+import pydantic
+
+from slatechute import errors
+
+__all__ = [
+    "CrashStrike",
+    "DocumentDigest",
+    "DocumentParts",
+    "DocumentRequest",
+    "Heartbeat",
+    "Hello",
+    "InflightReport",
+    "MAX_FRAME_BYTES",
+    "Message",
+    "Proof",
+    "ServiceLoad",
+    "SlotCancel",
+    "SlotGrant",
+    "SlotRefusal",
+    "SlotRelease",
+    "SlotRequest",
+    "TakeOver",
+    "TargetReport",
+    "VERSION",
+    "VERSION_MIN",
+    "decode",
+    "encode",
+]
+
+VERSION = 1
+VERSION_MIN = 1
+MAX_FRAME_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Message:
+    """Base of all messages; `TAG` is their number on the wire."""
+
+    TAG: ClassVar[int] = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Hello(Message):
+    """First frame of a link: who the sender is."""
+
+    TAG: ClassVar[int] = 1
+    version_min: int
+    version_max: int
+    entry_id: str
+    boot_id: str
+    data_centre: str
+    address: str
+    peer_address: str
+    admin_address: str
+    nonce: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Proof(Message):
+    """Second frame of a link: proof that the sender knows the fleet key."""
+
+    TAG: ClassVar[int] = 2
+    mac: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceLoad:
+    """Free slots and waiting requests of one service at a dispatcher."""
+
+    service: str
+    free: int
+    queued: int
+
+
+@dataclasses.dataclass(slots=True)
+class Heartbeat(Message):
+    """Sign of life with load hints and the configuration in force."""
+
+    TAG: ClassVar[int] = 3
+    leaving: bool = False
+    loads: list[ServiceLoad] = dataclasses.field(default_factory=list)
+    revision: int = 0
+    digest: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class SlotRequest(Message):
+    """Ask a dispatcher for a slot; `number` is unique at the sender."""
+
+    TAG: ClassVar[int] = 4
+    number: int
+    service: str
+    age_ms: float
+    remaining_ms: float
+    bulk: bool = False
+    excluded: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class SlotGrant(Message):
+    """Give the sender of a `SlotRequest` a slot."""
+
+    TAG: ClassVar[int] = 5
+    number: int
+    lease_id: int
+    target_id: str
+
+
+@dataclasses.dataclass(slots=True)
+class SlotCancel(Message):
+    """Withdraw a `SlotRequest`."""
+
+    TAG: ClassVar[int] = 6
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class SlotRefusal(Message):
+    """Refuse a `SlotRequest`: another dispatcher has to be asked."""
+
+    TAG: ClassVar[int] = 7
+    number: int
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class SlotRelease(Message):
+    """Return a slot, with what the exchange showed of the target."""
+
+    TAG: ClassVar[int] = 8
+    lease_id: int
+    target_id: str
+    result: str
+    service_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class TakeOver(Message):
+    """Tell peers that the sender now dispatches these targets."""
+
+    TAG: ClassVar[int] = 9
+    target_ids: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class InflightReport(Message):
+    """Answer a `TakeOver`: exchanges under way at the sender by target."""
+
+    TAG: ClassVar[int] = 10
+    inflight_by_target: dict[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class TargetReport(Message):
+    """Tell the group what was seen of a target."""
+
+    TAG: ClassVar[int] = 11
+    target_id: str
+    state: str
+    duration_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class CrashStrike(Message):
+    """Tell the group that a request was under way when a target died."""
+
+    TAG: ClassVar[int] = 12
+    fingerprint: str
+    target_id: str
+    age_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class DocumentDigest(Message):
+    """Announce a document by revision and digest of each part."""
+
+    TAG: ClassVar[int] = 13
+    name: str
+    revision: int
+    digest_by_part: dict[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class DocumentRequest(Message):
+    """Ask for parts of a document."""
+
+    TAG: ClassVar[int] = 14
+    name: str
+    revision: int
+    parts: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class DocumentParts(Message):
+    """Carry parts of a document."""
+
+    TAG: ClassVar[int] = 15
+    name: str
+    revision: int
+    text_by_part: dict[str, str]
+
+
+_TYPES = [cls for cls in Message.__subclasses__() if cls.TAG]
+_FIELDS_BY_TAG = {
+    cls.TAG: tuple(field.name for field in dataclasses.fields(cls))
+    for cls in _TYPES
+}
+_ADAPTER_BY_TAG = {cls.TAG: pydantic.TypeAdapter(cls) for cls in _TYPES}
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, list) and value and dataclasses.is_dataclass(value[0]):
+        return [dataclasses.asdict(item) for item in value]
+    return value
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message.
+
+    >>> decode(encode(SlotCancel(number=7)))
+    SlotCancel(number=7)
+    """
+    names = _FIELDS_BY_TAG[message.TAG]
+    values = [_plain(getattr(message, name)) for name in names]
+    return cbor2.dumps([message.TAG, *values])
+
+
+def decode(frame: bytes) -> Message | None:
+    """Return the message of a frame, or None for a tag of a newer version.
+
+    Raises:
+        errors.FrameError: The frame is oversized or malformed.
+    """
+    if not isinstance(frame, bytes) or len(frame) > MAX_FRAME_BYTES:
+        raise errors.FrameError("frame is not binary or too large")
+    try:
+        content = cbor2.loads(frame)
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        RecursionError,
+    ) as err:
+        raise errors.FrameError(f"frame is not CBOR: {err}") from err
+    if not isinstance(content, list) or not content:
+        raise errors.FrameError("frame is not an array with a tag")
+    tag = content[0]
+    if not isinstance(tag, int) or tag <= 0:
+        raise errors.FrameError("frame has no valid tag")
+    if tag not in _FIELDS_BY_TAG:
+        return None
+    values = dict(zip(_FIELDS_BY_TAG[tag], content[1:], strict=False))
+    try:
+        return _ADAPTER_BY_TAG[tag].validate_python(values)
+    except pydantic.ValidationError as err:
+        raise errors.FrameError(f"message {tag} is not valid: {err}") from err
--- /dev/null
+++ b/slatechute/statechart.py
@@ -0,0 +1,69 @@
+"""Interpreter of the state charts in `charts/*.json`.
+
+A chart lists its states with their attributes and, by event, the next state.
+The `transitions` library was weighed: it takes about 11 us an event and binds
+trigger methods to each model, which is too much for every request; a chart
+lookup is two dictionary accesses.
+"""
+
+from importlib import resources
+
+import pydantic
+
+__all__ = ["Chart", "State", "load"]
+
+
+class State(pydantic.BaseModel):
+    """One state of a chart.
+
+    Attributes:
+        on: Next state by event; other events leave the state as it is.
+        attributes: Facts that hold in this state, read by the code.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    on: dict[str, str] = {}
+    attributes: dict[str, str | int | bool] = {}
+
+
+class Chart(pydantic.BaseModel):
+    """A state chart."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    initial: str
+    events: list[str]
+    states: dict[str, State]
+
+    @pydantic.model_validator(mode="after")
+    def _check_names(self) -> "Chart":
+        if self.initial not in self.states:
+            raise ValueError(f"unknown initial state {self.initial}")
+        for name, state in self.states.items():
+            for event, following in state.on.items():
+                if event not in self.events or following not in self.states:
+                    raise ValueError(f"{name}: bad rule {event}: {following}")
+        return self
+
+    def next(self, state: str, event: str) -> str:
+        """Return the state after an event.
+
+        Raises:
+            KeyError: The state is not in the chart.
+        """
+        return self.states[state].on.get(event, state)
+
+    def attribute(self, state: str, name: str) -> str | int | bool | None:
+        """Return an attribute of a state, or None."""
+        return self.states[state].attributes.get(name)
+
+
+def load(name: str) -> Chart:
+    """Load a chart of the package.
+
+    >>> load("request").initial
+    'accepted'
+    """
+    path = resources.files("slatechute").joinpath("charts", f"{name}.json")
+    return Chart.model_validate_json(path.read_text())
