--- /dev/null
+++ b/slatechute/callers.py
@@ -0,0 +1,295 @@
+"""HTTP server towards callers: addresses to use, and requests."""
+
+import json
+import math
+from typing import Protocol
+
+from aiohttp import web
+import multidict
+
+from slatechute import errors
+from slatechute import exchange
+from slatechute import execution
+from slatechute import leases
+from slatechute import requests
+from slatechute import settings as entry_settings
+from slatechute.configuration import models
+from slatechute.util import addresses
+from slatechute.util import clock as clocks
+
+__all__ = ["CallerServer", "Counters", "Directory"]
+
+_SERVICE_HEADER = "Slatechute-Service"
+_ID_HEADER = "Slatechute-Request-Id"
+_DEADLINE_HEADER = "Slatechute-Deadline-Ms"
+_ATTEMPT_HEADER = "Slatechute-Attempt"
+_OWN_HEADERS = frozenset(
+    {
+        _SERVICE_HEADER.lower(),
+        _ID_HEADER.lower(),
+        _DEADLINE_HEADER.lower(),
+        _ATTEMPT_HEADER.lower(),
+        "content-length",
+    }
+)
+_MAX_HEADER_BYTES = 16 * 1024
+_KEEPALIVE_S = 75.0
+_MAX_DEADLINE_MS = 600_000
+
+
+class Directory(Protocol):
+    """What the server needs to know of fleet and configuration."""
+
+    def configuration(self) -> models.Configuration:
+        """Return the configuration in force."""
+        ...
+
+    def addresses_for(self, service: str) -> list[dict[str, str]]:
+        """Return addresses with id prefixes, best first."""
+        ...
+
+
+class Counters:
+    """What the server counts; the metrics module has the same methods."""
+
+    def refused(
+        self, reason: errors.Reason, outcome: errors.Outcome, service: str
+    ) -> None:
+        """Count a refusal."""
+
+    def served(self, service: str, total_s: float, added_s: float) -> None:
+        """Count an answered request."""
+
+
+class CallerServer:
+    """Accepts requests of callers and passes answers on."""
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        executor: execution.Executor,
+        directory: Directory,
+        table: requests.RequestTable,
+        clock: clocks.Clock,
+        counters: Counters | None = None,
+    ):
+        self._settings = settings
+        self._executor = executor
+        self._directory = directory
+        self._table = table
+        self._clock = clock
+        self._counters = counters or Counters()
+        self._runner: web.ServerRunner | None = None
+        self.inflight = 0
+
+    async def start(self) -> None:
+        """Listen on the callers' address.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=_KEEPALIVE_S,
+            max_field_size=_MAX_HEADER_BYTES,
+            max_line_size=_MAX_HEADER_BYTES,
+        )
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        host, port = addresses.split(self._settings.address)
+        await web.TCPSite(self._runner, host, port, backlog=1024).start()
+
+    async def stop(self) -> None:
+        """Close the server and all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        if http.path == "/entries" and _SERVICE_HEADER not in http.headers:
+            return self._addresses(http)
+        service = _service_of(http)
+        self.inflight += 1
+        try:
+            return await self._serve(http, service)
+        except errors.RequestError as error:
+            self._counters.refused(error.reason, error.outcome, service)
+            return _refusal(error)
+        finally:
+            self.inflight -= 1
+
+    def _addresses(self, http: web.BaseRequest) -> web.Response:
+        service = http.query.get("service", "")
+        configuration = self._directory.configuration()
+        if service not in configuration.services:
+            return _refusal(
+                errors.RequestError(
+                    errors.Reason.UNKNOWN_SERVICE,
+                    errors.Step.ADDRESS,
+                    status=404,
+                )
+            )
+        answer = {
+            "service": service,
+            "keep_ms": configuration.fleet.keep_ms,
+            "entries": self._directory.addresses_for(service),
+        }
+        return web.json_response(answer)
+
+    async def _serve(
+        self, http: web.BaseRequest, service: str
+    ) -> web.StreamResponse:
+        request = await self._accept(http, service)
+        try:
+            run = await self._executor.execute(request)
+        except errors.RequestError as error:
+            if error.outcome is errors.Outcome.NOT_RUN:
+                self._table.withdraw(request.id)
+            else:
+                self._table.finished(request.id, error.status)
+            raise
+        self._table.finished(request.id, run.answer.status)
+        return await self._pass_on(http, request, run)
+
+    async def _accept(
+        self, http: web.BaseRequest, service: str
+    ) -> requests.Request:
+        now_ms = self._clock.now_ms()
+        rules = self._directory.configuration().services.get(service)
+        if rules is None:
+            raise errors.RequestError(
+                errors.Reason.UNKNOWN_SERVICE, errors.Step.ACCEPTED, status=404
+            )
+        rule = rules.rule_for(http.method, http.path)
+        headers = http.headers
+        deadline_ms = _number(headers, _DEADLINE_HEADER, rule.deadline_ms)
+        attempt = _number(headers, _ATTEMPT_HEADER, 0)
+        body = await self._body(http)
+        text = headers.get(_ID_HEADER, "")
+        request_id = self._table.admit(text, rule.repeatable, now_ms)
+        return requests.Request(
+            request_id,
+            service,
+            http.method,
+            http.path_qs,
+            _end_to_end(headers),
+            body,
+            rule,
+            now_ms,
+            now_ms + min(deadline_ms, _MAX_DEADLINE_MS),
+            attempt,
+        )
+
+    async def _body(self, http: web.BaseRequest) -> bytes:
+        limit = self._settings.max_body_bytes
+        if not http.body_exists:
+            return b""
+        too_large = errors.RequestError(
+            errors.Reason.BODY_TOO_LARGE, errors.Step.ACCEPTED, status=413
+        )
+        if http.content_length is not None and http.content_length > limit:
+            raise too_large
+        parts = []
+        size = 0
+        async for chunk in http.content.iter_any():
+            size += len(chunk)
+            if size > limit:
+                raise too_large
+            parts.append(chunk)
+        return b"".join(parts)
+
+    async def _pass_on(
+        self,
+        http: web.BaseRequest,
+        request: requests.Request,
+        run: execution.Execution,
+    ) -> web.StreamResponse:
+        answer = run.answer
+        headers = multidict.CIMultiDict(answer.headers)
+        headers[_ID_HEADER] = request.id
+        if answer.body is not None:
+            self._count_served(request, run)
+            return web.Response(
+                status=answer.status, headers=headers, body=answer.body
+            )
+        response = web.StreamResponse(status=answer.status, headers=headers)
+        result = leases.Result.CANCELLED
+        try:
+            await response.prepare(http)
+            async for chunk in answer.chunks():
+                await response.write(chunk)
+            await response.write_eof()
+            result = leases.Result.OK
+            self._count_served(request, run)
+        except exchange.ExchangeError:
+            # The caller must not take a cut answer for a whole one.
+            result = leases.Result.FAILED
+            if http.transport is not None:
+                http.transport.abort()
+        finally:
+            answer.close()
+            run.finish(result)
+        return response
+
+    def _count_served(
+        self, request: requests.Request, run: execution.Execution
+    ) -> None:
+        total_ms = self._clock.now_ms() - request.accepted_ms
+        added_ms = run.started_ms - request.accepted_ms
+        self._counters.served(request.service, total_ms / 1e3, added_ms / 1e3)
+
+
+def _service_of(http: web.BaseRequest) -> str:
+    named = http.headers.get(_SERVICE_HEADER)
+    return named or (http.host or "").split(".", 1)[0].split(":", 1)[0]
+
+
+def _number(
+    headers: multidict.CIMultiDictProxy[str], name: str, default: int
+) -> int:
+    text = headers.get(name)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > 12:
+        raise errors.RequestError(
+            errors.Reason.BAD_REQUEST, errors.Step.ACCEPTED, status=400
+        )
+    return int(text)
+
+
+def _end_to_end(
+    headers: multidict.CIMultiDictProxy[str],
+) -> list[tuple[str, str]]:
+    dropped = exchange.HOP_BY_HOP
+    named = headers.get("Connection")
+    if named:
+        dropped = dropped | {key.strip().lower() for key in named.split(",")}
+    return [
+        (key, value)
+        for key, value in headers.items()
+        if key.lower() not in dropped and key.lower() not in _OWN_HEADERS
+    ]
+
+
+def _refusal(error: errors.RequestError) -> web.Response:
+    content = {
+        "outcome": error.outcome,
+        "reason": error.reason,
+        "step": error.step,
+        "peer": error.peer,
+        "retry_after_ms": error.retry_after_ms,
+    }
+    headers = {
+        exchange.OUTCOME_HEADER: error.outcome,
+        "Slatechute-Reason": error.reason,
+        "Slatechute-Step": error.step,
+        "Slatechute-Peer": error.peer,
+        "Retry-After": str(max(1, math.ceil(error.retry_after_ms / 1000))),
+    }
+    return web.Response(
+        status=error.status,
+        headers=headers,
+        text=json.dumps(content),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/slatechute/dispatcher.py
@@ -0,0 +1,715 @@
+"""Dispatch of target slots: the core, without I/O and without a clock.
+
+Each entry runs one dispatcher. It grants the slots of the targets that this
+entry dispatches, to its own requests and to those of peers, and asks the
+dispatchers of other targets for slots. Times are milliseconds of one monotonic
+clock that the driver passes in.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import itertools
+import secrets
+from typing import Protocol
+
+import sortedcontainers
+
+from slatechute import errors
+from slatechute import latencies
+from slatechute import leases
+from slatechute import messages
+from slatechute import targets
+
+__all__ = ["Assignment", "Dispatcher", "Port", "Ticket"]
+
+# A request that waits longer asks further dispatchers: the first ones may be
+# slow, cut off or may never have got the message.
+WIDEN_AFTER_MS = 20.0
+LEASE_GRACE_MS = 1000.0
+TAKE_OVER_WAIT_MS = 100.0
+_MAX_REMOTE_WAITING = 10_000
+
+
+class Port(Protocol):
+    """What the dispatcher needs from its driver."""
+
+    def send(self, peer_id: str, message: messages.Message) -> bool:
+        """Queue a message; return False when there is no link."""
+        ...
+
+    def granted(self, number: int, lease: leases.Lease) -> None:
+        """Give a waiting request of this entry its slot."""
+        ...
+
+    def refused(self, number: int, reason: errors.Reason) -> None:
+        """End the wait of a request of this entry."""
+        ...
+
+    def ejected(self, target_id: str, duration_ms: float) -> None:
+        """Tell the group that a target is ejected."""
+        ...
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Ticket:
+    """A request that wants a slot.
+
+    Attributes:
+        number: Number that is unique at the entry that accepted the request.
+        service: Service of the request.
+        arrived_ms: Arrival time, for remote ones estimated from their age.
+        deadline_ms: When the request gives up.
+        bulk: Whether the answer is large.
+        excluded: Targets that must not get it.
+        origin: Peer that asks, empty for this entry.
+        asked: Dispatchers asked for it so far.
+        widen_ms: When further dispatchers are asked.
+    """
+
+    number: int
+    service: str
+    arrived_ms: float
+    deadline_ms: float
+    bulk: bool = False
+    excluded: frozenset[str] = frozenset()
+    origin: str = ""
+    asked: list[str] = dataclasses.field(default_factory=list)
+    widen_ms: float = 0.0
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Key that is unique at this dispatcher."""
+        return (self.origin, self.number)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assignment:
+    """A target that this entry dispatches.
+
+    Attributes:
+        target: The target.
+        slots: Its configured slots.
+        cold: Whether it was started moments ago.
+    """
+
+    target: leases.Target
+    slots: int
+    cold: bool = False
+
+
+def _arrival(ticket: Ticket) -> float:
+    return ticket.arrived_ms
+
+
+class _ServiceState:
+    """Waiting requests and targets of one service."""
+
+    def __init__(self):
+        self.waiting = sortedcontainers.SortedKeyList(key=_arrival)
+        self.state_by_id: dict[str, targets.TargetState] = {}
+        self.times = latencies.ServiceTimes()
+        self.dispatchers: list[str] = []
+        self.total_slots = 0
+        self.target_count = 0
+        self.share = 1.0
+        self.queue_length = 256
+        self.local_waiting = 0
+        self.ejected_until_by_id: dict[str, float] = {}
+
+
+class Dispatcher:
+    """Grants slots and asks for them."""
+
+    def __init__(self, entry_id: str, fan_out: int, port: Port):
+        self._entry_id = entry_id
+        self._fan_out = fan_out
+        self._port = port
+        self._services: dict[str, _ServiceState] = {}
+        self._ticket_by_key: dict[tuple[str, int], Ticket] = {}
+        self._service_by_lease: dict[int, str] = {}
+        self._held_by_id: dict[int, leases.Lease] = {}
+        self._dispatcher_by_target: dict[str, str] = {}
+        self._target_by_id: dict[str, leases.Target] = {}
+        self._load_by_peer: dict[str, dict[str, messages.ServiceLoad]] = {}
+        self._reports_due: dict[str, set[str]] = {}
+        self._lost_peers: dict[str, float] = {}
+        self._lease_numbers = itertools.count(secrets.randbits(52) << 10)
+        self._rotation = 0
+
+    # Membership.
+
+    def set_service(
+        self,
+        service: str,
+        *,
+        dispatcher_by_target: dict[str, str],
+        targets_by_id: dict[str, leases.Target],
+        slots: int,
+        queue_length: int,
+        share: float,
+        cold_ids: frozenset[str] = frozenset(),
+        reachable: frozenset[str] = frozenset(),
+        now_ms: float,
+    ) -> None:
+        """Take in the targets of a service and who dispatches them.
+
+        Args:
+            service: The service.
+            dispatcher_by_target: Dispatching entry of each target.
+            targets_by_id: All targets that may get work.
+            slots: Slots of each target.
+            queue_length: Requests of this entry that may wait.
+            share: Part of the slots that this part of the fleet may use.
+            cold_ids: Targets that were started moments ago.
+            reachable: Peers that can report exchanges under way.
+            now_ms: Current time.
+        """
+        state = self._services.setdefault(service, _ServiceState())
+        self._forget_targets(service, targets_by_id)
+        self._target_by_id.update(targets_by_id)
+        self._dispatcher_by_target.update(dispatcher_by_target)
+        owners = dict.fromkeys(dispatcher_by_target.values())
+        state.dispatchers = [name for name in owners if name != self._entry_id]
+        state.total_slots = slots * len(targets_by_id)
+        state.target_count = len(targets_by_id)
+        state.share = share
+        state.queue_length = queue_length
+        assignments = [
+            Assignment(target, slots, target_id in cold_ids)
+            for target_id, target in targets_by_id.items()
+            if dispatcher_by_target.get(target_id) == self._entry_id
+        ]
+        self._assign(state, assignments, reachable, now_ms)
+        self._serve(state, now_ms)
+
+    def remove_service(self, service: str) -> None:
+        """Drop a service that is no longer configured."""
+        state = self._services.pop(service, None)
+        if state is None:
+            return
+        for ticket in list(state.waiting):
+            self._remove_ticket(ticket)
+            self._refuse(ticket, errors.Reason.UNKNOWN_SERVICE)
+        self._forget_targets(service, {})
+
+    def _forget_targets(
+        self, service: str, keep: dict[str, leases.Target]
+    ) -> None:
+        gone = [
+            target.id
+            for target in self._target_by_id.values()
+            if target.service == service and target.id not in keep
+        ]
+        for target_id in gone:
+            del self._target_by_id[target_id]
+            self._dispatcher_by_target.pop(target_id, None)
+
+    def _assign(
+        self,
+        state: _ServiceState,
+        assignments: list[Assignment],
+        reachable: frozenset[str],
+        now_ms: float,
+    ) -> None:
+        assigned = {item.target.id: item for item in assignments}
+        for target_id in list(state.state_by_id):
+            if target_id not in assigned:
+                del state.state_by_id[target_id]
+        taken = []
+        for target_id, item in assigned.items():
+            known = state.state_by_id.get(target_id)
+            if known is not None:
+                known.slots = item.slots
+                continue
+            state.state_by_id[target_id] = targets.TargetState(
+                item.target, item.slots, cold=item.cold
+            )
+            taken.append(target_id)
+        self._take_over(state, taken, reachable, now_ms)
+
+    def _take_over(
+        self,
+        state: _ServiceState,
+        target_ids: list[str],
+        reachable: frozenset[str],
+        now_ms: float,
+    ) -> None:
+        """Find out which slots are in use before granting any."""
+        if not target_ids:
+            return
+        own = self._inflight(target_ids)
+        until_ms = now_ms + TAKE_OVER_WAIT_MS if reachable else now_ms
+        for target_id in target_ids:
+            target_state = state.state_by_id[target_id]
+            target_state.inherited = own.get(target_id, 0)
+            target_state.inherited_until_ms = now_ms + 10 * LEASE_GRACE_MS
+            target_state.ready_ms = until_ms
+            self._reports_due[target_id] = set(reachable)
+        message = messages.TakeOver(target_ids)
+        for peer_id in sorted(reachable):
+            if not self._port.send(peer_id, message):
+                self._report_arrived(target_ids, peer_id, {}, now_ms)
+
+    def _inflight(self, target_ids: Iterable[str]) -> dict[str, int]:
+        wanted = set(target_ids)
+        counts: dict[str, int] = {}
+        for lease in self._held_by_id.values():
+            if lease.target.id in wanted:
+                counts[lease.target.id] = counts.get(lease.target.id, 0) + 1
+        return counts
+
+    def on_take_over(self, peer_id: str, message: messages.TakeOver) -> None:
+        """Report the exchanges that run on the targets of a new dispatcher."""
+        target_ids = message.target_ids
+        report = messages.InflightReport(target_ids, self._inflight(target_ids))
+        self._port.send(peer_id, report)
+
+    def on_inflight_report(
+        self, peer_id: str, message: messages.InflightReport, now_ms: float
+    ) -> None:
+        """Take in the exchanges of a peer on targets taken over."""
+        self._report_arrived(
+            message.target_ids, peer_id, message.inflight_by_target, now_ms
+        )
+
+    def _report_arrived(
+        self,
+        target_ids: Iterable[str],
+        peer_id: str,
+        inflight_by_target: dict[str, int],
+        now_ms: float,
+    ) -> None:
+        for target_id in target_ids:
+            state = self._target_state(target_id)
+            due = self._reports_due.get(target_id)
+            if state is None or due is None or peer_id not in due:
+                continue
+            due.discard(peer_id)
+            state.inherited += inflight_by_target.get(target_id, 0)
+            if not due:
+                del self._reports_due[target_id]
+                state.ready_ms = min(state.ready_ms, now_ms)
+                self._serve(self._services[state.target.service], now_ms)
+
+    def _target_state(self, target_id: str) -> targets.TargetState | None:
+        target = self._target_by_id.get(target_id)
+        if target is None or target.service not in self._services:
+            return None
+        return self._services[target.service].state_by_id.get(target_id)
+
+    def resume(self, reachable: frozenset[str], now_ms: float) -> None:
+        """Check all slots with the peers after this process was paused."""
+        for state in self._services.values():
+            for target_state in state.state_by_id.values():
+                target_state.leases_by_id.clear()
+            self._take_over(state, list(state.state_by_id), reachable, now_ms)
+
+    # Requests of this entry.
+
+    def submit(self, ticket: Ticket, now_ms: float) -> None:
+        """Find a slot for a request of this entry, now or later."""
+        state = self._services.get(ticket.service)
+        if state is None:
+            self._port.refused(ticket.number, errors.Reason.UNKNOWN_SERVICE)
+            return
+        chosen = self._best_target(state, ticket, now_ms)
+        if chosen is not None:
+            self._grant(ticket, chosen, now_ms)
+            return
+        reason = self._reason_to_refuse(state, ticket, now_ms)
+        if reason is not None:
+            self._port.refused(ticket.number, reason)
+            return
+        self._add_ticket(state, ticket)
+        self._ask(state, ticket, now_ms)
+
+    def cancel(self, number: int) -> None:
+        """Withdraw a request of this entry that waits."""
+        ticket = self._ticket_by_key.get(("", number))
+        if ticket is not None:
+            self._remove_ticket(ticket)
+            self._cancel_asked(ticket)
+
+    def release(
+        self,
+        lease: leases.Lease,
+        result: leases.Result,
+        service_ms: float,
+        now_ms: float,
+    ) -> None:
+        """End a lease that this entry holds."""
+        self._held_by_id.pop(lease.id, None)
+        state = self._services.get(lease.target.service)
+        if state is not None and result is leases.Result.OK and not lease.bulk:
+            state.times.add(service_ms)
+        owner = self._dispatcher_by_target.get(lease.target.id)
+        owner = owner or lease.dispatcher
+        message = messages.SlotRelease(
+            lease.id, lease.target.id, result.value, service_ms
+        )
+        if owner == self._entry_id:
+            self.on_release(message, now_ms)
+        else:
+            self._port.send(owner, message)
+
+    def service_times(self, service: str) -> latencies.ServiceTimes | None:
+        """Return the recent service times of a service at this entry."""
+        state = self._services.get(service)
+        return None if state is None else state.times
+
+    def expected_wait_ms(self, service: str) -> float:
+        """Return how long a new request would wait, roughly."""
+        state = self._services.get(service)
+        if state is None or not state.total_slots:
+            return 0.0
+        entries = len(state.dispatchers) + 1
+        slots = max(1.0, state.total_slots / entries)
+        return state.local_waiting * state.times.median_ms / slots
+
+    def _reason_to_refuse(
+        self, state: _ServiceState, ticket: Ticket, now_ms: float
+    ) -> errors.Reason | None:
+        if not state.target_count:
+            return errors.Reason.NO_TARGETS
+        if state.local_waiting >= state.queue_length:
+            return errors.Reason.QUEUE_FULL
+        remaining_ms = ticket.deadline_ms - now_ms
+        if self.expected_wait_ms(ticket.service) >= remaining_ms:
+            return errors.Reason.DEADLINE
+        return None
+
+    def _ask(self, state: _ServiceState, ticket: Ticket, now_ms: float) -> None:
+        """Ask the next dispatchers, those with free slots first."""
+        ticket.widen_ms = now_ms + WIDEN_AFTER_MS
+        asked = 0
+        for peer_id in self._ask_order(state, ticket):
+            request = messages.SlotRequest(
+                ticket.number,
+                ticket.service,
+                now_ms - ticket.arrived_ms,
+                ticket.deadline_ms - now_ms,
+                ticket.bulk,
+                sorted(ticket.excluded),
+            )
+            if self._port.send(peer_id, request):
+                ticket.asked.append(peer_id)
+                asked += 1
+                if asked >= self._fan_out:
+                    return
+
+    def _ask_order(self, state: _ServiceState, ticket: Ticket) -> list[str]:
+        names = [n for n in state.dispatchers if n not in ticket.asked]
+        if not names:
+            return names
+        # The rotation spreads equal candidates over successive requests.
+        self._rotation += 1
+        start = self._rotation % len(names)
+        names = names[start:] + names[:start]
+
+        def load(peer_id: str) -> int:
+            hint = self._load_by_peer.get(peer_id, {}).get(ticket.service)
+            return 0 if hint is None else hint.queued - hint.free
+
+        return sorted(names, key=load)
+
+    def _cancel_asked(self, ticket: Ticket, but: str = "") -> None:
+        message = messages.SlotCancel(ticket.number)
+        for peer_id in ticket.asked:
+            if peer_id != but:
+                self._port.send(peer_id, message)
+
+    # Messages of peers.
+
+    def on_request(
+        self, peer_id: str, message: messages.SlotRequest, now_ms: float
+    ) -> None:
+        """Grant a peer a slot, now or when one is free."""
+        state = self._services.get(message.service)
+        if state is None or not state.state_by_id:
+            refusal = messages.SlotRefusal(message.number, "not_dispatcher")
+            self._port.send(peer_id, refusal)
+            return
+        ticket = Ticket(
+            message.number,
+            message.service,
+            now_ms - max(0.0, message.age_ms),
+            now_ms + message.remaining_ms,
+            message.bulk,
+            frozenset(message.excluded),
+            origin=peer_id,
+        )
+        chosen = self._best_target(state, ticket, now_ms)
+        if chosen is not None:
+            self._grant(ticket, chosen, now_ms)
+        elif len(state.waiting) < _MAX_REMOTE_WAITING:
+            self._add_ticket(state, ticket)
+
+    def on_cancel(self, peer_id: str, message: messages.SlotCancel) -> None:
+        """Drop the request of a peer that has got its slot elsewhere."""
+        ticket = self._ticket_by_key.get((peer_id, message.number))
+        if ticket is not None:
+            self._remove_ticket(ticket)
+
+    def on_refusal(
+        self, peer_id: str, message: messages.SlotRefusal, now_ms: float
+    ) -> None:
+        """Ask another dispatcher."""
+        ticket = self._ticket_by_key.get(("", message.number))
+        if ticket is not None and peer_id in ticket.asked:
+            self._ask(self._services[ticket.service], ticket, now_ms)
+
+    def on_grant(
+        self, peer_id: str, message: messages.SlotGrant, now_ms: float
+    ) -> None:
+        """Give a granted slot to its request or to the next one that waits."""
+        target = self._target_by_id.get(message.target_id)
+        ticket = self._ticket_by_key.get(("", message.number))
+        if ticket is None and target is not None:
+            ticket = self._next_local(target)
+        if ticket is None or target is None:
+            unused = messages.SlotRelease(
+                message.lease_id, message.target_id, leases.Result.UNUSED.value
+            )
+            self._port.send(peer_id, unused)
+            return
+        self._remove_ticket(ticket)
+        self._cancel_asked(ticket, but=peer_id)
+        lease = leases.Lease(
+            message.lease_id,
+            target,
+            peer_id,
+            self._entry_id,
+            ticket.bulk,
+            now_ms,
+            ticket.deadline_ms + LEASE_GRACE_MS,
+        )
+        self._hold(ticket, lease)
+
+    def _next_local(self, target: leases.Target) -> Ticket | None:
+        state = self._services.get(target.service)
+        if state is None or not state.local_waiting:
+            return None
+        for ticket in state.waiting:
+            usable = not ticket.bulk and target.id not in ticket.excluded
+            if not ticket.origin and usable:
+                return ticket
+        return None
+
+    def on_release(self, message: messages.SlotRelease, now_ms: float) -> None:
+        """Free a slot and take in what the exchange showed."""
+        target_state = self._target_state(message.target_id)
+        if target_state is None:
+            return
+        target_state.drop(message.lease_id)
+        state = self._services[target_state.target.service]
+        result = leases.Result(message.result)
+        ejects = target_state.record(
+            result,
+            message.service_ms,
+            now_ms,
+            state.times.median_ms,
+            may_eject=self._may_eject(state, now_ms),
+        )
+        if ejects:
+            target_id = target_state.target.id
+            until_ms = target_state.ejected_until_ms
+            state.ejected_until_by_id[target_id] = until_ms
+            self._port.ejected(target_id, until_ms - now_ms)
+        self._serve(state, now_ms)
+
+    def on_load(
+        self, peer_id: str, loads: Iterable[messages.ServiceLoad]
+    ) -> None:
+        """Keep a peer's load hints; they only order whom to ask."""
+        self._load_by_peer[peer_id] = {load.service: load for load in loads}
+
+    def on_target_ejected(
+        self, target_id: str, duration_ms: float, now_ms: float
+    ) -> None:
+        """Count a target that a peer ejected."""
+        target = self._target_by_id.get(target_id)
+        if target is not None and target.service in self._services:
+            state = self._services[target.service]
+            state.ejected_until_by_id[target_id] = now_ms + duration_ms
+
+    def target_leaving(self, target_id: str) -> None:
+        """Grant no more slots of a target."""
+        target_state = self._target_state(target_id)
+        if target_state is not None:
+            target_state.leave()
+
+    def peer_lost(self, peer_id: str, now_ms: float) -> None:
+        """Drop what a peer waits for; take its slots back after a grace."""
+        self._load_by_peer.pop(peer_id, None)
+        self._lost_peers[peer_id] = now_ms + LEASE_GRACE_MS
+        for ticket in list(self._ticket_by_key.values()):
+            if ticket.origin == peer_id:
+                self._remove_ticket(ticket)
+            elif peer_id in ticket.asked:
+                ticket.asked.remove(peer_id)
+                self._ask(self._services[ticket.service], ticket, now_ms)
+
+    def peer_ready(self, peer_id: str) -> None:
+        """Keep the leases of a peer that is back."""
+        self._lost_peers.pop(peer_id, None)
+
+    # Time.
+
+    def tick(self, now_ms: float) -> None:
+        """Expire waits and leases, ask further dispatchers, serve waits."""
+        lost = {
+            peer_id
+            for peer_id, until_ms in self._lost_peers.items()
+            if until_ms <= now_ms
+        }
+        for state in self._services.values():
+            self._expire_leases(state, lost, now_ms)
+            self._expire_waits(state, now_ms)
+            if state.waiting:
+                self._serve(state, now_ms)
+                self._widen(state, now_ms)
+        for peer_id in lost:
+            del self._lost_peers[peer_id]
+
+    def loads(self, now_ms: float) -> list[messages.ServiceLoad]:
+        """Return the load hints for the next heartbeat."""
+        found = []
+        for service, state in self._services.items():
+            if not state.state_by_id:
+                continue
+            free = sum(
+                max(0, item.free(now_ms, state.share))
+                for item in state.state_by_id.values()
+            )
+            queued = len(state.waiting)
+            found.append(messages.ServiceLoad(service, free, queued))
+        return found
+
+    def counts(self) -> tuple[int, int]:
+        """Return the leases held and the requests waiting at this entry."""
+        waiting = sum(s.local_waiting for s in self._services.values())
+        return len(self._held_by_id), waiting
+
+    def _expire_leases(
+        self, state: _ServiceState, lost: set[str], now_ms: float
+    ) -> None:
+        for target_state in state.state_by_id.values():
+            expired = [
+                lease.id
+                for lease in target_state.leases_by_id.values()
+                if lease.expires_ms <= now_ms or lease.holder in lost
+            ]
+            for lease_id in expired:
+                target_state.drop(lease_id)
+
+    def _expire_waits(self, state: _ServiceState, now_ms: float) -> None:
+        expired = [t for t in state.waiting if t.deadline_ms <= now_ms]
+        for ticket in expired:
+            self._remove_ticket(ticket)
+            self._refuse(ticket, errors.Reason.DEADLINE)
+
+    def _widen(self, state: _ServiceState, now_ms: float) -> None:
+        late = [
+            ticket
+            for ticket in state.waiting
+            if not ticket.origin and ticket.widen_ms <= now_ms
+        ]
+        for ticket in late:
+            self._ask(state, ticket, now_ms)
+
+    # Slots.
+
+    def _best_target(
+        self, state: _ServiceState, ticket: Ticket, now_ms: float
+    ) -> targets.TargetState | None:
+        """Return the target whose slot suits the request best, or None."""
+        best = None
+        best_key = None
+        median_ms = state.times.median_ms
+        waited_ms = now_ms - ticket.arrived_ms
+        for target_state in state.state_by_id.values():
+            free = target_state.free(now_ms, state.share)
+            if free <= 0 or target_state.target.id in ticket.excluded:
+                continue
+            if ticket.bulk and not target_state.may_take_bulk():
+                continue
+            doubtful = target_state.is_doubtful(now_ms, median_ms)
+            if doubtful and waited_ms < WIDEN_AFTER_MS:
+                continue
+            key = (doubtful, target_state.rank, -free)
+            if best_key is None or key < best_key:
+                best, best_key = target_state, key
+        return best
+
+    def _serve(self, state: _ServiceState, now_ms: float) -> None:
+        """Grant free slots to the oldest requests that can use them."""
+        if not state.waiting:
+            return
+        served = []
+        for ticket in state.waiting:
+            chosen = self._best_target(state, ticket, now_ms)
+            if chosen is not None:
+                served.append(ticket)
+                self._grant_waiting(ticket, chosen, now_ms)
+            elif not ticket.excluded and not ticket.bulk:
+                # No slot for an ordinary request: none for younger ones.
+                break
+        for ticket in served:
+            self._remove_ticket(ticket)
+
+    def _grant_waiting(
+        self, ticket: Ticket, chosen: targets.TargetState, now_ms: float
+    ) -> None:
+        if not ticket.origin:
+            self._cancel_asked(ticket)
+        self._grant(ticket, chosen, now_ms)
+
+    def _grant(
+        self, ticket: Ticket, chosen: targets.TargetState, now_ms: float
+    ) -> None:
+        lease = leases.Lease(
+            next(self._lease_numbers),
+            chosen.target,
+            self._entry_id,
+            ticket.origin or self._entry_id,
+            ticket.bulk,
+            now_ms,
+            ticket.deadline_ms + LEASE_GRACE_MS,
+        )
+        chosen.grant(lease)
+        if not ticket.origin:
+            self._hold(ticket, lease)
+            return
+        message = messages.SlotGrant(ticket.number, lease.id, chosen.target.id)
+        if not self._port.send(ticket.origin, message):
+            chosen.drop(lease.id)
+
+    def _hold(self, ticket: Ticket, lease: leases.Lease) -> None:
+        self._held_by_id[lease.id] = lease
+        self._port.granted(ticket.number, lease)
+
+    def _may_eject(self, state: _ServiceState, now_ms: float) -> bool:
+        ejected = state.ejected_until_by_id
+        for target_id, until_ms in list(ejected.items()):
+            if until_ms <= now_ms:
+                del ejected[target_id]
+        return 2 * (len(ejected) + 1) <= state.target_count
+
+    def _refuse(self, ticket: Ticket, reason: errors.Reason) -> None:
+        if ticket.origin:
+            return
+        self._cancel_asked(ticket)
+        self._port.refused(ticket.number, reason)
+
+    def _add_ticket(self, state: _ServiceState, ticket: Ticket) -> None:
+        state.waiting.add(ticket)
+        self._ticket_by_key[ticket.key] = ticket
+        state.local_waiting += not ticket.origin
+
+    def _remove_ticket(self, ticket: Ticket) -> None:
+        if self._ticket_by_key.pop(ticket.key, None) is None:
+            return
+        state = self._services.get(ticket.service)
+        if state is not None:
+            state.waiting.discard(ticket)
+            state.local_waiting -= not ticket.origin
--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -61,6 +61,7 @@
     QUEUE_FULL = "queue_full"
     REQUEST_TABLE_FULL = "request_table_full"
     STOPPING = "stopping"
+    TARGET_ERROR = "target_error"
     TARGET_SHED = "target_shed"
     UNKNOWN_SERVICE = "unknown_service"
 
--- /dev/null
+++ b/slatechute/exchange.py
@@ -0,0 +1,251 @@
+"""HTTP exchanges with targets over aiohttp."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import socket
+
+import aiohttp
+import yarl
+
+from slatechute import errors
+from slatechute import requests
+
+__all__ = [
+    "Answer",
+    "ExchangeError",
+    "HOP_BY_HOP",
+    "OUTCOME_HEADER",
+    "TARGET_STATE_HEADER",
+    "TargetClient",
+]
+
+OUTCOME_HEADER = "Slatechute-Outcome"
+TARGET_STATE_HEADER = "Slatechute-Target-State"
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+# Answers up to this size are read whole before the caller gets the first
+# byte, so a repeatable request can still be sent again when one is cut.
+BUFFERED_ANSWER_BYTES = 64 * 1024
+CONNECT_LIMIT_S = 0.25
+_CHUNK_BYTES = 64 * 1024
+_IDLE_REPEATABLE_S = 15.0
+# A request that must not run twice only uses a connection that has answered
+# this short a time ago: an older one may have gone silent meanwhile.
+_IDLE_ONCE_S = 0.25
+_USER_TIMEOUT_MS = 1000
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 3
+
+
+class ExchangeError(errors.SlatechuteError):
+    """An exchange ended without a whole answer.
+
+    Attributes:
+        step: Step at which it ended.
+        not_run: Whether the target certainly did not run the request.
+    """
+
+    def __init__(self, step: errors.Step, detail: str, *, not_run: bool):
+        super().__init__(f"{step}: {detail}")
+        self.step = step
+        self.not_run = not_run
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Answer:
+    """An answer of a target whose headers have arrived.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers.
+        body: Whole body, or None when it has to be streamed by `chunks`.
+        not_run: Whether the target says that it did not run the request.
+        leaving: Whether the target says that it is leaving.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes | None
+    not_run: bool
+    leaving: bool
+    _response: aiohttp.ClientResponse
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            ExchangeError: The body ended early.
+        """
+        try:
+            async for chunk in self._response.content.iter_chunked(
+                _CHUNK_BYTES
+            ):
+                yield chunk
+        except (aiohttp.ClientError, OSError) as err:
+            raise ExchangeError(
+                errors.Step.READING, str(err), not_run=False
+            ) from err
+
+    def close(self) -> None:
+        """Give up the rest; the connection is not used again.
+
+        A connection whose answer was read to its end is already back in the
+        pool and stays there.
+        """
+        self._response.close()
+
+
+def _socket(address: tuple) -> socket.socket:
+    """Return a socket whose kernel notices a path that lost track of it."""
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    return sock
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep aiohttp from sending a request again by itself.
+
+    It does so for methods it holds for idempotent when a kept connection
+    fails; the configuration may say otherwise, and the retry budget would not
+    see it.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
+        detail = str(e)
+        raise ExchangeError(errors.Step.CONNECTING, detail, not_run=True) from e
+    except (aiohttp.ClientError, OSError) as e:
+        raise ExchangeError(errors.Step.WRITTEN, str(e), not_run=False) from e
+
+
+class TargetClient:
+    """Connections of this entry to all targets."""
+
+    def __init__(self, connections_per_target: int):
+        self._limit = connections_per_target
+        self._kept: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+        self._url_by_address: dict[str, yarl.URL] = {}
+
+    async def start(self) -> None:
+        """Open the connection pools."""
+        self._kept = self._session(_IDLE_REPEATABLE_S)
+        self._fresh = self._session(_IDLE_ONCE_S)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for session in (self._kept, self._fresh):
+            if session is not None:
+                await session.close()
+
+    def _session(self, idle_s: float) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=self._limit,
+            keepalive_timeout=idle_s,
+            use_dns_cache=False,
+            socket_factory=_socket,
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_LIMIT_S
+            ),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            middlewares=(_send_once,),
+        )
+
+    def _url(self, address: str, path: str) -> yarl.URL:
+        origin = self._url_by_address.get(address)
+        if origin is None:
+            origin = yarl.URL(f"http://{address}")
+            self._url_by_address[address] = origin
+        raw_path, _, query = path.partition("?")
+        return yarl.URL.build(
+            scheme="http",
+            host=origin.host,
+            port=origin.port,
+            path=raw_path,
+            query_string=query,
+            encoded=True,
+        )
+
+    async def send(
+        self, address: str, request: requests.Request, remaining_ms: float
+    ) -> Answer:
+        """Send a request and return its answer once the headers are there.
+
+        Raises:
+            ExchangeError: There was no answer, or a short one was cut.
+        """
+        session = self._kept if request.rule.repeatable else self._fresh
+        headers = [
+            *request.headers,
+            ("Slatechute-Request-Id", request.id),
+            ("Slatechute-Deadline-Ms", str(max(1, int(remaining_ms)))),
+            ("Slatechute-Attempt", str(request.attempt)),
+        ]
+        response = await session.request(
+            request.method,
+            self._url(address, request.path),
+            headers=headers,
+            data=request.body or None,
+            allow_redirects=False,
+        )
+        return await _answer(response)
+
+
+async def _answer(response: aiohttp.ClientResponse) -> Answer:
+    headers = response.headers
+    length = response.content_length
+    body = None
+    if length is not None and length <= BUFFERED_ANSWER_BYTES:
+        body = await _read_whole(response)
+    return Answer(
+        response.status,
+        [(k, v) for k, v in headers.items() if k.lower() not in HOP_BY_HOP],
+        body,
+        headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN,
+        headers.get(TARGET_STATE_HEADER) == "leaving",
+        response,
+    )
+
+
+async def _read_whole(response: aiohttp.ClientResponse) -> bytes:
+    try:
+        return await response.read()
+    except (aiohttp.ClientError, OSError) as err:
+        raise ExchangeError(
+            errors.Step.READING, str(err), not_run=False
+        ) from err
+    except asyncio.CancelledError:
+        response.close()
+        raise
--- /dev/null
+++ b/slatechute/membership.py
@@ -0,0 +1,173 @@
+"""Entries and targets: the published list plus direct evidence.
+
+The list lags. A live link shows that an entry is alive before the list does,
+and a target's own answer or a peer's word shows that it leaves; both are
+believed over the list.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from slatechute import leases
+from slatechute import ownership
+
+__all__ = ["EntryInfo", "Membership", "ServicePlan"]
+
+# A departed target's mark is kept this many generations of the list longer,
+# since a lagging list may name it again.
+_MAX_LEAVING_MARKS = 100_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryInfo:
+    """An entry as the list or its own link names it.
+
+    Attributes:
+        id: Entry id.
+        address: IP address and port for callers.
+        peer_address: IP address and port for peer links.
+        data_centre: Where it runs.
+        leaving: Whether it has started its planned stop.
+    """
+
+    id: str
+    address: str
+    peer_address: str
+    data_centre: str
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """Who dispatches the targets of a service.
+
+    Attributes:
+        targets_by_id: Targets that may get work.
+        dispatcher_by_target: Dispatching entry of each of them.
+        share: Part of the slots that the reachable entries may use.
+        group: Entries of the service, reachable or not.
+    """
+
+    targets_by_id: dict[str, leases.Target]
+    dispatcher_by_target: dict[str, str]
+    share: float
+    group: tuple[str, ...]
+
+
+class Membership:
+    """What this entry believes of the fleet."""
+
+    def __init__(self, own: EntryInfo, group_size: int):
+        self._own = own
+        self._group_size = group_size
+        self._listed_by_id: dict[str, EntryInfo] = {}
+        self._linked_by_id: dict[str, EntryInfo] = {}
+        self._targets_by_service: dict[str, dict[str, leases.Target]] = {}
+        self._listed_targets: set[str] = set()
+        self._known_targets: set[str] = set()
+        self._leaving: dict[str, None] = {}
+        self._has_list = False
+
+    @property
+    def own(self) -> EntryInfo:
+        """This entry."""
+        return self._own
+
+    @property
+    def has_list(self) -> bool:
+        """Whether a list of instances was seen."""
+        return self._has_list
+
+    def set_own_leaving(self) -> None:
+        """Take this entry out of address answers and dispatch."""
+        self._own = dataclasses.replace(self._own, leaving=True)
+
+    def set_list(
+        self, entries: Iterable[EntryInfo], targets: Iterable[leases.Target]
+    ) -> frozenset[str]:
+        """Take in a list; return targets that are new since the last one."""
+        self._listed_by_id = {
+            entry.id: entry for entry in entries if entry.id != self._own.id
+        }
+        by_service: dict[str, dict[str, leases.Target]] = {}
+        for target in targets:
+            by_service.setdefault(target.service, {})[target.id] = target
+        listed = {key for group in by_service.values() for key in group}
+        first_seen = listed - self._known_targets
+        fresh = frozenset(first_seen if self._has_list else ())
+        self._known_targets |= listed
+        if len(self._known_targets) > 2 * len(listed) + 1000:
+            self._known_targets = set(listed)
+        self._targets_by_service = by_service
+        self._listed_targets = listed
+        self._has_list = True
+        return fresh
+
+    def set_linked(self, entries: Iterable[EntryInfo]) -> None:
+        """Take in the entries with a live link."""
+        self._linked_by_id = {entry.id: entry for entry in entries}
+
+    def mark_leaving(self, target_id: str) -> bool:
+        """Remember that a target leaves; return whether that is news.
+
+        An instance id stands for one start of a target, so the mark never has
+        to be taken back.
+        """
+        if target_id in self._leaving:
+            return False
+        self._leaving[target_id] = None
+        if len(self._leaving) > _MAX_LEAVING_MARKS:
+            del self._leaving[next(iter(self._leaving))]
+        return True
+
+    def targets_of(self, service: str) -> list[leases.Target]:
+        """Return the targets of a service that may get work."""
+        known = self._targets_by_service.get(service, {})
+        return [t for t in known.values() if t.id not in self._leaving]
+
+    def peer_addresses(self, services: Iterable[str]) -> dict[str, str]:
+        """Return the entries to be linked with, by id."""
+        wanted: set[str] = set()
+        for service in services:
+            group = self._group(service)
+            if self._own.id in group:
+                wanted.update(group)
+        wanted.discard(self._own.id)
+        return {
+            key: self._listed_by_id[key].peer_address
+            for key in sorted(wanted)
+            if key in self._listed_by_id
+        }
+
+    def entries(self) -> dict[str, EntryInfo]:
+        """Return all known entries by id, direct evidence first."""
+        known = {**self._listed_by_id, **self._linked_by_id}
+        known[self._own.id] = self._own
+        return known
+
+    def _group(self, service: str) -> list[str]:
+        return ownership.entry_group(service, self.entries(), self._group_size)
+
+    def reachable(self) -> frozenset[str]:
+        """Return the peers with a live link."""
+        return frozenset(self._linked_by_id)
+
+    def plan(self, service: str) -> ServicePlan:
+        """Return who dispatches the targets of a service now."""
+        group = self._group(service)
+        known = self.entries()
+        able = {
+            key: known[key].data_centre
+            for key in group
+            if key == self._own.id or key in self._linked_by_id
+            if not known[key].leaving
+        }
+        staying = [key for key in group if not known[key].leaving]
+        targets = {t.id: t for t in self.targets_of(service)}
+        dispatcher_by_target = {}
+        for target in targets.values():
+            owner = ownership.dispatcher_of(target.id, target.data_centre, able)
+            if owner is not None:
+                dispatcher_by_target[target.id] = owner
+        share = len(able) / len(staying) if staying else 1.0
+        return ServicePlan(targets, dispatcher_by_target, share, tuple(group))
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -85,13 +85,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Heartbeat(Message):
-    """Sign of life with load hints and the configuration in force."""
+    """Sign of life with load hints and the configuration in force.
+
+    `clock_ms` is the sender's monotonic clock, by which peers issue request id
+    prefixes in its name.
+    """
 
     TAG: ClassVar[int] = 3
     leaving: bool = False
     loads: list[ServiceLoad] = dataclasses.field(default_factory=list)
     revision: int = 0
     digest: str = ""
+    clock_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,6 +163,7 @@
     """Answer a `TakeOver`: exchanges under way at the sender by target."""
 
     TAG: ClassVar[int] = 10
+    target_ids: list[str]
     inflight_by_target: dict[str, int]
 
 
--- /dev/null
+++ b/slatechute/policies/base.py
@@ -0,0 +1,40 @@
+"""Interface of the policies that choose a slot for a request."""
+
+from typing import Protocol
+
+from slatechute import leases
+
+__all__ = ["Policy"]
+
+
+class Policy(Protocol):
+    """Chooses a target for a request and counts the exchange."""
+
+    async def acquire(
+        self,
+        service: str,
+        deadline_ms: float,
+        *,
+        bulk: bool = False,
+        excluded: frozenset[str] = frozenset(),
+    ) -> leases.Lease:
+        """Return a lease on a slot, waiting for one when none is free.
+
+        Raises:
+            errors.RequestError: No slot will be free in time.
+        """
+        ...
+
+    def release(
+        self, lease: leases.Lease, result: leases.Result, service_ms: float
+    ) -> None:
+        """End a lease; `service_ms` is the time of the exchange."""
+        ...
+
+    def median_ms(self, service: str) -> float:
+        """Return the median service time of a service."""
+        ...
+
+    def p95_ms(self, service: str) -> float:
+        """Return the 95th percentile of the service time of a service."""
+        ...
--- /dev/null
+++ b/slatechute/policies/owner.py
@@ -0,0 +1,127 @@
+"""Policy with one dispatching entry for each target."""
+
+import asyncio
+from collections.abc import Callable
+import itertools
+
+from slatechute import dispatcher as dispatchers
+from slatechute import errors
+from slatechute import leases
+from slatechute import messages
+from slatechute import settings as entry_settings
+from slatechute.util import clock as clocks
+
+__all__ = ["OwnerPolicy"]
+
+_RETRY_AFTER_MIN_MS = 100
+
+
+class OwnerPolicy:
+    """Drives a `Dispatcher`: futures for waiting requests, links for peers.
+
+    Attributes:
+        dispatcher: The core, for the messages of peers and for membership.
+    """
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        clock: clocks.Clock,
+        send: Callable[[str, messages.Message], bool],
+        announce: Callable[[messages.Message], None],
+    ):
+        self.dispatcher = dispatchers.Dispatcher(
+            settings.entry_id, settings.fan_out, self
+        )
+        self._clock = clock
+        self._send = send
+        self._announce = announce
+        self._numbers = itertools.count(1)
+        self._future_by_number: dict[int, asyncio.Future[leases.Lease]] = {}
+
+    async def acquire(
+        self,
+        service: str,
+        deadline_ms: float,
+        *,
+        bulk: bool = False,
+        excluded: frozenset[str] = frozenset(),
+    ) -> leases.Lease:
+        """Return a lease on a slot, waiting for one when none is free.
+
+        Raises:
+            errors.RequestError: No slot will be free in time.
+        """
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_number[number] = future
+        now_ms = self._clock.now_ms()
+        ticket = dispatchers.Ticket(
+            number, service, now_ms, deadline_ms, bulk, excluded
+        )
+        try:
+            self.dispatcher.submit(ticket, now_ms)
+            return await future
+        except asyncio.CancelledError:
+            self._withdraw(number, future)
+            raise
+        except errors.RequestError as error:
+            wait_ms = int(self.dispatcher.expected_wait_ms(service))
+            error.retry_after_ms = max(_RETRY_AFTER_MIN_MS, wait_ms)
+            raise
+        finally:
+            self._future_by_number.pop(number, None)
+
+    def _withdraw(
+        self, number: int, future: asyncio.Future[leases.Lease]
+    ) -> None:
+        granted = future.done() and not future.cancelled()
+        if granted and future.exception() is None:
+            self.release(future.result(), leases.Result.UNUSED, 0.0)
+        else:
+            self.dispatcher.cancel(number)
+
+    def release(
+        self, lease: leases.Lease, result: leases.Result, service_ms: float
+    ) -> None:
+        """End a lease; `service_ms` is the time of the exchange."""
+        now_ms = self._clock.now_ms()
+        self.dispatcher.release(lease, result, service_ms, now_ms)
+
+    def median_ms(self, service: str) -> float:
+        """Return the median service time of a service."""
+        times = self.dispatcher.service_times(service)
+        return 0.0 if times is None else times.median_ms
+
+    def p95_ms(self, service: str) -> float:
+        """Return the 95th percentile of the service time of a service."""
+        times = self.dispatcher.service_times(service)
+        return 0.0 if times is None else times.p95_ms
+
+    # dispatcher.Port
+
+    def send(self, peer_id: str, message: messages.Message) -> bool:
+        """Queue a message; return False when there is no link."""
+        return self._send(peer_id, message)
+
+    def granted(self, number: int, lease: leases.Lease) -> None:
+        """Give a waiting request of this entry its slot."""
+        future = self._future_by_number.get(number)
+        if future is None or future.done():
+            self.release(lease, leases.Result.UNUSED, 0.0)
+        else:
+            future.set_result(lease)
+
+    def refused(self, number: int, reason: errors.Reason) -> None:
+        """End the wait of a request of this entry."""
+        future = self._future_by_number.get(number)
+        if future is None or future.done():
+            return
+        status = 504 if reason is errors.Reason.DEADLINE else 503
+        future.set_exception(
+            errors.RequestError(reason, errors.Step.WAITING, status=status)
+        )
+
+    def ejected(self, target_id: str, duration_ms: float) -> None:
+        """Tell the group that a target is ejected."""
+        self._announce(messages.TargetReport(target_id, "ejected", duration_ms))
--- /dev/null
+++ b/slatechute/quarantine.py
@@ -0,0 +1,64 @@
+"""Requests that crash the targets that run them."""
+
+import dataclasses
+
+import xxhash
+
+__all__ = ["MAX_TARGETS", "QUARANTINE_MS", "Quarantine", "fingerprint"]
+
+MAX_TARGETS = 2
+QUARANTINE_MS = 60_000
+_MAX_FINGERPRINTS = 10_000
+
+
+def fingerprint(service: str, method: str, path: str, body: bytes) -> str:
+    """Return the same text for the same request, whoever sends it."""
+    digest = xxhash.xxh3_128(f"{service}\x00{method}\x00{path}\x00".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+@dataclasses.dataclass(slots=True)
+class _Strikes:
+    target_ids: set[str]
+    until_ms: float
+
+
+class Quarantine:
+    """Counts targets that died under a request, by its fingerprint.
+
+    >>> quarantine = Quarantine()
+    >>> quarantine.strike("f", "t1", now_ms=0)
+    >>> quarantine.remaining_ms("f", now_ms=1)
+    0.0
+    >>> quarantine.strike("f", "t2", now_ms=10.0)
+    >>> quarantine.remaining_ms("f", now_ms=10.0)
+    60000.0
+    """
+
+    def __init__(self):
+        self._strikes_by_fingerprint: dict[str, _Strikes] = {}
+
+    def strike(self, key: str, target_id: str, now_ms: float) -> None:
+        """Record that a target died while it ran the request."""
+        strikes = self._strikes_by_fingerprint.pop(key, None)
+        if strikes is None or strikes.until_ms <= now_ms:
+            strikes = _Strikes(set(), 0.0)
+        strikes.target_ids.add(target_id)
+        strikes.until_ms = now_ms + QUARANTINE_MS
+        self._strikes_by_fingerprint[key] = strikes
+        if len(self._strikes_by_fingerprint) > _MAX_FINGERPRINTS:
+            oldest = next(iter(self._strikes_by_fingerprint))
+            del self._strikes_by_fingerprint[oldest]
+
+    def remaining_ms(self, key: str, now_ms: float) -> float:
+        """Return how long the request stays refused, 0 when it is not."""
+        strikes = self._strikes_by_fingerprint.get(key)
+        if strikes is None or len(strikes.target_ids) < MAX_TARGETS:
+            return 0.0
+        return max(0.0, strikes.until_ms - now_ms)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no strike, so that no fingerprint is needed."""
+        return not self._strikes_by_fingerprint
