Add the fake platform and the tests of its HTTP reader

Serves documents by read and long poll on a loopback port, with the faults down, stale and slow, a lag for the lists of hosts, and a count of calls. The folder watch publishes only what two polls in a row agree on; publishing each poll was ruled out, because a folder that is being copied would go out half done.

--- /dev/null
+++ b/slatechute/fakes/platform.py
@@ -0,0 +1,257 @@
+"""Fake of the platform service, served on loopback."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+import time
+
+from aiohttp import web
+import logbook
+
+from slatechute.platforms import base
+
+__all__ = ["FakePlatform", "Instance"]
+
+MAX_VALUE_BYTES = 1_000_000
+_POLL_S = 0.2
+_HISTORY_LENGTH = 64
+_CALLS_KEPT = 100_000
+
+_log = logbook.Logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instance:
+    """One row of the `instances` document.
+
+    Attributes:
+        id: Id of this start of the host.
+        address: Host and port for requests.
+        data_centre: Data centre of the host.
+        state: `live` or `leaving`.
+        started: Start time in seconds since the epoch.
+        peer_address: Host and port for peer links; entries only.
+        admin_address: Host and port for operators; entries only.
+    """
+
+    id: str
+    address: str
+    data_centre: str = "dc1"
+    state: str = "live"
+    started: float = 0.0
+    peer_address: str = ""
+    admin_address: str = ""
+
+
+class FakePlatform:
+    """Serves documents by read and long poll, with faults.
+
+    Attributes:
+        url: Base URL, known after `start`.
+        calls: Calls received; a waiting watch is one call.
+        lag_ms: Delay between `set_entries` or `set_targets` and publication.
+        latency_ms: Delay of each response.
+    """
+
+    def __init__(self, *, lag_ms: float = 0.0):
+        self.url = ""
+        self.calls = 0
+        self.lag_ms = lag_ms
+        self.latency_ms = 0.0
+        self._down = False
+        self._stale = 0
+        self._history_by_name: dict[str, collections.deque[base.Document]] = {}
+        self._changed = asyncio.Event()
+        self._call_times: collections.deque[float] = collections.deque(
+            maxlen=_CALLS_KEPT
+        )
+        self._list_updates = 0
+        self._applied_by_part: dict[str, int] = {}
+        self._runner: web.ServerRunner | None = None
+        self._watcher: asyncio.Task | None = None
+
+    @property
+    def down(self) -> bool:
+        """Whether connections are closed without a response."""
+        return self._down
+
+    @down.setter
+    def down(self, value: bool) -> None:
+        self._down = value
+        self._wake_watches()
+
+    @property
+    def stale(self) -> int:
+        """How many revisions behind the newest one the service answers."""
+        return self._stale
+
+    @stale.setter
+    def stale(self, value: int) -> None:
+        self._stale = int(value)
+        self._wake_watches()
+
+    def calls_per_second(self, window_s: float = 1.0) -> float:
+        """Return the rate of calls over the last `window_s`."""
+        start = time.monotonic() - window_s
+        return sum(1 for at in self._call_times if at >= start) / window_s
+
+    async def start(self) -> None:
+        """Listen on a loopback port chosen by the operating system."""
+        server = web.Server(self._handle, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.url = f"http://{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close the listener and end the folder watch."""
+        if self._watcher is not None:
+            self._watcher.cancel()
+            await asyncio.gather(self._watcher, return_exceptions=True)
+        self.down = True
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def publish(self, name: str, text_by_part: dict[str, str]) -> int:
+        """Publish a document and return its revision.
+
+        Raises:
+            ValueError: The document is larger than `MAX_VALUE_BYTES`.
+        """
+        size = sum(len(text.encode()) for text in text_by_part.values())
+        if size > MAX_VALUE_BYTES:
+            raise ValueError(f"{name}: {size} bytes is above the limit")
+        history = self._history_by_name.setdefault(
+            name, collections.deque(maxlen=_HISTORY_LENGTH)
+        )
+        revision = history[-1].revision + 1 if history else 1
+        history.append(base.Document(name, revision, dict(text_by_part)))
+        self._wake_watches()
+        return revision
+
+    def set_entries(self, entries: list[Instance]) -> None:
+        """List the entries, after `lag_ms`."""
+        self._set_part("entries", [dataclasses.asdict(e) for e in entries])
+
+    def set_targets(self, service: str, targets: list[Instance]) -> None:
+        """List the targets of a service, after `lag_ms`."""
+        rows = [dataclasses.asdict(target) for target in targets]
+        for row in rows:
+            del row["peer_address"], row["admin_address"]
+        self._set_part(service, rows)
+
+    def publish_folder(self, path: pathlib.Path) -> int:
+        """Publish the TOML files of a folder as `configuration`.
+
+        Raises:
+            ValueError: A file is not UTF-8 or the folder is too large.
+        """
+        return self.publish(base.CONFIGURATION, _read_folder(path))
+
+    def watch_folder(self, path: pathlib.Path) -> None:
+        """Publish the folder whenever its files change, until `stop`."""
+        self._watcher = asyncio.create_task(self._poll_folder(path))
+
+    async def _poll_folder(self, path: pathlib.Path) -> None:
+        previous: dict[str, str] | None = None
+        problem = ""
+        while True:
+            try:
+                current = await asyncio.to_thread(_read_folder, path)
+                # Two equal polls in a row: a folder that is being copied or
+                # a file that is being written is not published half done.
+                if current == previous != self._newest(base.CONFIGURATION):
+                    self.publish(base.CONFIGURATION, current)
+                previous = current
+                problem = ""
+            except (OSError, ValueError) as err:
+                if problem != str(err):
+                    problem = str(err)
+                    _log.warning("folder {} not published: {}", path, err)
+            await asyncio.sleep(_POLL_S)
+
+    def _set_part(self, part: str, rows: list[dict]) -> None:
+        self._list_updates += 1
+        number, text = self._list_updates, json.dumps(rows)
+        if self.lag_ms <= 0:
+            self._apply_part(part, number, text)
+        else:
+            asyncio.get_running_loop().call_later(
+                self.lag_ms / 1000, self._apply_part, part, number, text
+            )
+
+    def _apply_part(self, part: str, number: int, text: str) -> None:
+        # A shorter lag set meanwhile must not let older rows come last.
+        if self._applied_by_part.get(part, 0) > number:
+            return
+        self._applied_by_part[part] = number
+        parts = self._newest(base.INSTANCES) or {}
+        self.publish(base.INSTANCES, parts | {part: text})
+
+    def _newest(self, name: str) -> dict[str, str] | None:
+        history = self._history_by_name.get(name)
+        return history[-1].text_by_part if history else None
+
+    def _served(self, name: str) -> base.Document | None:
+        history = self._history_by_name.get(name)
+        if not history:
+            return None
+        return history[max(0, len(history) - 1 - self._stale)]
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _next(
+        self, name: str, after: int, wait_s: float
+    ) -> base.Document | None:
+        deadline = time.monotonic() + wait_s
+        while not self._down:
+            document = self._served(name)
+            if document is not None and document.revision > after:
+                return document
+            try:
+                async with asyncio.timeout(deadline - time.monotonic()):
+                    await self._changed.wait()
+            except TimeoutError:
+                return None
+        return None
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.calls += 1
+        self._call_times.append(time.monotonic())
+        if self.latency_ms:
+            await asyncio.sleep(self.latency_ms / 1000)
+        prefix, _, name = request.path.rpartition("/")
+        if prefix != "/v1/documents" or request.method != "GET":
+            return web.Response(status=404)
+        try:
+            after = int(request.query.get("after", -1))
+            wait_s = float(request.query.get("wait", 0))
+        except ValueError:
+            return web.Response(status=400)
+        if after >= 0:
+            document = await self._next(name, after, wait_s)
+        else:
+            document = self._served(name)
+        if self._down:
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response(status=503)
+        if document is None:
+            return web.Response(status=204 if after >= 0 else 404)
+        return web.json_response(
+            {
+                "name": name,
+                "revision": document.revision,
+                "parts": document.text_by_part,
+            }
+        )
+
+
+def _read_folder(path: pathlib.Path) -> dict[str, str]:
+    files = sorted(path.glob("[!.]*.toml"))
+    return {file.name: file.read_text("utf-8") for file in files}
--- /dev/null
+++ b/tests/fakes/test_platform.py
@@ -0,0 +1,105 @@
+"""Tests of the fake platform."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+
+from slatechute.fakes import platform
+from slatechute.platforms import http
+
+
+def _with_platform(scenario):
+    async def run():
+        fake = platform.FakePlatform()
+        await fake.start()
+        try:
+            async with aiohttp.ClientSession() as session:
+                await scenario(fake, http.HttpPlatform(fake.url, session))
+        finally:
+            await fake.stop()
+
+    asyncio.run(run())
+
+
+def test_lists_appear_after_the_lag_and_in_order():
+    """Guards against lists without lag and older rows that come last."""
+
+    async def scenario(fake, reader):
+        fake.publish("instances", {})
+        fake.lag_ms = 100
+        old = platform.Instance("t-old", "127.0.0.1:1")
+        new = platform.Instance("t-new", "127.0.0.1:2", state="leaving")
+        fake.set_targets("kit", [old])
+        assert (await reader.read("instances")).revision == 1
+        fake.lag_ms = 0
+        fake.set_targets("kit", [new])
+        fake.set_entries([platform.Instance("e1", "127.0.0.1:3")])
+        await asyncio.sleep(0.2)
+        document = await reader.read("instances")
+        (row,) = json.loads(document.text_by_part["kit"])
+        assert (row["id"], row["state"]) == ("t-new", "leaving")
+        assert "peer_address" not in row
+        (row,) = json.loads(document.text_by_part["entries"])
+        assert row["peer_address"] == ""
+
+    _with_platform(scenario)
+
+
+def test_stale_platform_serves_an_older_revision():
+    """Guards against a stale fault that still shows the newest text."""
+
+    async def scenario(fake, reader):
+        for text in "abc":
+            fake.publish("configuration", {"x": text})
+        fake.stale = 2
+        assert (await reader.read("configuration")).text_by_part == {"x": "a"}
+        assert await reader.watch("configuration", 1, 0.05) is None
+        fake.stale = 0
+        assert (await reader.read("configuration")).revision == 3
+
+    _with_platform(scenario)
+
+
+def test_calls_are_counted_by_time():
+    """Guards against rates that count calls outside of the window."""
+
+    async def scenario(fake, reader):
+        fake.publish("configuration", {})
+        for _ in range(3):
+            await reader.read("configuration")
+        assert fake.calls_per_second(10) == pytest.approx(0.3)
+        await asyncio.sleep(0.1)
+        assert fake.calls_per_second(0.05) == 0
+
+    _with_platform(scenario)
+
+
+def test_watched_folder_is_published_on_change(tmp_path):
+    """Guards against missed edits, repeated revisions and stray files."""
+
+    async def scenario(fake, reader):
+        (tmp_path / "a.toml").write_text("x = 1")
+        (tmp_path / ".b.toml.swp").write_text("noise")
+        (tmp_path / ".c.toml").write_text("noise")
+        fake.watch_folder(tmp_path)
+        first = await reader.watch("configuration", 0, 2)
+        assert first.text_by_part == {"a.toml": "x = 1"}
+        (tmp_path / "bad.toml").write_bytes(b"\xff")
+        await asyncio.sleep(0.5)
+        assert (await reader.read("configuration")).revision == 1
+        (tmp_path / "bad.toml").unlink()
+        (tmp_path / "d.toml").write_text("y = 2")
+        second = await reader.watch("configuration", 1, 2)
+        assert second.revision == 2
+        assert sorted(second.text_by_part) == ["a.toml", "d.toml"]
+
+    _with_platform(scenario)
+
+
+def test_values_above_the_limit_are_refused():
+    """Guards against documents that the real platform would not take."""
+    fake = platform.FakePlatform()
+    with pytest.raises(ValueError, match="above the limit"):
+        fake.publish("configuration", {"a": "x" * 1_000_001})
--- /dev/null
+++ b/tests/platforms/test_http.py
@@ -0,0 +1,137 @@
+"""Tests of the HTTP reader against the fake platform."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from slatechute import errors
+from slatechute.fakes import platform
+from slatechute.platforms import http
+
+
+@contextlib.asynccontextmanager
+async def _connected():
+    fake = platform.FakePlatform()
+    await fake.start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield fake, http.HttpPlatform(fake.url, session)
+    finally:
+        await fake.stop()
+
+
+@contextlib.asynccontextmanager
+async def _reader_of(status: int, body: str):
+    async def handle(_request):
+        return web.Response(status=status, text=body)
+
+    runner = web.ServerRunner(web.Server(handle, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield http.HttpPlatform(url, session)
+    finally:
+        await runner.cleanup()
+
+
+def test_read_returns_the_published_document():
+    """Guards against losing parts or the revision on the way."""
+
+    async def run():
+        async with _connected() as (fake, reader):
+            fake.publish("configuration", {"a.toml": "x = 'é'"})
+            document = await reader.read("configuration")
+            assert document.revision == 1
+            assert document.text_by_part == {"a.toml": "x = 'é'"}
+
+    asyncio.run(run())
+
+
+def test_watch_wakes_on_publication_and_counts_one_call():
+    """Guards against watches that poll or miss a revision."""
+
+    async def run():
+        async with _connected() as (fake, reader):
+            fake.publish("instances", {})
+            watch = asyncio.create_task(reader.watch("instances", 1, 5))
+            await asyncio.sleep(0.1)
+            assert not watch.done()
+            fake.publish("instances", {"entries": "[]"})
+            document = await asyncio.wait_for(watch, 1)
+            assert document is not None and document.revision == 2
+            assert fake.calls == reader.calls == 1
+
+    asyncio.run(run())
+
+
+def test_watch_without_news_returns_none():
+    """Guards against taking the end of a long poll for an error."""
+
+    async def run():
+        async with _connected() as (fake, reader):
+            fake.publish("instances", {})
+            assert await reader.watch("instances", 1, 0.05) is None
+
+    asyncio.run(run())
+
+
+def test_down_platform_raises_platform_error():
+    """Guards against other exceptions reaching the watcher's backoff."""
+
+    async def run():
+        async with _connected() as (fake, reader):
+            fake.publish("instances", {})
+            watch = asyncio.create_task(reader.watch("instances", 1, 5))
+            await asyncio.sleep(0.05)
+            fake.down = True
+            with pytest.raises(errors.PlatformError):
+                await asyncio.wait_for(watch, 1)
+            with pytest.raises(errors.PlatformError):
+                await reader.read("instances")
+            await fake.stop()
+            with pytest.raises(errors.PlatformError):
+                await reader.read("instances")
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (500, ""),
+        (200, "not json"),
+        (200, '{"name": "other", "revision": 9, "parts": {}}'),
+        (200, '{"name": "instances", "revision": "9", "parts": {}}'),
+        (200, '{"name": "instances", "revision": 9, "parts": {"a": 1}}'),
+        (200, '{"name": "instances", "revision": 5, "parts": {}}'),
+        (200, " " * (7 * 1024 * 1024)),
+    ],
+)
+def test_unusable_answers_raise_platform_error(status, body):
+    """Guards against adopting or looping on answers that break the rules."""
+
+    async def run():
+        async with _reader_of(status, body) as reader:
+            with pytest.raises(errors.PlatformError):
+                await reader.watch("instances", 5, 1)
+
+    asyncio.run(run())
+
+
+def test_silent_platform_times_out(monkeypatch):
+    """Guards against a reader that hangs on a silent connection."""
+    monkeypatch.setattr(http, "_RESPONSE_S", 0.1)
+
+    async def run():
+        async with _connected() as (fake, reader):
+            fake.publish("instances", {})
+            fake.latency_ms = 5000
+            with pytest.raises(errors.PlatformError, match="timeout"):
+                await reader.read("instances")
+
+    asyncio.run(run())
