Merge the operators' folder of TOML files

Each file becomes a layer that first removes keys and then sets its own; stacking layers is associative, so the result depends on the names and texts alone. A key that is a table in one file and a value in another is a problem: replacing one by the other was ruled out because the result then depends on how files are grouped. All problems are reported at once with file, key or line. After a file that cannot be parsed, "is missing" and "removes nothing" are left out, since that file may be their only cause.

--- /dev/null
+++ b/slatechute/configuration/folder.py
@@ -0,0 +1,465 @@
+"""Merging of the operators' folder of TOML files.
+
+Files are merged in the code point order of their names, key by key. The result
+depends on the names and texts alone, so that every host accepts the same
+documents.
+"""
+
+import dataclasses
+import functools
+import json
+import pathlib
+import re
+import tomllib
+from typing import Any
+
+import pydantic
+
+from slatechute import errors
+from slatechute.configuration import models
+
+__all__ = [
+    "Layer",
+    "MAX_DOCUMENT_BYTES",
+    "MAX_PARTS",
+    "MAX_PART_BYTES",
+    "Merged",
+    "Origin",
+    "build",
+    "format_key",
+    "merge",
+    "parse_file",
+    "parse_key",
+    "part_problems",
+    "read",
+    "stack",
+]
+
+# A part travels in one peer frame of at most 256 KiB.
+MAX_PART_BYTES = 200 * 1024
+# The digests of all parts travel in one peer frame, at up to 136 bytes a part.
+MAX_PARTS = 1800
+MAX_PART_NAME_BYTES = 96
+# The platform stores values of at most 1 MB.
+MAX_DOCUMENT_BYTES = 1024 * 1024
+# The schema is five tables deep. The limit keeps recursion over a file shallow
+# whatever the file contains.
+MAX_DEPTH = 16
+# tomllib takes quadratic time in the number of dots of a key: 4,000 dots on a
+# line took 0.09 s, and a file may hold 100,000.
+MAX_DOTS_A_LINE = 64
+
+_FILE_NAME = re.compile(r"[A-Za-z0-9_][A-Za-z0-9._-]*\.toml")
+_BARE_KEY = re.compile(r"[A-Za-z0-9_-]+")
+_KEY_PART = r"""(?:[A-Za-z0-9_-]+|"(?:[^"\\\n]|\\.)*"|'[^'\n]*')"""
+_DOTTED_KEY = re.compile(rf"{_KEY_PART}(?:\.{_KEY_PART})*")
+_TOML_POSITION = re.compile(r"(.*) \(at (line \d+, column \d+)\)", re.DOTALL)
+
+_Path = tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where the value of a key comes from.
+
+    Attributes:
+        file: File whose value is in force.
+        overrode: Files whose values it replaced, in merge order.
+    """
+
+    file: str
+    overrode: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class Merged:
+    """The merged folder before validation.
+
+    Attributes:
+        tree: Raw values in nested tables.
+        origin_by_key: Origin of each value by dotted key.
+        files_by_table: Files that name a table, by dotted key.
+    """
+
+    tree: dict[str, Any]
+    origin_by_key: dict[str, Origin]
+    files_by_table: dict[str, tuple[str, ...]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Leaf:
+    value: Any
+    origin: Origin
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Table:
+    node_by_key: dict[str, "_Leaf | _Table"]
+    files: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Removal:
+    path: _Path
+    file: str
+    matched: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layer:
+    """One file, or several merged files, on the way to the whole folder.
+
+    A layer first removes keys from the layers below it and then sets its own.
+
+    Attributes:
+        root: Values that the layer sets.
+        removals: Keys that it removes from layers below, in order.
+        problems: Faults found so far.
+        broken: Whether a file could not be parsed.
+    """
+
+    root: _Table = _Table({}, ())
+    removals: tuple[_Removal, ...] = ()
+    problems: tuple[str, ...] = ()
+    broken: bool = False
+
+
+def _quoted(part: str) -> str:
+    # TOML forbids a literal DEL, which JSON does not escape.
+    return json.dumps(part, ensure_ascii=False).replace("\x7f", "\\u007f")
+
+
+def format_key(path: _Path) -> str:
+    """Return the dotted key of a path, quoted where TOML asks for it.
+
+    >>> format_key(("services", "a.b"))
+    'services."a.b"'
+    """
+    return ".".join(
+        part if _BARE_KEY.fullmatch(part) else _quoted(part) for part in path
+    )
+
+
+def parse_key(text: str) -> _Path:
+    """Return the path of a dotted key.
+
+    Raises:
+        ValueError: The text is not a dotted TOML key.
+
+    >>> parse_key('services."a.b"')
+    ('services', 'a.b')
+    """
+    if text.count(".") > MAX_DOTS_A_LINE or not _DOTTED_KEY.fullmatch(text):
+        raise ValueError("is not a dotted key")
+    node = tomllib.loads(f"{text} = 0")
+    path = []
+    while isinstance(node, dict):
+        ((part, node),) = node.items()
+        path.append(part)
+    return tuple(path)
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def part_problems(text_by_part: dict[str, str]) -> list[str]:
+    """Return what makes the parts of any document unfit to travel."""
+    problems = []
+    total = 0
+    if len(text_by_part) > MAX_PARTS:
+        problems.append(f"document: more than {MAX_PARTS} parts")
+    for part, text in text_by_part.items():
+        if not isinstance(part, str) or not isinstance(text, str):
+            problems.append(f"{part!a}: is not text")
+        elif not _is_encodable(part) or not _is_encodable(text):
+            problems.append(f"{part!a}: is not valid Unicode")
+        else:
+            size = len(text.encode())
+            total += size
+            if not 0 < len(part.encode()) <= MAX_PART_NAME_BYTES:
+                problems.append(f"{part!a}: name is empty or too long")
+            if size > MAX_PART_BYTES:
+                problems.append(
+                    f"{part}: {size} bytes, at most {MAX_PART_BYTES} allowed"
+                )
+    if total > MAX_DOCUMENT_BYTES:
+        problems.append(
+            f"document: {total} bytes, at most {MAX_DOCUMENT_BYTES} allowed"
+        )
+    return problems
+
+
+def _is_too_deep(value: Any) -> bool:
+    pending = [(value, 0)]
+    while pending:
+        node, depth = pending.pop()
+        if isinstance(node, dict | list):
+            if depth >= MAX_DEPTH:
+                return True
+            children = node.values() if isinstance(node, dict) else node
+            pending += [(child, depth + 1) for child in children]
+    return False
+
+
+def _syntax_problem(file: str, err: Exception) -> str:
+    if isinstance(err, RecursionError):
+        return f"{file}: nested too deeply"
+    match = _TOML_POSITION.fullmatch(str(err))
+    if match is None:
+        return f"{file}: {err}"
+    return f"{file}: {match[2]}: {match[1]}"
+
+
+def _load(file: str, text: str) -> dict[str, Any]:
+    if not _FILE_NAME.fullmatch(file):
+        raise errors.ConfigurationError([f"{file!a}: is not a .toml file name"])
+    for number, line in enumerate(text.split("\n"), 1):
+        if line.count(".") > MAX_DOTS_A_LINE and not line.lstrip().startswith(
+            "#"
+        ):
+            raise errors.ConfigurationError(
+                [f"{file}: line {number}: more than {MAX_DOTS_A_LINE} dots"]
+            )
+    try:
+        tree = tomllib.loads(text)
+    except (ValueError, OverflowError, RecursionError) as err:
+        raise errors.ConfigurationError([_syntax_problem(file, err)]) from err
+    if _is_too_deep(tree):
+        raise errors.ConfigurationError([f"{file}: nested too deeply"])
+    return tree
+
+
+def _table_of(tree: dict[str, Any], file: str) -> _Table:
+    node_by_key = {
+        key: _table_of(value, file)
+        if isinstance(value, dict)
+        else _Leaf(value, Origin(file))
+        for key, value in tree.items()
+    }
+    return _Table(node_by_key, (file,))
+
+
+def parse_file(file: str, text: str) -> Layer:
+    """Return the layer of one file; its faults are listed in `problems`."""
+    try:
+        tree = _load(file, text)
+    except errors.ConfigurationError as err:
+        return Layer(problems=tuple(err.problems), broken=True)
+    listed = tree.pop("remove", [])
+    problems, removals = [], []
+    if not isinstance(listed, list):
+        problems.append(f"{file}: remove: is not a list of dotted keys")
+        listed = []
+    for key in listed:
+        try:
+            if not isinstance(key, str):
+                raise ValueError("is not text")
+            removals.append(_Removal(parse_key(key), file))
+        except ValueError as err:
+            problems.append(f"{file}: remove: {key!r:.80}: {err}")
+    return Layer(_table_of(tree, file), tuple(removals), tuple(problems))
+
+
+def _without(table: _Table, path: _Path) -> _Table | None:
+    """Return the table without a key, or None when it has no such key."""
+    node = table.node_by_key.get(path[0])
+    if node is None:
+        return None
+    rest = dict(table.node_by_key)
+    if len(path) == 1:
+        del rest[path[0]]
+        return _Table(rest, table.files)
+    if not isinstance(node, _Table):
+        return None
+    inner = _without(node, path[1:])
+    if inner is None:
+        return None
+    rest[path[0]] = inner
+    return _Table(rest, table.files)
+
+
+def _overlay(
+    lower: _Table, upper: _Table, path: _Path, problems: list[str]
+) -> _Table:
+    node_by_key = dict(lower.node_by_key)
+    for key, new in upper.node_by_key.items():
+        old = node_by_key.get(key)
+        here = (*path, key)
+        if isinstance(old, _Table) and isinstance(new, _Table):
+            new = _overlay(old, new, here, problems)
+        elif isinstance(old, _Leaf) and isinstance(new, _Leaf):
+            overrode = (
+                *old.origin.overrode,
+                old.origin.file,
+                *new.origin.overrode,
+            )
+            new = _Leaf(new.value, Origin(new.origin.file, overrode))
+        elif old is not None:
+            # Replacing one by the other silently would make the result depend
+            # on how the files are grouped.
+            problems.append(
+                f"{_files_text(new)}: {format_key(here)}: is a table in one "
+                f"file and a value in another ({_files_text(old)})"
+            )
+        node_by_key[key] = new
+    files = dict.fromkeys((*lower.files, *upper.files))
+    return _Table(node_by_key, tuple(files))
+
+
+def _files_text(node: _Leaf | _Table) -> str:
+    if isinstance(node, _Leaf):
+        return node.origin.file
+    return ", ".join(node.files)
+
+
+def stack(lower: Layer, upper: Layer) -> Layer:
+    """Return the layer that has the effect of `lower` and then `upper`.
+
+    The operation is associative for layers that merge without problems.
+    """
+    root = lower.root
+    removals = list(lower.removals)
+    problems = [*lower.problems, *upper.problems]
+    for removal in upper.removals:
+        rest = _without(root, removal.path)
+        if rest is not None:
+            root = rest
+            removal = dataclasses.replace(removal, matched=True)
+        removals.append(removal)
+    root = _overlay(root, upper.root, (), problems)
+    broken = lower.broken or upper.broken
+    return Layer(root, tuple(removals), tuple(problems), broken)
+
+
+def _flatten(table: _Table, path: _Path, merged: Merged) -> dict[str, Any]:
+    tree = {}
+    for key, node in table.node_by_key.items():
+        here = (*path, key)
+        if isinstance(node, _Table):
+            merged.files_by_table[format_key(here)] = node.files
+            tree[key] = _flatten(node, here, merged)
+        else:
+            merged.origin_by_key[format_key(here)] = node.origin
+            tree[key] = node.value
+    return tree
+
+
+def _merge(text_by_part: dict[str, str]) -> tuple[Merged, list[str], bool]:
+    problems = part_problems(text_by_part)
+    if problems:
+        return Merged({}, {}, {}), problems, True
+    layers = [
+        parse_file(file, text_by_part[file]) for file in sorted(text_by_part)
+    ]
+    layer = functools.reduce(stack, layers, Layer())
+    problems = list(layer.problems)
+    # After a file that could not be parsed, a key may be absent only because
+    # that file would have set it.
+    if not layer.broken:
+        problems += [
+            f"{removal.file}: remove: {format_key(removal.path)}: no earlier "
+            "file sets this key"
+            for removal in layer.removals
+            if not removal.matched
+        ]
+    merged = Merged({}, {}, {"": layer.root.files})
+    merged.tree = _flatten(layer.root, (), merged)
+    return merged, problems, layer.broken
+
+
+def merge(text_by_part: dict[str, str]) -> Merged:
+    """Merge the files of the folder.
+
+    Args:
+        text_by_part: Text of each file by its name.
+
+    Raises:
+        errors.ConfigurationError: Files cannot be parsed or merged; lists
+            every problem.
+    """
+    merged, problems, _ = _merge(text_by_part)
+    if problems:
+        raise errors.ConfigurationError(problems)
+    return merged
+
+
+def _place(merged: Merged, path: _Path) -> str:
+    """Return the files that set a key, or else the closest table around it."""
+    for length in range(len(path), -1, -1):
+        key = format_key(path[:length])
+        if key in merged.origin_by_key:
+            return merged.origin_by_key[key].file
+        if key in merged.files_by_table:
+            return ", ".join(merged.files_by_table[key])
+    return "document"
+
+
+def _model_problems(
+    merged: Merged, err: pydantic.ValidationError, broken: bool
+) -> list[str]:
+    problems = []
+    for fault in err.errors(include_url=False, include_input=False):
+        path = tuple(str(part) for part in fault["loc"])
+        reason = fault["msg"][:1].lower() + fault["msg"][1:]
+        if fault["type"] == "missing":
+            if broken:
+                continue
+            reason = "is missing"
+        elif fault["type"] == "extra_forbidden":
+            reason = "unknown key"
+        problems.append(f"{_place(merged, path)}: {format_key(path)}: {reason}")
+    return problems
+
+
+def build(text_by_part: dict[str, str]) -> models.Configuration:
+    """Return the validated configuration of the folder.
+
+    Args:
+        text_by_part: Text of each file by its name.
+
+    Raises:
+        errors.ConfigurationError: The folder is not valid; lists every problem
+            with its file, key or line, and reason.
+    """
+    merged, problems, broken = _merge(text_by_part)
+    try:
+        configuration = models.Configuration.model_validate(merged.tree)
+    except pydantic.ValidationError as err:
+        problems += _model_problems(merged, err, broken)
+    if problems:
+        raise errors.ConfigurationError(problems)
+    return configuration
+
+
+def read(path: pathlib.Path) -> tuple[dict[str, str], list[str]]:
+    """Read a folder from disk.
+
+    Returns:
+        The text of each readable file by name, and one problem for each entry
+        of the folder that is not a readable text file.
+    """
+    text_by_part, problems = {}, []
+    try:
+        entries = sorted(path.iterdir())
+    except OSError as err:
+        return {}, [f"{path}: {err.strerror}"]
+    for entry in entries:
+        try:
+            with entry.open("rb") as stream:
+                raw = stream.read(MAX_PART_BYTES + 1)
+            if len(raw) > MAX_PART_BYTES:
+                problems.append(
+                    f"{entry.name}: more than {MAX_PART_BYTES} bytes"
+                )
+            else:
+                text_by_part[entry.name] = raw.decode()
+        except OSError as err:
+            problems.append(f"{entry.name}: {err.strerror}")
+        except UnicodeDecodeError as err:
+            problems.append(f"{entry.name}: is not UTF-8: {err.reason}")
+    return text_by_part, problems
