Log events as JSON lines with a rate limit

Loggers take the event name and its fields by keyword. A handler-side filter was ruled out since logbook builds the record first.

--- /dev/null
+++ b/slatechute/logs.py
@@ -0,0 +1,222 @@
+"""Structured logs: one event, one line of JSON.
+
+A logger takes the name of the event and its fields by keyword:
+
+    _LOGGER = logs.get_logger(__name__)
+    _LOGGER.warning("request_refused", reason=reason, step=step, peer=peer)
+"""
+
+import asyncio
+import json
+import math
+import sys
+import time
+from typing import Any, TextIO
+
+import logbook
+
+from slatechute import errors
+
+__all__ = [
+    "LEVELS",
+    "LINES_PER_S",
+    "JsonHandler",
+    "Logger",
+    "flush",
+    "get_logger",
+    "setup",
+]
+
+LEVELS = ("debug", "info", "notice", "warning", "error", "critical")
+
+# More lines of one event in a second add nothing that the count does not say,
+# and writing them would take time from requests during an overload.
+LINES_PER_S = 10
+
+# Event names are constants, so a logger that exceeds this builds them from
+# data; its oldest window is then dropped to bound the memory.
+_MAX_WINDOWS = 256
+
+_RESERVED = frozenset({"time", "level", "logger", "event"})
+
+
+class _Window:
+    """Lines of one event of one logger in the current second."""
+
+    __slots__ = ("level", "lines", "started_s", "suppressed")
+
+    def __init__(self, started_s: float):
+        self.started_s = started_s
+        self.lines = 0
+        self.suppressed = 0
+        self.level = logbook.DEBUG
+
+
+class Logger(logbook.Logger):
+    """Logger whose keyword arguments are the fields of the event.
+
+    Writes at most `LINES_PER_S` lines a second for an event. When more arrive,
+    one line with the field `suppressed` follows at the end of that second, or
+    with the next record when no event loop is running.
+    """
+
+    # Plain attributes in place of the library's properties, which look for a
+    # logger group and take most of the time of a call below the level.
+    disabled = False
+    level = logbook.WARNING
+
+    def __init__(self, name: str):
+        super().__init__(name)
+        self._window_by_event: dict[str, _Window] = {}
+
+    def _log(self, level: int, args: tuple, kwargs: dict[str, Any]) -> None:
+        now_s = time.monotonic()
+        if _suppressing:
+            _report_due(now_s)
+        if not self._admit(args[0], level, now_s):
+            return
+        exc_info = kwargs.pop("exc_info", None)
+        fields = kwargs.pop("extra", None) or {}
+        self.make_record_and_handle(
+            level, args[0], args[1:], None, exc_info, fields | kwargs, 0
+        )
+
+    def _admit(self, event: str, level: int, now_s: float) -> bool:
+        window = self._window_by_event.get(event)
+        if window is None or now_s - window.started_s >= 1:
+            if window is not None:
+                self.report_suppressed(event)
+            elif len(self._window_by_event) >= _MAX_WINDOWS:
+                oldest = next(iter(self._window_by_event))
+                self.report_suppressed(oldest)
+                del self._window_by_event[oldest]
+            window = self._window_by_event[event] = _Window(now_s)
+        window.lines += 1
+        if window.lines <= LINES_PER_S:
+            return True
+        window.suppressed += 1
+        window.level = max(window.level, level)
+        if window.suppressed == 1:
+            due_s = window.started_s + 1
+            _suppressing[self, event] = due_s
+            try:
+                loop = asyncio.get_running_loop()
+            except RuntimeError:
+                pass  # The next record or `flush` writes the count.
+            else:
+                loop.call_later(due_s - now_s, _report_due, due_s)
+        return False
+
+    def report_suppressed(self, event: str) -> None:
+        """Write the number of suppressed lines of an event, if there are any.
+
+        Args:
+            event: Name of the event.
+        """
+        _suppressing.pop((self, event), None)
+        window = self._window_by_event.get(event)
+        if window is None or not window.suppressed:
+            return
+        fields = {"suppressed": window.suppressed}
+        window.suppressed = 0
+        self.make_record_and_handle(
+            window.level, event, (), None, None, fields, 0
+        )
+
+
+class JsonHandler(logbook.StreamHandler):
+    """Writes each record as one line of JSON."""
+
+    def __init__(self, stream: TextIO, level: int = logbook.NOTSET):
+        super().__init__(stream, level=level)
+        self.formatter = _format
+
+    def handle_error(self, record: logbook.LogRecord, exc_info: tuple) -> None:
+        """Drop a line that cannot be written.
+
+        A log collector that has closed its end must not stop the entry.
+        """
+        if not isinstance(exc_info[1], OSError | ValueError):
+            super().handle_error(record, exc_info)
+
+
+def _format(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    del handler
+    content = {
+        "time": record.time.isoformat(timespec="milliseconds") + "Z",
+        "level": record.level_name.lower(),
+        "logger": record.channel,
+        "event": record.message,
+    }
+    for key, value in record.extra.items():
+        content[f"{key}_" if key in _RESERVED else key] = value
+    if record.exc_info is not None:
+        content["exception"] = record.formatted_exception
+    try:
+        return json.dumps(content, default=str, allow_nan=False)
+    except ValueError:
+        # JSON has no infinity and no NaN.
+        finite = {
+            key: str(value)
+            if isinstance(value, float) and not math.isfinite(value)
+            else value
+            for key, value in content.items()
+        }
+        return json.dumps(finite, default=str)
+
+
+_level = logbook.WARNING
+_logger_by_name: dict[str, Logger] = {}
+_suppressing: dict[tuple[Logger, str], float] = {}
+_handler: JsonHandler | None = None
+
+
+def _report_due(now_s: float) -> None:
+    due = [key for key, due_s in _suppressing.items() if due_s <= now_s]
+    for logger, event in due:
+        logger.report_suppressed(event)
+
+
+def get_logger(name: str) -> Logger:
+    """Return the logger of a module; the same one for the same name."""
+    logger = _logger_by_name.get(name)
+    if logger is None:
+        logger = _logger_by_name[name] = Logger(name)
+        logger.level = _level
+    return logger
+
+
+def setup(stream: TextIO | None = None, level: str = "info") -> JsonHandler:
+    """Send all logs to a stream; replaces an earlier call.
+
+    Without this call, warnings and errors go to standard error as plain text.
+
+    Args:
+        stream: Where to write; standard error when None.
+        level: Lowest level to write, one of `LEVELS`.
+
+    Returns:
+        The handler in use.
+
+    Raises:
+        errors.SettingsError: The level is unknown.
+    """
+    global _handler, _level
+    if level.lower() not in LEVELS:
+        raise errors.SettingsError(
+            f"log level {level!r} is not one of {', '.join(LEVELS)}"
+        )
+    flush()
+    if _handler is not None:
+        _handler.pop_application()
+    _handler = JsonHandler(stream or sys.stderr)
+    _handler.push_application()
+    _level = logbook.lookup_level(level.upper())
+    for logger in _logger_by_name.values():
+        logger.level = _level
+    return _handler
+
+
+def flush() -> None:
+    """Write the pending counts of suppressed lines."""
+    _report_due(math.inf)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,110 @@
+"""Tests of the structured logs."""
+
+import asyncio
+import io
+import json
+
+import pytest
+
+from slatechute import errors
+from slatechute import logs
+
+
+@pytest.fixture
+def stream():
+    stream = io.StringIO()
+    logs.setup(stream, "info")
+    yield stream
+    logs.setup(None, "warning")
+
+
+def _lines(stream: io.StringIO) -> list[dict]:
+    return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+
+def test_line_has_event_and_fields(stream):
+    """A field or the UTC mark that is missing breaks log searches."""
+    logger = logs.get_logger("fields")
+    logger.warning(
+        "refused\nhere", reason=errors.Reason.OVERLOAD, extra={"peer": "e2"}
+    )
+    (line,) = _lines(stream)
+    assert line.pop("time").endswith("Z")
+    assert line == {
+        "level": "warning",
+        "logger": "fields",
+        "event": "refused\nhere",
+        "reason": "overload",
+        "peer": "e2",
+    }
+
+
+def test_values_that_json_lacks(stream):
+    """A value such as an infinite age must not lose the line."""
+    logs.get_logger("values").info("x", age_s=float("inf"), event="y", o={1})
+    (line,) = _lines(stream)
+    assert (line["age_s"], line["event_"], line["o"]) == ("inf", "y", "{1}")
+
+
+def test_exception_is_a_field(stream):
+    """A traceback over several lines breaks line-based collectors."""
+    try:
+        raise KeyError("k")
+    except KeyError:
+        logs.get_logger("exceptions").exception("failed", step="writing")
+    (line,) = _lines(stream)
+    assert "KeyError" in line["exception"]
+
+
+def test_level_off_writes_nothing(stream):
+    """Debug lines on the request path must not reach production logs."""
+    logs.get_logger("levels").debug("detail")
+    assert not stream.getvalue()
+
+
+def test_storm_is_limited_and_counted(stream):
+    """An overload must not turn into an overload of the log."""
+
+    async def storm():
+        logger = logs.get_logger("storm")
+        for _ in range(500):
+            logger.error("refused", reason="overload")
+        logger.error("other")
+        await asyncio.sleep(1.1)
+
+    asyncio.run(storm())
+    lines = _lines(stream)
+    refused = [line for line in lines if line["event"] == "refused"]
+    assert len(refused) == logs.LINES_PER_S + 1
+    assert refused[-1]["suppressed"] == 500 - logs.LINES_PER_S
+    assert refused[-1]["level"] == "error"
+    assert len(lines) == len(refused) + 1
+
+
+def test_flush_without_event_loop(stream):
+    """The count must not be lost when the process ends after a storm."""
+    logger = logs.get_logger("flush")
+    for _ in range(logs.LINES_PER_S + 3):
+        logger.info("again")
+    logs.flush()
+    logs.flush()
+    counts = [line.get("suppressed") for line in _lines(stream)]
+    assert counts == [None] * logs.LINES_PER_S + [3]
+
+
+def test_generated_event_names_use_bounded_memory(stream):
+    """Events named from data must not grow the table of windows."""
+    logger = logs.get_logger("generated")
+    for number in range(1000):
+        logger.info(f"event {number}")
+    assert len(logger._window_by_event) <= 256
+
+
+def test_unknown_level_and_closed_stream(stream):
+    """A wrong level is the operator's error; a closed stream stops nothing."""
+    with pytest.raises(errors.SettingsError):
+        logs.setup(stream, "loud")
+    closed = io.StringIO()
+    logs.setup(closed, "info")
+    closed.close()
+    logs.get_logger("closed").info("x")
