Check settings as a whole and derive flags from the model

Every setting is declared once, as a field; its flag, variable and help text come from the field and the class docstring. load() lists all problems without their input, which may be a secret. Addresses are IP:port, since hosts talk by IP; the callers' and peers' addresses must name an interface because they are told to other hosts. A model-wide validator for the key file was ruled out: it runs only when all fields are valid and would hide its problem until then. Unknown variables are reported, not refused, so that hosts can be given the variables of the next version before it is installed.

--- a/slatechute/settings.py
+++ b/slatechute/settings.py
@@ -1,9 +1,81 @@
-"""Settings of an entry, from flags and `SLATECHUTE_...` variables."""
+"""Settings of an entry, from flags and `SLATECHUTE_...` variables.
 
+Each setting is one field of `EntrySettings`; its flag, its variable and its
+help text are derived from the field.
+"""
+
+from collections.abc import Mapping
+import ipaddress
+import os
+import pathlib
+import re
+from typing import Any, Literal
+import urllib.parse
+
+from cleo import helpers
+from cleo.io.inputs import option
 import pydantic
 import pydantic_settings
 
-__all__ = ["EntrySettings"]
+from slatechute import errors
+
+__all__ = [
+    "ENV_PREFIX",
+    "EntrySettings",
+    "cleo_options",
+    "environment_name",
+    "flag_name",
+    "help_text",
+    "join_address",
+    "load",
+    "origins",
+    "shown_value",
+    "split_address",
+    "unknown_variables",
+]
+
+ENV_PREFIX = "SLATECHUTE_"
+
+_MIN_FLEET_KEY_LENGTH = 16
+
+# Longer files are not keys but a wrong path.
+_MAX_FLEET_KEY_LENGTH = 4096
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split `IP:port`, with IPv6 addresses in brackets.
+
+    >>> split_address("[::1]:8400")
+    ('::1', 8400)
+
+    Raises:
+        ValueError: It is no IP address with a port.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not re.fullmatch("[0-9]{1,5}", port):
+        raise ValueError(f"{address!r} is not IP:port")
+    if int(port) > 65535:
+        raise ValueError(f"{address!r}: the port is above 65535")
+    bracketed = host.startswith("[") and host.endswith("]")
+    bare = host[1:-1] if bracketed else host
+    try:
+        version = ipaddress.ip_address(bare).version
+    except ValueError:
+        raise ValueError(
+            f"{address!r}: hosts are named by IP address, not by name"
+        ) from None
+    if bracketed != (version == 6):
+        raise ValueError(f"{address!r}: brackets are for IPv6 addresses")
+    return bare, int(port)
+
+
+def join_address(host: str, port: int) -> str:
+    """Return the reverse of `split_address`.
+
+    >>> join_address("::1", 8400)
+    '[::1]:8400'
+    """
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
 class EntrySettings(pydantic_settings.BaseSettings):
@@ -12,11 +84,15 @@
     Attributes:
         entry_id: Name of this entry; letters, digits, `-` and `_`.
         data_centre: Data centre of this host.
-        address: Host and port for callers.
-        peer_address: Host and port for links from other entries.
-        admin_address: Host and port for operators.
-        platform_url: Base URL of the platform service.
-        fleet_key: Shared key that peers prove to each other.
+        address: IP and port for callers; told to them, so not 0.0.0.0.
+        peer_address: IP and port for links from other entries.
+        admin_address: IP and port for operators; reachable from outside only
+            when it is not a loopback address.
+        platform_url: Base URL of the platform service, with an IP.
+        fleet_key_file: File with the shared key, instead of `fleet_key`.
+        fleet_key: Shared key that peers prove to each other, at least 16
+            characters. A flag is visible in the list of processes, so use the
+            file in production.
         policy: How a slot is chosen; `owner` in production.
         group_size: Entries that share the targets of a service.
         fan_out: Dispatchers asked at first for a slot.
@@ -25,10 +101,14 @@
         max_connections: Callers' connections accepted at a time.
         request_table_size: Request ids kept to recognise resends.
         drain_limit_ms: Longest time a planned stop waits for work in flight.
+        log_level: Lowest level of the log lines on standard error.
     """
 
     model_config = pydantic_settings.SettingsConfigDict(
-        env_prefix="SLATECHUTE_", extra="forbid", frozen=True
+        env_prefix=ENV_PREFIX,
+        env_ignore_empty=True,
+        extra="forbid",
+        frozen=True,
     )
 
     entry_id: str = pydantic.Field(pattern=r"^[A-Za-z0-9_-]{1,64}$")
@@ -37,8 +117,14 @@
     peer_address: str = "127.0.0.1:8401"
     admin_address: str = "127.0.0.1:8402"
     platform_url: str = "http://127.0.0.1:8500"
-    fleet_key: pydantic.SecretStr = pydantic.Field(min_length=16)
-    policy: str = "owner"
+    # The validator of fleet_key reads fleet_key_file, which has to come first.
+    fleet_key_file: pathlib.Path | None = None
+    fleet_key: pydantic.SecretStr = pydantic.Field(
+        default=pydantic.SecretStr(""), validate_default=True
+    )
+    policy: Literal[
+        "owner", "random_choice", "least_in_flight", "two_choices"
+    ] = "owner"
     group_size: int = pydantic.Field(default=24, ge=1, le=256)
     fan_out: int = pydantic.Field(default=3, ge=1, le=64)
     spread_degree: int = pydantic.Field(default=6, ge=1, le=64)
@@ -46,3 +132,223 @@
     max_connections: int = pydantic.Field(default=10_000, ge=1)
     request_table_size: int = pydantic.Field(default=200_000, ge=1)
     drain_limit_ms: int = pydantic.Field(default=600_000, ge=0)
+    log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
+
+    @pydantic.field_validator("address", "peer_address", "admin_address")
+    @classmethod
+    def _check_address(cls, value: str, info: pydantic.ValidationInfo) -> str:
+        host, port = split_address(value)
+        if info.field_name != "admin_address" and (
+            ipaddress.ip_address(host).is_unspecified
+        ):
+            raise ValueError(
+                f"{value!r} is told to other hosts and must name one interface"
+            )
+        for other in ("address", "peer_address"):
+            if port and info.data.get(other) == value:
+                raise ValueError(f"{value!r} is also the {other}")
+        return value
+
+    @pydantic.field_validator("platform_url")
+    @classmethod
+    def _check_platform_url(cls, value: str) -> str:
+        parts = urllib.parse.urlsplit(value)
+        if parts.scheme not in ("http", "https") or not parts.hostname:
+            raise ValueError("not an http:// or https:// URL")
+        if parts.username is not None or parts.password is not None:
+            raise ValueError("a URL with credentials would appear in logs")
+        try:
+            ipaddress.ip_address(parts.hostname)
+            parts.port  # noqa: B018 - raises for a bad port
+        except ValueError:
+            raise ValueError(
+                f"{value!r}: hosts are named by IP address and port"
+            ) from None
+        return value.rstrip("/")
+
+    @pydantic.field_validator("fleet_key_file", mode="after")
+    @classmethod
+    def _check_fleet_key_file(
+        cls, value: pathlib.Path | None
+    ) -> pathlib.Path | None:
+        if value is not None:
+            _read_fleet_key(value)
+        return value
+
+    @pydantic.field_validator("fleet_key", mode="after")
+    @classmethod
+    def _resolve_fleet_key(
+        cls, value: pydantic.SecretStr, info: pydantic.ValidationInfo
+    ) -> pydantic.SecretStr:
+        if "fleet_key_file" not in info.data:
+            return value  # The problem with the file is reported already.
+        path = info.data["fleet_key_file"]
+        given = value.get_secret_value()
+        if path is None and not given:
+            raise ValueError("missing; give fleet_key_file or fleet_key")
+        if path is not None:
+            key = _read_fleet_key(path)
+            if given and given != key:
+                raise ValueError("differs from the content of fleet_key_file")
+            return pydantic.SecretStr(key)
+        if len(given) < _MIN_FLEET_KEY_LENGTH:
+            raise ValueError(f"shorter than {_MIN_FLEET_KEY_LENGTH} characters")
+        return value
+
+
+def _read_fleet_key(path: pathlib.Path) -> str:
+    try:
+        with path.open(encoding="utf-8") as file:
+            key = file.read(_MAX_FLEET_KEY_LENGTH + 1).strip()
+    except OSError as error:
+        raise ValueError(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise ValueError(f"{path}: not a text file") from None
+    if not _MIN_FLEET_KEY_LENGTH <= len(key) <= _MAX_FLEET_KEY_LENGTH:
+        raise ValueError(
+            f"{path}: the key must have {_MIN_FLEET_KEY_LENGTH} to "
+            f"{_MAX_FLEET_KEY_LENGTH} characters"
+        )
+    return key
+
+
+def flag_name(field: str) -> str:
+    """Return the flag of a setting, without dashes in front.
+
+    >>> flag_name("fan_out")
+    'fan-out'
+    """
+    return field.replace("_", "-")
+
+
+def environment_name(field: str) -> str:
+    """Return the environment variable of a setting.
+
+    >>> environment_name("fan_out")
+    'SLATECHUTE_FAN_OUT'
+    """
+    return ENV_PREFIX + field.upper()
+
+
+def help_text(field: str) -> str:
+    """Return the description of a setting, from the class docstring.
+
+    >>> help_text("fan_out")
+    'Dispatchers asked at first for a slot.'
+    """
+    match = re.search(
+        rf"^ +{field}: (.*?)(?=^ +\w+: |\Z)",
+        EntrySettings.__doc__ or "",
+        re.MULTILINE | re.DOTALL,
+    )
+    return " ".join(match[1].split()) if match else ""
+
+
+def cleo_options() -> list[option.Option]:
+    """Return one command line option for each setting."""
+    options = []
+    for field, info in EntrySettings.model_fields.items():
+        notes = [environment_name(field)]
+        if info.is_required():
+            notes.append("required")
+        elif info.default is not None and not _is_secret(field):
+            notes.append(f"default {info.default}")
+        text = f"{help_text(field)} ({'; '.join(notes)})"
+        options.append(helpers.option(flag_name(field), None, text, flag=False))
+    return options
+
+
+def load(flags: Mapping[str, Any]) -> EntrySettings:
+    """Build the settings from flags, the environment and defaults.
+
+    Args:
+        flags: Values by field or flag name; None for flags not given.
+
+    Raises:
+        errors.SettingsError: At least one setting cannot be used; the message
+            names all of them.
+    """
+    try:
+        return EntrySettings(**_given(flags))
+    except pydantic.ValidationError as error:
+        # The input is left out of the message: it may be a secret.
+        problems = [
+            _problem(str(item["loc"][0]), item["msg"])
+            for item in error.errors(include_input=False, include_url=False)
+        ]
+        raise errors.SettingsError("; ".join(problems)) from None
+
+
+def _problem(field: str, text: str) -> str:
+    if field not in EntrySettings.model_fields:
+        return f"{field}: no such setting"
+    text = text.removeprefix("Value error, ")
+    return f"--{flag_name(field)} ({environment_name(field)}): {text}"
+
+
+def _given(flags: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        name.replace("-", "_"): value
+        for name, value in flags.items()
+        if value is not None
+    }
+
+
+def origins(
+    flags: Mapping[str, Any], environment: Mapping[str, str] | None = None
+) -> dict[str, str]:
+    """Return where the value of each setting comes from.
+
+    Args:
+        flags: The same as for `load`.
+        environment: Variables; those of the process when None.
+
+    Returns:
+        `flag`, `environment`, `file` or `default` by field.
+    """
+    given = _given(flags)
+    variables = _set_variables(environment)
+    origin_by_field = {}
+    for field in EntrySettings.model_fields:
+        if field in given:
+            origin_by_field[field] = "flag"
+        elif environment_name(field) in variables:
+            origin_by_field[field] = "environment"
+        else:
+            origin_by_field[field] = "default"
+    if (
+        origin_by_field["fleet_key"] == "default"
+        and origin_by_field["fleet_key_file"] != "default"
+    ):
+        origin_by_field["fleet_key"] = "file"
+    return origin_by_field
+
+
+def unknown_variables(
+    environment: Mapping[str, str] | None = None,
+) -> list[str]:
+    """Return variables with the prefix that are no setting.
+
+    They are reported and not refused, so that hosts can be given the variables
+    of the next version before it is installed.
+    """
+    known = {environment_name(field) for field in EntrySettings.model_fields}
+    return sorted(_set_variables(environment) - known)
+
+
+def _set_variables(environment: Mapping[str, str] | None) -> set[str]:
+    variables = os.environ if environment is None else environment
+    # As in pydantic-settings, case is ignored and an empty variable is unset.
+    names = {name.upper() for name, value in variables.items() if value}
+    return {name for name in names if name.startswith(ENV_PREFIX)}
+
+
+def _is_secret(field: str) -> bool:
+    annotation = EntrySettings.model_fields[field].annotation
+    return annotation is pydantic.SecretStr
+
+
+def shown_value(settings: EntrySettings, field: str) -> str:
+    """Return a setting as text; secrets are masked."""
+    value = getattr(settings, field)
+    return "" if value is None else str(value)
