Serve metrics, health, readiness and status to operators

/health answers as long as the event loop runs, so that a supervisor doesn't restart entries that start or drain. A failing status callable gives a 500 with the error instead of a closed connection.

--- /dev/null
+++ b/slatechute/admin.py
@@ -0,0 +1,119 @@
+"""HTTP server for operators: metrics, health, readiness and status."""
+
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+import prometheus_client
+
+from slatechute import logs
+from slatechute import metrics as metrics_module
+from slatechute import settings as settings_module
+
+__all__ = ["READY", "AdminServer"]
+
+READY = "ready"
+
+# Operators' requests are short, so a stop need not wait long for them.
+_SHUTDOWN_TIMEOUT_S = 1.0
+
+_LOGGER = logs.get_logger(__name__)
+
+
+class AdminServer:
+    """Serves `/metrics`, `/health`, `/ready` and `/status`.
+
+    `/health` says only that the process is alive and its event loop runs: a
+    supervisor that restarts entries must not do so because they are starting,
+    draining or cut off from the platform.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        metrics: metrics_module.Metrics,
+        readiness: Callable[[], str],
+        status: Callable[[], dict[str, Any]],
+    ):
+        """Prepare the server without opening its port.
+
+        Args:
+            settings: Settings with the admin address.
+            metrics: Metrics to export.
+            readiness: Returns `ready`, or the state that keeps this entry from
+                being ready, such as `starting` or `draining`.
+            status: Returns the status as values that JSON has.
+        """
+        self._settings = settings
+        self._metrics = metrics
+        self._readiness = readiness
+        self._status = status
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def address(self) -> str:
+        """Address that the server listens on, with the actual port.
+
+        Raises:
+            RuntimeError: The server is not running.
+        """
+        if self._runner is None or not self._runner.addresses:
+            raise RuntimeError("the admin server is not running")
+        host, port = self._runner.addresses[0][:2]
+        return settings_module.join_address(host, port)
+
+    async def start(self) -> None:
+        """Open the port and serve.
+
+        Raises:
+            OSError: The address is in use or not on this host.
+        """
+        app = web.Application()
+        app.router.add_get("/metrics", self._get_metrics)
+        app.router.add_get("/health", self._get_health)
+        app.router.add_get("/ready", self._get_ready)
+        app.router.add_get("/status", self._get_status)
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+        )
+        await runner.setup()
+        host, port = settings_module.split_address(self._settings.admin_address)
+        try:
+            await web.TCPSite(runner, host, port).start()
+        except OSError:
+            await runner.cleanup()
+            raise
+        self._runner = runner
+        _LOGGER.info("admin_listening", address=self.address)
+
+    async def stop(self) -> None:
+        """Close the port; does nothing when the server is not running."""
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    async def _get_metrics(self, request: web.Request) -> web.Response:
+        del request
+        return web.Response(
+            body=self._metrics.export(),
+            headers={"Content-Type": prometheus_client.CONTENT_TYPE_LATEST},
+        )
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response({"state": "alive"})
+
+    async def _get_ready(self, request: web.Request) -> web.Response:
+        del request
+        state = self._readiness()
+        return web.json_response(
+            {"state": state}, status=200 if state == READY else 503
+        )
+
+    async def _get_status(self, request: web.Request) -> web.Response:
+        del request
+        try:
+            return web.json_response(self._status())
+        except Exception as error:  # Status code must not stop the server.
+            _LOGGER.exception("status_failed")
+            return web.json_response({"error": repr(error)}, status=500)
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -30,6 +30,9 @@
     {errors.Reason.UNKNOWN_SERVICE, errors.Reason.BAD_REQUEST}
 )
 
+# Creation times double the number of exported series and serve no alert.
+prometheus_client.disable_created_metrics()
+
 _Increment = Callable[..., None]
 
 
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,113 @@
+"""Tests of the operators' HTTP server."""
+
+import asyncio
+import socket
+
+import aiohttp
+import pytest
+
+from slatechute import admin
+from slatechute import metrics
+from slatechute import settings as settings_module
+
+
+def _settings(address: str) -> settings_module.EntrySettings:
+    return settings_module.EntrySettings(
+        entry_id="e1",
+        data_centre="d1",
+        fleet_key="0123456789abcdef",
+        admin_address=address,
+    )
+
+
+async def _get(server: admin.AdminServer, path: str) -> tuple[int, str]:
+    async with aiohttp.ClientSession() as session:
+        async with session.get(f"http://{server.address}{path}") as response:
+            return response.status, await response.text()
+
+
+def _run(check, readiness=lambda: "ready", status=dict, host="127.0.0.1"):
+    async def run():
+        server = admin.AdminServer(
+            _settings(settings_module.join_address(host, 0)),
+            metrics.Metrics(),
+            readiness,
+            status,
+        )
+        await server.start()
+        try:
+            await check(server)
+        finally:
+            await server.stop()
+            await server.stop()
+
+    asyncio.run(run())
+
+
+def test_metrics_health_and_status():
+    """Monitoring loses the entry when one of these pages is gone."""
+
+    async def check(server):
+        assert (await _get(server, "/metrics"))[1].count("slatechute_") > 50
+        assert (await _get(server, "/health"))[0] == 200
+        assert await _get(server, "/status") == (200, '{"entry_id": "e1"}')
+        assert (await _get(server, "/none"))[0] == 404
+
+    _run(check, status=lambda: {"entry_id": "e1"})
+
+
+def test_ready_follows_the_state():
+    """Callers must not be sent to an entry that starts or leaves."""
+    states = ["starting", "ready", "draining"]
+
+    async def check(server):
+        for expected in (503, 200, 503):
+            state = states[0]
+            status, body = await _get(server, "/ready")
+            assert (status, state in body) == (expected, True)
+            assert (await _get(server, "/health"))[0] == 200
+            states.pop(0)
+
+    _run(check, readiness=lambda: states[0])
+
+
+def test_status_error_is_answered():
+    """A fault in the status must not hide behind a closed connection."""
+
+    def fail():
+        raise KeyError("peers")
+
+    async def check(server):
+        status, body = await _get(server, "/status")
+        assert (status, "peers" in body) == (500, True)
+
+    _run(check, status=fail)
+
+
+def test_ipv6_address():
+    """The actual address has to be usable in a URL."""
+    try:
+        with socket.socket(socket.AF_INET6) as probe:
+            probe.bind(("::1", 0))
+    except OSError:
+        pytest.skip("no IPv6 loopback on this host")
+
+    async def check(server):
+        assert (await _get(server, "/health"))[0] == 200
+
+    _run(check, host="::1")
+
+
+def test_address_in_use_is_reported():
+    """A second entry on the port must fail and leave nothing running."""
+
+    async def check(server):
+        second = admin.AdminServer(
+            _settings(server.address), metrics.Metrics(), str, dict
+        )
+        with pytest.raises(OSError, match="in use"):
+            await second.start()
+        with pytest.raises(RuntimeError):
+            _ = second.address
+
+    _run(check)
