Pass metrics whole and make an attempt one object

The executor and the caller server had counter classes of their own beside the metrics module; both now take the metrics. An attempt carries its lease, answer and service time, in place of a run and an execution that shadowed each other.

--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -11,13 +11,13 @@
 from slatechute import exchange
 from slatechute import execution
 from slatechute import leases
+from slatechute import metrics
 from slatechute import requests
 from slatechute import settings as entry_settings
 from slatechute.configuration import models
-from slatechute.util import addresses
 from slatechute.util import clock as clocks
 
-__all__ = ["CallerServer", "Counters", "Directory"]
+__all__ = ["CallerServer", "Directory"]
 
 _SERVICE_HEADER = "Slatechute-Service"
 _ID_HEADER = "Slatechute-Request-Id"
@@ -49,18 +49,6 @@
         ...
 
 
-class Counters:
-    """What the server counts; the metrics module has the same methods."""
-
-    def refused(
-        self, reason: errors.Reason, outcome: errors.Outcome, service: str
-    ) -> None:
-        """Count a refusal."""
-
-    def served(self, service: str, total_s: float, added_s: float) -> None:
-        """Count an answered request."""
-
-
 class CallerServer:
     """Accepts requests of callers and passes answers on."""
 
@@ -71,14 +59,14 @@
         directory: Directory,
         table: requests.RequestTable,
         clock: clocks.Clock,
-        counters: Counters | None = None,
+        counters: metrics.Metrics,
     ):
         self._settings = settings
         self._executor = executor
         self._directory = directory
         self._table = table
         self._clock = clock
-        self._counters = counters or Counters()
+        self._counters = counters
         self._runner: web.ServerRunner | None = None
         self.inflight = 0
 
@@ -98,7 +86,7 @@
         )
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
-        host, port = addresses.split(self._settings.address)
+        host, port = entry_settings.split_address(self._settings.address)
         await web.TCPSite(self._runner, host, port, backlog=1024).start()
 
     async def stop(self) -> None:
@@ -203,7 +191,7 @@
         self,
         http: web.BaseRequest,
         request: requests.Request,
-        run: execution.Execution,
+        run: execution.Attempt,
     ) -> web.StreamResponse:
         answer = run.answer
         headers = multidict.CIMultiDict(answer.headers)
@@ -221,7 +209,6 @@
                 await response.write(chunk)
             await response.write_eof()
             result = leases.Result.OK
-            self._count_served(request, run)
         except exchange.ExchangeError:
             # The caller must not take a cut answer for a whole one.
             result = leases.Result.FAILED
@@ -230,14 +217,16 @@
         finally:
             answer.close()
             run.finish(result)
+        if result is leases.Result.OK:
+            self._count_served(request, run)
         return response
 
     def _count_served(
-        self, request: requests.Request, run: execution.Execution
+        self, request: requests.Request, run: execution.Attempt
     ) -> None:
         total_ms = self._clock.now_ms() - request.accepted_ms
-        added_ms = run.started_ms - request.accepted_ms
-        self._counters.served(request.service, total_ms / 1e3, added_ms / 1e3)
+        added_ms = max(0.0, total_ms - run.service_ms)
+        self._counters.answered(total_ms / 1e3, added_ms / 1e3)
 
 
 def _service_of(http: web.BaseRequest) -> str:
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 
 from slatechute import budgets
 from slatechute import errors
@@ -10,6 +9,7 @@
 from slatechute import exchange
 from slatechute import leases
 from slatechute import messages
+from slatechute import metrics
 from slatechute import quarantine
 from slatechute import requests
 from slatechute import statechart
@@ -17,7 +17,7 @@
 from slatechute.policies import base
 from slatechute.util import clock as clocks
 
-__all__ = ["Counters", "Execution", "Executor"]
+__all__ = ["Attempt", "Executor"]
 
 _CHART = statechart.load("request")
 _MAX_ATTEMPTS = 3
@@ -31,33 +31,6 @@
 }
 
 
-class Counters:
-    """What the executor counts; the metrics module has the same methods."""
-
-    def retried(self, reason: errors.Reason) -> None:
-        """Count a request that is sent again."""
-
-    def hedged(self) -> None:
-        """Count a second exchange of a slow request."""
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Execution:
-    """An answer with the lease on which it runs.
-
-    Attributes:
-        answer: The answer; its body may still have to be streamed.
-        lease: Slot that the exchange uses until `finish`.
-        started_ms: Start of the exchange.
-        finish: Ends the exchange with its result.
-    """
-
-    answer: exchange.Answer
-    lease: leases.Lease
-    started_ms: float
-    finish: Callable[[leases.Result], None]
-
-
 class Executor:
     """Runs requests on targets until one gives an answer."""
 
@@ -68,14 +41,14 @@
         clock: clocks.Clock,
         bus: events.EventBus,
         announce: Callable[[messages.Message], None],
-        counters: Counters | None = None,
+        counters: metrics.Metrics,
     ):
         self._policy = policy
         self._client = client
         self._clock = clock
         self._bus = bus
         self._announce = announce
-        self._counters = counters or Counters()
+        self._counters = counters
         self._rules = models.FleetRules()
         self._retries_by_service: dict[str, budgets.RatioBudget] = {}
         self._hedges_by_service: dict[str, budgets.RatioBudget] = {}
@@ -91,7 +64,7 @@
             for budget in by_service.values():
                 budget.ratio = ratio
 
-    async def execute(self, request: requests.Request) -> Execution:
+    async def execute(self, request: requests.Request) -> "Attempt":
         """Run a request and return its answer.
 
         Raises:
@@ -110,7 +83,7 @@
         excluded: set[str] = set()
         attempt = 1
         while True:
-            run = _Run(self, request, frozenset(excluded))
+            run = Attempt(self, request, frozenset(excluded))
             try:
                 if request.rule.repeatable and not request.rule.bulk:
                     return await self._run_hedged(run, hedges)
@@ -120,8 +93,8 @@
                 if failure.target_id:
                     excluded.add(failure.target_id)
                 if not self._may_retry(request, failure, attempt, retries):
-                    if failure.execution is not None:
-                        return failure.execution
+                    if failure.answered is not None:
+                        return failure.answered
                     raise failure.error from failure
                 failure.discard()
             attempt += 1
@@ -187,7 +160,7 @@
 
     # One attempt.
 
-    async def _run(self, run: "_Run") -> Execution:
+    async def _run(self, run: "Attempt") -> "Attempt":
         """Run one attempt until its deadline."""
         request = run.request
         remaining_ms = request.deadline_ms - self._clock.now_ms()
@@ -200,8 +173,8 @@
             ) from err
 
     async def _run_hedged(
-        self, run: "_Run", hedges: budgets.RatioBudget
-    ) -> Execution:
+        self, run: "Attempt", hedges: budgets.RatioBudget
+    ) -> "Attempt":
         """Run an attempt and, when it is slow, a second one beside it."""
         first = asyncio.ensure_future(self._run(run))
         delay_ms = max(
@@ -214,7 +187,7 @@
             if not first.done() and run.lease is not None and hedges.take():
                 self._counters.hedged()
                 excluded = run.excluded | {run.lease.target.id}
-                hedge = _Run(self, run.request, excluded)
+                hedge = Attempt(self, run.request, excluded)
                 tasks.append(asyncio.ensure_future(self._run(hedge)))
             kept = await _first_success(tasks)
             return await kept
@@ -238,17 +211,12 @@
     return tasks[0]
 
 
-def _drop(execution: Execution) -> None:
-    execution.answer.close()
-    execution.finish(leases.Result.CANCELLED)
-
-
 def _drop_result(task: asyncio.Task) -> None:
     if task.cancelled():
         return
     failure = task.exception()
     if failure is None:
-        _drop(task.result())
+        task.result().abandon()
     elif isinstance(failure, _AttemptError):
         failure.discard()
 
@@ -260,7 +228,7 @@
         error: What the caller would get.
         target_id: Target concerned, empty when there was none.
         crashed: Whether the target died while it ran the request.
-        execution: Answer to pass on when there is no further attempt.
+        answered: Attempt to pass on when there is no further one.
     """
 
     def __init__(
@@ -269,24 +237,31 @@
         target_id: str = "",
         *,
         crashed: bool = False,
-        execution: Execution | None = None,
+        answered: "Attempt | None" = None,
     ):
         super().__init__(str(error))
         self.error = error
         self.target_id = target_id
         self.crashed = crashed
-        self.execution = execution
+        self.answered = answered
 
     def discard(self) -> None:
         """Give up the answer that came with the failure."""
-        if self.execution is not None:
-            self.execution.answer.close()
-            self.execution.finish(leases.Result.CANCELLED)
-            self.execution = None
+        if self.answered is not None:
+            self.answered.abandon()
+            self.answered = None
+
 
+class Attempt:
+    """One attempt of a request.
 
-class _Run:
-    """One attempt of a request."""
+    Attributes:
+        request: The request.
+        excluded: Targets that must not get it.
+        lease: Slot that it uses until `finish`, None while it waits.
+        answer: Answer of the target; its body may have to be streamed.
+        service_ms: Time of the exchange once it has ended.
+    """
 
     def __init__(
         self,
@@ -297,6 +272,8 @@
         self.request = request
         self.excluded = excluded
         self.lease: leases.Lease | None = None
+        self.answer: exchange.Answer | None = None
+        self.service_ms = 0.0
         self._executor = executor
         self._state = _CHART.initial
         self._started_ms = 0.0
@@ -305,7 +282,7 @@
     def _fire(self, event: str) -> None:
         self._state = _CHART.next(self._state, event)
 
-    async def execute(self) -> Execution:
+    async def execute(self) -> "Attempt":
         """Wait for a slot, send the request and return the answer.
 
         Raises:
@@ -328,10 +305,12 @@
         except exchange.ExchangeError as err:
             raise self._exchange_failed(err) from err
         except BaseException:
-            self._finish(leases.Result.CANCELLED)
+            self.finish(leases.Result.CANCELLED)
             raise
         self._fire("headers")
-        return self._take_answer(answer)
+        self.answer = answer
+        self._check_answer(answer)
+        return self
 
     async def _acquire(self) -> None:
         request = self.request
@@ -347,31 +326,27 @@
             raise _AttemptError(error) from error
         self._fire("grant")
 
-    def _take_answer(self, answer: exchange.Answer) -> Execution:
-        executor = self._executor
+    def _check_answer(self, answer: exchange.Answer) -> None:
         target_id = self.lease.target.id
         if answer.leaving:
-            executor._bus.emit(events.TargetLeaving(target_id, "answer"))
-        execution = Execution(
-            answer, self.lease, self._started_ms, self._finish
-        )
+            bus = self._executor._bus
+            bus.emit(events.TargetLeaving(target_id, "answer"))
         if answer.not_run:
-            self._finish(leases.Result.SHED)
+            self.finish(leases.Result.SHED)
+            answer.close()
             error = self._error(
                 errors.Reason.TARGET_SHED, errors.Outcome.NOT_RUN, 503
             )
-            answer.close()
             raise _AttemptError(error, target_id)
         if answer.status >= 500:
-            self._finish(leases.Result.FAILED)
+            self.finish(leases.Result.FAILED)
             if answer.status in _RETRYABLE_STATUS:
                 error = self._error(
                     errors.Reason.TARGET_ERROR, errors.Outcome.UNKNOWN, 502
                 )
-                raise _AttemptError(error, target_id, execution=execution)
+                raise _AttemptError(error, target_id, answered=self)
         elif answer.body is not None:
-            self._finish(leases.Result.OK)
-        return execution
+            self.finish(leases.Result.OK)
 
     def _exchange_failed(self, err: exchange.ExchangeError) -> _AttemptError:
         self._state = _STATE_BY_STEP[err.step]
@@ -393,7 +368,7 @@
         """Return the failure of this attempt in its present state."""
         outcome = _CHART.attribute(self._state, "outcome")
         if self.lease is not None:
-            self._finish(result)
+            self.finish(result)
         error = self._error(reason, errors.Outcome(outcome), status)
         target_id = self.lease.target.id if self.lease else ""
         return _AttemptError(error, target_id)
@@ -407,10 +382,16 @@
             reason, step, peer, outcome=outcome, status=status
         )
 
-    def _finish(self, result: leases.Result) -> None:
+    def finish(self, result: leases.Result) -> None:
         """End the lease once."""
         if self._released:
             return
         self._released = True
-        service_ms = self._executor._clock.now_ms() - self._started_ms
-        self._executor._policy.release(self.lease, result, service_ms)
+        self.service_ms = self._executor._clock.now_ms() - self._started_ms
+        policy = self._executor._policy
+        policy.release(self.lease, result, self.service_ms)
+
+    def abandon(self) -> None:
+        """Give up an answer that is not passed on."""
+        self.answer.close()
+        self.finish(leases.Result.CANCELLED)
