Add the fake target

A loopback server with slots, a FIFO queue, drain, shedding, deadlines, cancellation, cold start, crashes, silent connections and lagging reports, which records every run by request id so that a test can tell whether a request ran. A port that is rebound after a crash was ruled out: an outgoing connection could be given it meanwhile, so a bound socket that does not listen holds it. Bytes of probes are counted on the wire instead of estimated from the bodies.

--- /dev/null
+++ b/slatechute/fakes/target.py
@@ -0,0 +1,496 @@
+"""Fake target: a slow, crashing, draining server that records what it ran."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+import dataclasses
+import random
+import socket
+import time
+
+from aiohttp import web
+import xxhash
+
+from slatechute.fakes import platform
+
+__all__ = [
+    "ANSWER_DIGEST_HEADER",
+    "INSTANCE_HEADER",
+    "REQUEST_DIGEST_HEADER",
+    "FakeTarget",
+    "Probes",
+    "Run",
+    "TargetSettings",
+    "answer_chunks",
+    "hold_port",
+]
+
+ANSWER_DIGEST_HEADER = "X-Answer-Digest"
+REQUEST_DIGEST_HEADER = "X-Request-Digest"
+INSTANCE_HEADER = "X-Instance"
+_CHUNK_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetSettings:
+    """Behaviour of a fake target.
+
+    Attributes:
+        name: Prefix of the instance ids.
+        data_centre: Data centre for the list of instances.
+        slots: Requests that run at a time.
+        connections: Connections held at a time; further ones are closed.
+        queue_length: Requests that may wait for a slot; further ones are shed.
+        work_ms: Mean time that a request runs.
+        fixed_work: Run each request for exactly `work_ms` instead of
+            exponentially distributed times.
+        answer_bytes: Length of an answer body.
+        cold_ms: How long a new instance is slow.
+        cold_factor: Factor of the work time while cold.
+        restart_ms: Time without a listener after a crash.
+        report_lag_ms: Least age of what the health and load endpoints show;
+            at most twice as old.
+        seed: Seed of the work times.
+    """
+
+    name: str = "target"
+    data_centre: str = "dc1"
+    slots: int = 2
+    connections: int = 260
+    queue_length: int = 64
+    work_ms: float = 10.0
+    fixed_work: bool = False
+    answer_bytes: int = 200
+    cold_ms: float = 0.0
+    cold_factor: float = 5.0
+    restart_ms: float = 500.0
+    report_lag_ms: float = 500.0
+    seed: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One run of a request.
+
+    Attributes:
+        instance_id: Instance that ran it.
+        queued_ms: Time it waited for a slot.
+        started: Start by the monotonic clock, in seconds.
+        ended: End by the same clock, None while running.
+        status: `running`, `done`, `failed`, `cancelled` or `crashed`.
+    """
+
+    instance_id: str
+    queued_ms: float
+    started: float
+    ended: float | None = None
+    status: str = "running"
+
+    def end(self, status: str) -> None:
+        """Record the end; only the first one counts."""
+        if self.ended is None:
+            self.ended, self.status = time.monotonic(), status
+
+
+@dataclasses.dataclass(slots=True)
+class Probes:
+    """Health and load requests received; `wire_bytes` in both directions."""
+
+    requests: int = 0
+    wire_bytes: int = 0
+
+
+def answer_chunks(request_id: str, size: int) -> Iterator[bytes]:
+    """Return the answer body of a request: its id, repeated to `size` bytes.
+
+    >>> list(answer_chunks("a", 5))
+    [b'a;a;a']
+    """
+    pattern = f"{request_id};".encode()
+    block = (pattern * (_CHUNK_BYTES // len(pattern) + 1))[:_CHUNK_BYTES]
+    for start in range(0, size, _CHUNK_BYTES):
+        yield block[: size - start]
+
+
+class FakeTarget:
+    """HTTP server with slots, a FIFO queue and faults.
+
+    Request headers `X-Work-Ms` and `X-Answer-Bytes` override the settings for
+    one request; `X-Crash: 1` crashes the instance that runs it.
+
+    Attributes:
+        settings: Behaviour; faults below change it at run time.
+        address: Host and port, known after `start`.
+        slow_factor: Factor of all work times.
+        fail_fast: Whether requests fail with 500 at once, without a slot.
+        leaving: Whether new requests are refused.
+        runs_by_request_id: All runs, over all instances.
+        refusals: Requests that did not run, by reason.
+        arrivals_while_leaving: Monotonic times, in seconds, of requests that
+            came after `leave`.
+        left: Monotonic time of `leave`, in seconds.
+        probes: Health and load requests.
+        connections_refused: Connections closed above the limit.
+        crashes: Crashes so far.
+    """
+
+    def __init__(self, settings: TargetSettings):
+        self.settings = settings
+        self.address = ""
+        self.slow_factor = 1.0
+        self.fail_fast = False
+        self.leaving = False
+        self.left = 0.0
+        self.runs_by_request_id: dict[str, list[Run]] = {}
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.arrivals_while_leaving: list[float] = []
+        self.probes = Probes()
+        self.connections_refused = 0
+        self.crashes = 0
+        self._random = random.Random(settings.seed)
+        self._starts = 0
+        self._instance = _Instance("", 0)
+        self._connections: set[_Connection] = set()
+        self._tasks: list[asyncio.Task] = []
+        self._port_holder: socket.socket | None = None
+        self._http: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+        self._samples: collections.deque[dict] = collections.deque(maxlen=2)
+
+    @property
+    def id(self) -> str:
+        """Id of the current instance; changes with each restart."""
+        return self._instance.id
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a slot."""
+        return len(self._instance.runs)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return self._instance.queued
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return len(self._connections)
+
+    def listing(self) -> platform.Instance:
+        """Return the row for the list of instances."""
+        return platform.Instance(
+            self.id,
+            self.address,
+            self.settings.data_centre,
+            "leaving" if self.leaving else "live",
+            self._instance.started_epoch,
+        )
+
+    async def start(self) -> None:
+        """Listen on a loopback port chosen by the operating system."""
+        self._port_holder = hold_port()
+        self.address = f"127.0.0.1:{self._port_holder.getsockname()[1]}"
+        self._http = web.Server(
+            self._handle, handler_cancellation=True, access_log=None
+        )
+        await self._start_instance()
+        self._tasks.append(asyncio.create_task(self._sample()))
+
+    async def stop(self) -> None:
+        """Close all connections and the listener."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+        self._stop_instance("cancelled")
+        if self._port_holder is not None:
+            self._port_holder.close()
+        await asyncio.sleep(0)
+
+    def leave(self) -> None:
+        """Refuse new requests and announce it in the answers.
+
+        Queued and running requests are completed.
+        """
+        self.leaving = True
+        self.left = time.monotonic()
+
+    def silence_connections(self) -> None:
+        """Swallow all bytes on the present connections; new ones work."""
+        for connection in self._connections:
+            connection.silent = True
+
+    def crash(self) -> None:
+        """Close everything abruptly; listen again after `restart_ms`."""
+        self.crashes += 1
+        self._stop_instance("crashed")
+        self._tasks.append(asyncio.create_task(self._restart()))
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.settings.restart_ms / 1000)
+        await self._start_instance()
+
+    async def _start_instance(self) -> None:
+        self._starts += 1
+        self._instance = _Instance(
+            f"{self.settings.name}-{self._starts}", self.settings.slots
+        )
+        self.leaving = False
+        host, port = self.address.split(":")
+        self._listener = await asyncio.get_running_loop().create_server(
+            lambda: _Connection(self, self._http),
+            host,
+            int(port),
+            reuse_port=True,
+            backlog=1024,
+        )
+
+    def _stop_instance(self, status: str) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        for run in self._instance.runs:
+            run.end(status)
+        for connection in list(self._connections):
+            connection.abort()
+
+    async def _sample(self) -> None:
+        while True:
+            sample = {
+                "instance": self.id,
+                "state": "leaving" if self.leaving else "live",
+                "slots": self.settings.slots,
+                "running": self.running,
+                "queued": self.queued,
+            }
+            self._samples.append(sample)
+            await asyncio.sleep(max(self.settings.report_lag_ms, 1) / 1000)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path in ("/-/health", "/-/load"):
+            return await self._report(request)
+        digest = xxhash.xxh3_128()
+        async for chunk in request.content.iter_any():
+            digest.update(chunk)
+        headers = {REQUEST_DIGEST_HEADER: digest.hexdigest()}
+        if self.leaving:
+            self.arrivals_while_leaving.append(time.monotonic())
+            return await self._refuse(request, "leaving")
+        if self.fail_fast:
+            self._record(request, 0.0).end("failed")
+            return await self._send(request, 500, headers, b"failed")
+        instance = self._instance
+        if instance.slots.locked() and (
+            instance.queued >= self.settings.queue_length
+        ):
+            return await self._refuse(request, "queue_full")
+        arrived = time.monotonic()
+        deadline_ms = _number(request, "Slatechute-Deadline-Ms", None)
+        try:
+            instance.queued += 1
+            try:
+                async with asyncio.timeout(
+                    None if deadline_ms is None else deadline_ms / 1000
+                ):
+                    await instance.slots.acquire()
+            finally:
+                instance.queued -= 1
+        except TimeoutError:
+            return await self._refuse(request, "deadline")
+        run = self._record(request, (time.monotonic() - arrived) * 1000)
+        instance.runs.append(run)
+        try:
+            response = await self._run(request, headers)
+            run.end("done")
+            return response
+        finally:
+            run.end("cancelled")
+            instance.runs.remove(run)
+            instance.slots.release()
+
+    async def _run(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        if request.headers.get("X-Crash") == "1":
+            self.crash()
+            # The closed connection cancels this handler.
+            await asyncio.get_running_loop().create_future()
+        await asyncio.sleep(self._work_ms(request) / 1000)
+        size = self.settings.answer_bytes
+        size = int(_number(request, "X-Answer-Bytes", size))
+        request_id = request.headers.get("Slatechute-Request-Id", "")
+        digest = xxhash.xxh3_128()
+        for chunk in answer_chunks(request_id, size):
+            digest.update(chunk)
+        headers[ANSWER_DIGEST_HEADER] = digest.hexdigest()
+        return await self._send(
+            request, 200, headers, answer_chunks(request_id, size), size
+        )
+
+    def _work_ms(self, request: web.BaseRequest) -> float:
+        work_ms = self.settings.work_ms
+        if not self.settings.fixed_work and work_ms > 0:
+            work_ms = self._random.expovariate(1 / work_ms)
+        work_ms = _number(request, "X-Work-Ms", work_ms) * self.slow_factor
+        age_ms = (time.monotonic() - self._instance.started) * 1000
+        if age_ms < self.settings.cold_ms:
+            work_ms *= self.settings.cold_factor
+        return work_ms
+
+    def _record(self, request: web.BaseRequest, queued_ms: float) -> Run:
+        run = Run(self.id, queued_ms, time.monotonic())
+        request_id = request.headers.get("Slatechute-Request-Id", "")
+        self.runs_by_request_id.setdefault(request_id, []).append(run)
+        return run
+
+    async def _refuse(
+        self, request: web.BaseRequest, reason: str
+    ) -> web.StreamResponse:
+        self.refusals[reason] += 1
+        headers = {"Slatechute-Outcome": "not-run"}
+        return await self._send(request, 503, headers, reason.encode())
+
+    async def _report(self, request: web.BaseRequest) -> web.StreamResponse:
+        sample = self._samples[0]
+        is_health = request.path == "/-/health"
+        status = 503 if is_health and sample["state"] == "leaving" else 200
+        response = web.json_response(sample, status=status)
+        await response.prepare(request)
+        await response.write_eof()
+        self.probes.requests += 1
+        self.probes.wire_bytes += _take_wire_bytes(request)
+        return response
+
+    async def _send(
+        self,
+        request: web.BaseRequest,
+        status: int,
+        headers: dict[str, str],
+        chunks: bytes | Iterator[bytes],
+        size: int | None = None,
+    ) -> web.StreamResponse:
+        headers[INSTANCE_HEADER] = self.id
+        if self.leaving:
+            headers["Slatechute-Target-State"] = "leaving"
+        request_id = request.headers.get("Slatechute-Request-Id")
+        if request_id is not None:
+            headers["Slatechute-Request-Id"] = request_id
+        if isinstance(chunks, bytes):
+            size = len(chunks)
+            chunks = iter([chunks])
+        response = web.StreamResponse(status=status, headers=headers)
+        response.content_length = size
+        await response.prepare(request)
+        if request.method != "HEAD":
+            for chunk in chunks:
+                await response.write(chunk)
+        await response.write_eof()
+        _take_wire_bytes(request)
+        return response
+
+
+def hold_port() -> socket.socket:
+    """Return a socket that keeps a loopback port from other programs.
+
+    It is bound but does not listen: connections to the port are refused
+    unless a listener with `reuse_port` is open too.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    holder.bind(("127.0.0.1", 0))
+    return holder
+
+
+class _Instance:
+    """State that a crash loses."""
+
+    def __init__(self, instance_id: str, slots: int):
+        self.id = instance_id
+        self.started = time.monotonic()
+        self.started_epoch = time.time()
+        self.slots = asyncio.Semaphore(slots)
+        self.queued = 0
+        self.runs: list[Run] = []
+
+
+class _Connection(asyncio.Protocol):
+    """Connects a transport with aiohttp's protocol; counts and swallows."""
+
+    def __init__(self, target: FakeTarget, http: web.Server):
+        self.silent = False
+        self._target = target
+        self._http = http()
+        self._transport: _Transport | None = None
+
+    def abort(self) -> None:
+        """Close without sending what is still buffered."""
+        self._transport.abort()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        target = self._target
+        if target.connections >= target.settings.connections:
+            target.connections_refused += 1
+            transport.abort()
+            return
+        target._connections.add(self)
+        self._transport = _Transport(self, transport)
+        self._http.connection_made(self._transport)
+
+    def data_received(self, data: bytes) -> None:
+        if self._transport is not None and not self.silent:
+            self._transport.wire_bytes += len(data)
+            self._http.data_received(data)
+
+    def eof_received(self) -> bool:
+        # True keeps a silent connection open: its other end is not heard.
+        return self.silent
+
+    def pause_writing(self) -> None:
+        self._http.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._http.resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._transport is not None:
+            self._target._connections.discard(self)
+            self._http.connection_lost(exc)
+
+
+class _Transport:
+    """Transport that drops what is written to a silent connection."""
+
+    def __init__(self, connection: _Connection, transport: asyncio.Transport):
+        self.wire_bytes = 0
+        self._connection = connection
+        self._transport = transport
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._transport, name)
+
+    def write(self, data: bytes) -> None:
+        if not self._connection.silent:
+            self.wire_bytes += len(data)
+            self._transport.write(data)
+
+    def writelines(self, chunks: list[bytes]) -> None:
+        self.write(b"".join(chunks))
+
+
+def _take_wire_bytes(request: web.BaseRequest) -> int:
+    """Return the bytes on the request's connection since the last call."""
+    transport = request.transport
+    if transport is None:
+        return 0
+    count, transport.wire_bytes = transport.wire_bytes, 0
+    return count
+
+
+def _number(
+    request: web.BaseRequest, header: str, default: float | None
+) -> float | None:
+    try:
+        return float(request.headers[header])
+    except (KeyError, ValueError):
+        return default
