--- a/slatechute/configuration/folder.py
+++ b/slatechute/configuration/folder.py
@@ -40,8 +40,9 @@
 # The digests of all parts travel in one peer frame, at up to 136 bytes a part.
 MAX_PARTS = 1800
 MAX_PART_NAME_BYTES = 96
-# The platform stores values of at most 1 MB.
-MAX_DOCUMENT_BYTES = 1024 * 1024
+# Bounds the memory for a document assembled from peers. A list of 11,000
+# instances takes 1.1 MB.
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 # The schema is five tables deep. The limit keeps recursion over a file shallow
 # whatever the file contains.
 MAX_DEPTH = 16
--- /dev/null
+++ b/slatechute/configuration/instances.py
@@ -0,0 +1,138 @@
+"""Parsing of the `instances` document: live and leaving entries and targets."""
+
+import dataclasses
+from typing import Annotated
+
+import pydantic
+
+from slatechute import errors
+from slatechute.configuration import folder
+from slatechute.platforms import base
+
+__all__ = ["ENTRIES", "Entry", "Instances", "Target", "parse"]
+
+# Part that lists the entries; every other part is named after its service.
+ENTRIES = "entries"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A listed entry host.
+
+    Attributes:
+        id: Name of the entry.
+        address: Host and port for callers.
+        peer_address: Host and port for links from other entries.
+        admin_address: Host and port for operators.
+        data_centre: Data centre of the host.
+        state: State by the list, such as `live` or `leaving`.
+    """
+
+    id: str
+    address: str
+    peer_address: str
+    admin_address: str
+    data_centre: str
+    state: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A listed instance of a service.
+
+    Attributes:
+        id: Name of this start of the instance.
+        service: Service that it runs.
+        address: Host and port.
+        data_centre: Data centre of the host.
+        state: State by the list, such as `live` or `leaving`.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    state: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instances:
+    """Content of the document."""
+
+    entries_by_id: dict[str, Entry]
+    targets_by_id: dict[str, Target]
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise ValueError("is not host:port")
+    if not 0 < int(port) < 65536:
+        raise ValueError("port is out of range")
+    return address
+
+
+_Address = Annotated[
+    str,
+    pydantic.Field(max_length=255, pattern=r"^[!-~]+$"),
+    pydantic.AfterValidator(_check_address),
+]
+_Name = Annotated[str, pydantic.Field(pattern=r"^[!-~]{1,128}$")]
+
+
+class _TargetItem(pydantic.BaseModel):
+    # The platform may add fields to its list at any time, so unknown ones are
+    # ignored here, unlike in the operators' files.
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    id: _Name
+    address: _Address
+    data_centre: str = pydantic.Field(min_length=1, max_length=64)
+    state: str = pydantic.Field(min_length=1, max_length=32)
+
+
+class _EntryItem(_TargetItem):
+    id: str = pydantic.Field(pattern=r"^[A-Za-z0-9_-]{1,64}$")
+    peer_address: _Address
+    admin_address: _Address
+
+
+_ENTRY_LIST = pydantic.TypeAdapter(list[_EntryItem])
+_TARGET_LIST = pydantic.TypeAdapter(list[_TargetItem])
+
+
+def _items(part: str, text: str, problems: list[str]) -> list[_TargetItem]:
+    adapter = _ENTRY_LIST if part == ENTRIES else _TARGET_LIST
+    try:
+        return adapter.validate_json(text)
+    except pydantic.ValidationError as err:
+        for fault in err.errors(include_url=False, include_input=False):
+            place = ".".join(str(step) for step in fault["loc"]) or "document"
+            problems.append(f"{part}: {place}: {fault['msg']}")
+        return []
+
+
+def parse(document: base.Document) -> Instances:
+    """Return the content of an `instances` document.
+
+    Raises:
+        errors.ConfigurationError: A part is broken; lists every problem.
+    """
+    problems = folder.part_problems(document.text_by_part)
+    if problems:
+        raise errors.ConfigurationError(problems)
+    entries_by_id: dict[str, Entry] = {}
+    targets_by_id: dict[str, Target] = {}
+    for part, text in sorted(document.text_by_part.items()):
+        known = entries_by_id if part == ENTRIES else targets_by_id
+        for item in _items(part, text, problems):
+            if item.id in known:
+                problems.append(f"{part}: {item.id}: id is listed twice")
+            elif part == ENTRIES:
+                entries_by_id[item.id] = Entry(**item.model_dump())
+            else:
+                fields = item.model_dump()
+                targets_by_id[item.id] = Target(service=part, **fields)
+    if problems:
+        raise errors.ConfigurationError(problems)
+    return Instances(entries_by_id, targets_by_id)
