Add the fault-injecting TCP proxy

Latency, refusal, reset, silence by direction and a cut after a number of bytes, switchable while connections are open. A silent connection never heals: bytes were dropped, so forwarding again was ruled out, as the stream would have a gap that TCP never shows. Latency queues chunks with a due time, because sleeping before each chunk would limit the throughput.

--- /dev/null
+++ b/slatechute/fakes/tcp_proxy.py
@@ -0,0 +1,202 @@
+"""TCP proxy that injects faults into the connections it carries."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+import time
+
+from slatechute.fakes import target
+
+__all__ = ["Direction", "FaultProxy"]
+
+_READ_BYTES = 64 * 1024
+# Chunks under way with latency; bounds the memory of a connection.
+_CHUNKS_IN_FLIGHT = 256
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Direction:
+    """Faults and counters of one direction, for all connections.
+
+    Attributes:
+        latency_ms: Delay of every byte; does not limit the throughput.
+        silent: Whether bytes are swallowed. A connection that lost bytes
+            stays silent for good, since its stream has a gap.
+        cut_after_bytes: Each connection is closed at both ends as soon as
+            this many bytes have passed since it was opened.
+        bytes_forwarded: Bytes passed on.
+        bytes_swallowed: Bytes dropped.
+    """
+
+    latency_ms: float = 0.0
+    silent: bool = False
+    cut_after_bytes: int | None = None
+    bytes_forwarded: int = 0
+    bytes_swallowed: int = 0
+
+
+class FaultProxy:
+    """Forwards connections to `upstream` (host and port).
+
+    Attributes:
+        upstream: Address that new connections are forwarded to.
+        address: Host and port to connect to, known after `start`.
+        to_upstream: Faults and counters of the bytes from clients.
+        to_client: Faults and counters of the bytes from the upstream.
+    """
+
+    def __init__(self, upstream: str):
+        self.upstream = upstream
+        self.address = ""
+        self.to_upstream = Direction()
+        self.to_client = Direction()
+        self._links: set[_Link] = set()
+        self._listener: asyncio.Server | None = None
+        self._port_holder: socket.socket | None = None
+
+    @property
+    def connections(self) -> int:
+        """Open connections, also silent ones."""
+        return len(self._links)
+
+    async def start(self) -> None:
+        """Listen on a loopback port chosen by the operating system."""
+        self._port_holder = target.hold_port()
+        self.address = f"127.0.0.1:{self._port_holder.getsockname()[1]}"
+        await self.refuse(False)
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        await self.refuse(True)
+        if self._port_holder is not None:
+            self._port_holder.close()
+        tasks = [link.task for link in self._links]
+        self.reset()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def refuse(self, refused: bool) -> None:
+        """Refuse new connections, or accept them again."""
+        if refused and self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        elif not refused and self._listener is None:
+            host, port = self.address.split(":")
+            self._listener = await asyncio.start_server(
+                self._accept, host, int(port), reuse_port=True, backlog=1024
+            )
+
+    def reset(self) -> None:
+        """Reset all present connections at both ends."""
+        for link in self._links:
+            link.abort()
+            link.task.cancel()
+
+    def silence_present(
+        self, *, to_upstream: bool = True, to_client: bool = True
+    ) -> None:
+        """Swallow bytes on the present connections; new ones work."""
+        for link in self._links:
+            if to_upstream:
+                link.silent.add(self.to_upstream)
+            if to_client:
+                link.silent.add(self.to_client)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        link = _Link(asyncio.current_task(), [writer])
+        self._links.add(link)
+        try:
+            await self._forward(link, reader, writer)
+        # Only `reset` cancels; asyncio 3.11 logs a task that stays cancelled.
+        except* (OSError, asyncio.CancelledError):
+            link.abort()
+        finally:
+            for end in link.writers:
+                end.close()
+            self._links.discard(link)
+
+    async def _forward(
+        self,
+        link: "_Link",
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if self.to_upstream.silent or self.to_client.silent:
+            # No handshake would complete across such a network.
+            while data := await reader.read(_READ_BYTES):
+                self.to_upstream.bytes_swallowed += len(data)
+            return
+        host, port = self.upstream.rsplit(":", 1)
+        up_reader, up_writer = await asyncio.open_connection(host, int(port))
+        link.writers.append(up_writer)
+        async with asyncio.TaskGroup() as group:
+            for source, sink, direction in (
+                (reader, up_writer, self.to_upstream),
+                (up_reader, writer, self.to_client),
+            ):
+                chunks = asyncio.Queue(_CHUNKS_IN_FLIGHT)
+                group.create_task(_receive(source, chunks, direction))
+                group.create_task(_deliver(link, chunks, sink, direction))
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Link:
+    task: asyncio.Task
+    writers: list[asyncio.StreamWriter]
+    silent: set[Direction] = dataclasses.field(default_factory=set)
+
+    def abort(self) -> None:
+        for writer in self.writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                # With linger time 0, closing sends RST instead of FIN.
+                option = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+            writer.transport.abort()
+
+
+async def _receive(
+    source: asyncio.StreamReader, chunks: asyncio.Queue, direction: Direction
+) -> None:
+    data = b"start"
+    while data:
+        data = await source.read(_READ_BYTES)
+        due = time.monotonic() + direction.latency_ms / 1000
+        await chunks.put((due, data))
+
+
+async def _deliver(
+    link: _Link,
+    chunks: asyncio.Queue,
+    sink: asyncio.StreamWriter,
+    direction: Direction,
+) -> None:
+    passed = 0
+    while True:
+        due, data = await chunks.get()
+        if due > time.monotonic():
+            await asyncio.sleep(due - time.monotonic())
+        if direction.silent or direction in link.silent:
+            link.silent.add(direction)
+            direction.bytes_swallowed += len(data)
+            if not data:
+                # The end of the stream is not heard of either.
+                await asyncio.get_running_loop().create_future()
+            continue
+        limit = direction.cut_after_bytes
+        is_cut = limit is not None and passed + len(data) >= limit
+        if is_cut:
+            data = data[: max(limit - passed, 0)]
+        passed += len(data)
+        direction.bytes_forwarded += len(data)
+        sink.write(data)
+        if is_cut:
+            for end in link.writers:
+                end.close()
+            return
+        if not data:
+            sink.write_eof()
+            return
+        await sink.drain()
