Log library warnings as events under the same limit

aiohttp and websockets write to logging, which without a handler prints plain lines and, for a storm of bad requests, one traceback each. Their message template names the event, so the limit applies to it. logbook's own redirect was ruled out: it bypasses the limit, which sits in the logger.

--- a/slatechute/logs.py
+++ b/slatechute/logs.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import logging
 import math
 import sys
 import time
@@ -140,6 +141,20 @@
             super().handle_error(record, exc_info)
 
 
+class _LibraryHandler(logging.Handler):
+    """Passes warnings of libraries on, under the same limit."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        level = logbook.lookup_level(record.levelname)
+        # The text without its arguments names the event.
+        get_logger(record.name).log(
+            level,
+            str(record.msg),
+            message=record.getMessage(),
+            exc_info=record.exc_info,
+        )
+
+
 def _format(record: logbook.LogRecord, handler: logbook.Handler) -> str:
     del handler
     content = {
@@ -169,6 +184,7 @@
 _logger_by_name: dict[str, Logger] = {}
 _suppressing: dict[tuple[Logger, str], float] = {}
 _handler: JsonHandler | None = None
+_library_handler = _LibraryHandler(logging.WARNING)
 
 
 def _report_due(now_s: float) -> None:
@@ -189,7 +205,8 @@
 def setup(stream: TextIO | None = None, level: str = "info") -> JsonHandler:
     """Send all logs to a stream; replaces an earlier call.
 
-    Without this call, warnings and errors go to standard error as plain text.
+    Warnings that libraries send to `logging` become events as well. Without
+    this call, warnings and errors go to standard error as plain text.
 
     Args:
         stream: Where to write; standard error when None.
@@ -211,6 +228,7 @@
         _handler.pop_application()
     _handler = JsonHandler(stream or sys.stderr)
     _handler.push_application()
+    logging.getLogger().addHandler(_library_handler)
     _level = logbook.lookup_level(level.upper())
     for logger in _logger_by_name.values():
         logger.level = _level
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+import logging
 
 import pytest
 
@@ -100,6 +101,18 @@
     assert len(logger._window_by_event) <= 256
 
 
+def test_library_warnings_are_events(stream):
+    """A plain line from a library breaks collectors that expect JSON."""
+    library = logging.getLogger("some.library")
+    for number in range(20):
+        library.warning("lost %d", number)
+    library.info("detail")
+    lines = _lines(stream)
+    assert len(lines) == logs.LINES_PER_S
+    assert lines[3]["logger"] == "some.library"
+    assert (lines[3]["event"], lines[3]["message"]) == ("lost %d", "lost 3")
+
+
 def test_unknown_level_and_closed_stream(stream):
     """A wrong level is the operator's error; a closed stream stops nothing."""
     with pytest.raises(errors.SettingsError):
