--- /dev/null
+++ b/slatechute/commands/base.py
@@ -0,0 +1,48 @@
+"""Behaviour that the commands share."""
+
+import enum
+
+from cleo.commands import command as cleo_command
+from cleo.io.outputs import output
+
+__all__ = ["Command", "ExitStatus"]
+
+
+class ExitStatus(enum.IntEnum):
+    """Exit statuses of all commands.
+
+    Attributes:
+        OK: Done, and the answer is yes.
+        NEGATIVE: Done, and the answer is no, or the work was cut short.
+        UNUSABLE: Not done: wrong arguments or settings, or a host, address or
+            file that cannot be used.
+        INTERNAL: A fault in slatechute.
+    """
+
+    OK = 0
+    NEGATIVE = 1
+    UNUSABLE = 2
+    INTERNAL = 3
+
+
+class Command(cleo_command.Command):
+    """Base of the commands."""
+
+    def print(self, text: str) -> None:
+        """Write a line to standard output as it is.
+
+        `line()` of the library would read `<...>` in data as markup, and
+        control characters from other hosts could change the terminal.
+        """
+        shown = "".join(c if c.isprintable() else "?" for c in text)
+        self.io.write_line(shown, type=output.Type.RAW)
+
+    def print_columns(self, rows: list[list[str]]) -> None:
+        """Write rows as aligned columns."""
+        widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+        for row in rows:
+            cells = (
+                cell.ljust(width)
+                for cell, width in zip(row, widths, strict=True)
+            )
+            self.print("  ".join(cells).rstrip())
--- /dev/null
+++ b/slatechute/commands/settings.py
@@ -0,0 +1,48 @@
+"""Command `slatechute settings`."""
+
+from typing import ClassVar
+
+from cleo.io.inputs import option
+
+from slatechute import settings as settings_module
+from slatechute.commands import base
+
+__all__ = ["SettingsCommand"]
+
+
+class SettingsCommand(base.Command):
+    """Prints the settings in force."""
+
+    name = "settings"
+    description = "Print the settings in force and where each comes from."
+    help = """\
+Takes the same flags and variables as <c1>slatechute entry</c1>, checks them
+and prints name, value, origin (flag, environment, file or default) and
+variable of each setting. Secrets are masked.
+
+Exit status: 0 the settings are valid; 2 they are not."""
+    options: ClassVar[list[option.Option]] = settings_module.cleo_options()
+
+    def handle(self) -> int:
+        """Print the settings.
+
+        Raises:
+            errors.SettingsError: The settings are not valid.
+        """
+        flags = settings_module.read_flags(self.option)
+        settings = settings_module.load(flags)
+        origin_by_field = settings_module.origins(flags)
+        self.print_columns(
+            [
+                [
+                    field,
+                    settings_module.shown_value(settings, field),
+                    origin,
+                    settings_module.environment_name(field),
+                ]
+                for field, origin in origin_by_field.items()
+            ]
+        )
+        for variable in settings_module.unknown_variables():
+            self.line_error(f"slatechute: {variable} is no setting; ignored")
+        return base.ExitStatus.OK
--- /dev/null
+++ b/slatechute/commands/status.py
@@ -0,0 +1,285 @@
+"""Command `slatechute status`."""
+
+import asyncio
+from typing import ClassVar
+import urllib.parse
+
+from cleo import helpers
+from cleo.io.inputs import argument
+from cleo.io.inputs import option
+import pydantic
+
+from slatechute import errors
+from slatechute import settings as settings_module
+from slatechute.commands import base
+
+__all__ = ["HostStatus", "StatusCommand"]
+
+_MAX_STATUS_BYTES = 4 << 20
+_SHOWN_REFUSALS = 3
+_SHOWN_DIGEST = 12
+
+
+class _Part(pydantic.BaseModel):
+    """Part of a status; fields of newer versions are ignored."""
+
+
+class Refusal(_Part):
+    """A revision that a host did not accept."""
+
+    revision: int
+    problems: list[str] = []
+
+
+class ConfigurationStatus(_Part):
+    """Configuration of a host, see docs/operators.md."""
+
+    revision: int | None = None
+    digest: str | None = None
+    newest_seen: int | None = None
+    age_s: float | None = None
+    unconfirmed: bool = False
+    refused: list[Refusal] = []
+
+
+class PeerStatus(_Part):
+    """What a host knows of a peer."""
+
+    entry_id: str
+    revision: int | None = None
+    digest: str | None = None
+    reachable: bool = False
+
+
+class HostStatus(_Part):
+    """Answer of `/status`."""
+
+    entry_id: str
+    boot_id: str = ""
+    data_centre: str = ""
+    state: str = ""
+    configuration: ConfigurationStatus = ConfigurationStatus()
+    peers: list[PeerStatus] = []
+
+
+class StatusCommand(base.Command):
+    """Compares the configuration of hosts."""
+
+    name = "status"
+    description = "Ask hosts for their state and compare their configuration."
+    help = """\
+Asks /status of each host and prints state, revision, digest, newest revision
+seen, age and whether the host lags or refuses a revision, and why. Peers that
+were not asked are shown as the asked hosts see them.
+
+  slatechute status 10.0.0.1:8402 http://10.0.0.2:8402
+
+Exit status: 0 all hosts have the newest revision; 1 hosts differ, lag or
+refuse the newest revision; 2 a host does not answer or an argument cannot be
+used."""
+    arguments: ClassVar[list[argument.Argument]] = [
+        helpers.argument(
+            "admin_url", "Admin address of a host, by IP.", multiple=True
+        )
+    ]
+    options: ClassVar[list[option.Option]] = [
+        helpers.option(
+            "timeout-ms",
+            None,
+            "Longest wait for a host (default 2000).",
+            flag=False,
+            default="2000",
+        )
+    ]
+
+    def handle(self) -> int:
+        """Ask all hosts and print the comparison.
+
+        Raises:
+            errors.SettingsError: An argument cannot be used.
+        """
+        addresses = [_address(url) for url in self.argument("admin_url")]
+        timeout_ms = self.option("timeout-ms")
+        if not timeout_ms.isdecimal() or not 1 <= int(timeout_ms) <= 600_000:
+            raise errors.SettingsError(
+                "--timeout-ms must be a number from 1 to 600000"
+            )
+        answers = asyncio.run(_ask_all(addresses, int(timeout_ms) / 1000))
+        hosts = [a for a in answers.values() if isinstance(a, HostStatus)]
+        self._print_hosts(answers, _newest(hosts))
+        agreed = self._print_conclusion(hosts)
+        if len(hosts) < len(answers):
+            return base.ExitStatus.UNUSABLE
+        return base.ExitStatus.OK if agreed else base.ExitStatus.NEGATIVE
+
+    def _print_hosts(
+        self, answers: dict[str, HostStatus | str], newest: int
+    ) -> None:
+        rows = [
+            [
+                "HOST",
+                "ENTRY",
+                "STATE",
+                "REVISION",
+                "DIGEST",
+                "NEWEST SEEN",
+                "AGE",
+                "LAGGING",
+                "REFUSING",
+            ]
+        ]
+        notes = []
+        asked = {a.entry_id for a in answers.values() if not isinstance(a, str)}
+        seen: dict[str, list[str]] = {}
+        for address, answer in answers.items():
+            if isinstance(answer, str):
+                rows.append([address, "-", "no answer"] + ["-"] * 6)
+                notes.append(f"{address}: {answer}")
+                continue
+            own = answer.configuration
+            refusing = _refused(own)
+            rows.append(
+                [
+                    address,
+                    answer.entry_id,
+                    answer.state or "-",
+                    _text(own.revision)
+                    + (" unconfirmed" if own.unconfirmed else ""),
+                    _short(own.digest),
+                    _text(own.newest_seen),
+                    "-" if own.age_s is None else f"{own.age_s:.0f} s",
+                    "yes" if (own.revision or 0) < newest else "no",
+                    "yes" if refusing else "no",
+                ]
+            )
+            notes += [
+                f"{address} ({answer.entry_id}) refuses revision "
+                f"{refusal.revision}: {'; '.join(refusal.problems) or '-'}"
+                for refusal in refusing[:_SHOWN_REFUSALS]
+            ]
+            for peer in answer.peers:
+                # A view over a live link is newer than any other.
+                if peer.entry_id not in asked and (
+                    peer.reachable or peer.entry_id not in seen
+                ):
+                    state = "reachable" if peer.reachable else "unreachable"
+                    seen[peer.entry_id] = [
+                        f"(seen by {answer.entry_id})",
+                        peer.entry_id,
+                        state,
+                        _text(peer.revision),
+                        _short(peer.digest),
+                        "-",
+                        "-",
+                        "yes" if (peer.revision or 0) < newest else "no",
+                        "-",
+                    ]
+        self.print_columns(rows + list(seen.values()))
+        for note in notes:
+            self.print(note)
+
+    def _print_conclusion(self, hosts: list[HostStatus]) -> bool:
+        """Print whether the hosts agree, and return it."""
+        if not hosts:
+            return False
+        newest = _newest(hosts)
+        versions = _versions(hosts)
+        revisions = sorted({revision for revision, _ in versions})
+        if newest == 0:
+            self.print("No host has a configuration.")
+            return False
+        if len(revisions) < len(versions):
+            self.print("Hosts have different content under one revision.")
+        if any(_refused(host.configuration) for host in hosts):
+            self.print("A revision is refused; the reasons are above.")
+        elif revisions == [newest] and len(versions) == 1:
+            self.print(f"All hosts have revision {newest}.")
+            return True
+        in_force = ", ".join(map(str, revisions))
+        self.print(f"Revisions in force: {in_force}; newest seen: {newest}.")
+        return False
+
+
+def _address(url: str) -> str:
+    try:
+        parts = urllib.parse.urlsplit(url if "://" in url else f"http://{url}")
+        if parts.scheme != "http" or parts.path not in ("", "/"):
+            raise ValueError(f"{url!r} is not http://IP:port or IP:port")
+        return settings_module.join_address(
+            *settings_module.split_address(parts.netloc)
+        )
+    except ValueError as error:
+        raise errors.SettingsError(f"ADMIN_URL {error}") from None
+
+
+async def _ask_all(
+    addresses: list[str], timeout_s: float
+) -> dict[str, HostStatus | str]:
+    """Return the status, or the reason why there is none, by address."""
+    import aiohttp
+
+    async def ask(address: str) -> HostStatus | str:
+        url = f"http://{address}/status"
+        try:
+            async with session.get(url, allow_redirects=False) as response:
+                if response.status != 200:
+                    return f"answers with HTTP status {response.status}"
+                body = bytearray()
+                async for chunk in response.content.iter_chunked(1 << 16):
+                    body += chunk
+                    if len(body) > _MAX_STATUS_BYTES:
+                        return "the answer is too long"
+                return HostStatus.model_validate_json(bytes(body))
+        except TimeoutError:
+            return f"no answer within {timeout_s:g} s"
+        except (aiohttp.ClientError, OSError) as error:
+            reason = getattr(error, "strerror", None) or str(error)
+            return reason or type(error).__name__
+        except ValueError:
+            return "the answer is not a status of slatechute"
+
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        answers = await asyncio.gather(*map(ask, addresses))
+    return dict(zip(addresses, answers, strict=True))
+
+
+def _newest(hosts: list[HostStatus]) -> int:
+    revisions = [0]
+    for host in hosts:
+        own = host.configuration
+        revisions += [own.revision or 0, own.newest_seen or 0]
+        revisions += [refusal.revision for refusal in own.refused]
+        revisions += [peer.revision or 0 for peer in host.peers]
+    return max(revisions)
+
+
+def _versions(hosts: list[HostStatus]) -> set[tuple[int, str]]:
+    """Return the revisions and digests in force on hosts and live peers."""
+    asked = {host.entry_id for host in hosts}
+    parts: list[ConfigurationStatus | PeerStatus] = []
+    for host in hosts:
+        parts.append(host.configuration)
+        parts += [
+            peer
+            for peer in host.peers
+            if peer.reachable and peer.entry_id not in asked
+        ]
+    return {
+        (part.revision, part.digest or "") if part.revision else (0, "")
+        for part in parts
+    }
+
+
+def _refused(own: ConfigurationStatus) -> list[Refusal]:
+    """Return the refusals that still matter, the newest first."""
+    pending = [r for r in own.refused if r.revision >= (own.revision or 0)]
+    return sorted(pending, key=lambda refusal: -refusal.revision)
+
+
+def _text(value: int | None) -> str:
+    return "-" if value is None else str(value)
+
+
+def _short(digest: str | None) -> str:
+    return digest[:_SHOWN_DIGEST] if digest else "-"
--- a/slatechute/settings.py
+++ b/slatechute/settings.py
@@ -4,7 +4,7 @@
 help text are derived from the field.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import ipaddress
 import os
 import pathlib
@@ -29,6 +29,7 @@
     "join_address",
     "load",
     "origins",
+    "read_flags",
     "shown_value",
     "split_address",
     "unknown_variables",
@@ -258,6 +259,19 @@
     return options
 
 
+def read_flags(option_value: Callable[[str], Any]) -> dict[str, Any]:
+    """Return the values of the options, None for those not given.
+
+    Args:
+        option_value: Returns the value of an option; the `option` method of a
+            command with `cleo_options()`.
+    """
+    return {
+        field: option_value(flag_name(field))
+        for field in EntrySettings.model_fields
+    }
+
+
 def load(flags: Mapping[str, Any]) -> EntrySettings:
     """Build the settings from flags, the environment and defaults.
 
--- /dev/null
+++ b/tests/commands/test_entry.py
@@ -0,0 +1,169 @@
+"""Tests of `slatechute entry`."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import types
+
+import pytest
+
+import slatechute
+from slatechute import __main__ as program
+from slatechute import errors
+from slatechute.commands import entry
+
+# The command runs this stand-in, which binds its port as an entry does.
+_STAND_IN = """
+import asyncio, sys, types
+from slatechute import __main__ as program, settings
+
+class Application:
+    def __init__(self, given):
+        self._address = settings.split_address(given.address)
+    async def start(self):
+        self._server = await asyncio.start_server(print, *self._address)
+    async def drain(self):
+        print("draining", flush=True)
+    async def stop(self):
+        print("stopped", flush=True)
+
+sys.modules["slatechute.application"] = types.SimpleNamespace(
+    Application=Application
+)
+sys.exit(program.main(sys.argv[1:]))
+"""
+
+_FLAGS = ["--entry-id=e1", "--data-centre=d1", "--fleet-key=0123456789abcdef"]
+
+
+class _Application:
+    """Raises signals in its own process at chosen steps."""
+
+    def __init__(self, signals=(), *, clean=None, error=None, hang=()):
+        self.calls = []
+        self._signals = dict(signals)
+        self._clean = clean
+        self._error = error
+        self._hang = hang
+
+    async def _step(self, name):
+        self.calls.append(name)
+        for number in self._signals.get(name, ()):
+            asyncio.get_running_loop().call_later(
+                0.01, os.kill, os.getpid(), number
+            )
+        if name in self._hang:
+            await asyncio.sleep(60)
+
+    async def start(self):
+        await self._step("start")
+        if self._error:
+            raise self._error
+
+    async def drain(self):
+        await self._step("drain")
+        return self._clean
+
+    async def stop(self):
+        await self._step("stop")
+
+
+def _run(application: _Application) -> int:
+    return asyncio.run(asyncio.wait_for(entry.run(application), 20))
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_signal_drains(number):
+    """A planned stop must not cut requests in flight."""
+    application = _Application({"start": [number]})
+    assert _run(application) == 0
+    assert application.calls == ["start", "drain", "stop"]
+
+
+def test_second_signal_stops_at_once():
+    """An operator must be able to end a drain that takes too long."""
+    application = _Application(
+        {"start": [signal.SIGTERM], "drain": [signal.SIGTERM]}, hang=["drain"]
+    )
+    assert _run(application) == 1
+    assert application.calls == ["start", "drain", "stop"]
+
+
+def test_signal_during_start_stops():
+    """A start that waits for the platform must not block a stop."""
+    application = _Application({"start": [signal.SIGTERM]}, hang=["start"])
+    assert _run(application) == 0
+    assert application.calls == ["start", "stop"]
+
+
+def test_drain_at_its_limit_is_not_clean():
+    """Automation must learn that requests were cut."""
+    application = _Application({"start": [signal.SIGTERM]}, clean=False)
+    assert _run(application) == 1
+
+
+def test_stop_that_hangs_is_bounded(monkeypatch):
+    """A supervisor waits for the process to end."""
+    monkeypatch.setattr(entry, "_STOP_TIMEOUT_S", 0.05)
+    application = _Application({"start": [signal.SIGTERM]}, hang=["stop"])
+    assert _run(application) == 0
+
+
+def test_failed_start_is_cleaned_up():
+    """Ports opened before the failure must be closed again."""
+    application = _Application(error=errors.PlatformError("down"))
+    with pytest.raises(errors.PlatformError):
+        _run(application)
+    assert application.calls == ["start", "stop"]
+
+
+def test_command_builds_the_application(monkeypatch, capsys):
+    """The command must pass the settings as a whole and report its status."""
+    built = []
+
+    def build(settings):
+        built.append(settings)
+        return _Application({"start": [signal.SIGTERM]})
+
+    module = types.SimpleNamespace(Application=build)
+    monkeypatch.setitem(sys.modules, "slatechute.application", module)
+    monkeypatch.setattr(slatechute, "application", module, raising=False)
+    monkeypatch.setenv("SLATECHUTE_TYPO", "1")
+    assert program.main(["entry", *_FLAGS, "--fan-out=5"]) == 0
+    assert built[0].fan_out == 5
+    lines = [json.loads(x) for x in capsys.readouterr().err.splitlines()]
+    events = {line["event"] for line in lines}
+    assert {"entry_started", "entry_draining", "unknown_variable"} <= events
+
+
+def test_process_with_port_in_use_and_free_port():
+    """Only a real process shows the exit status and the signal handling."""
+    command = [sys.executable, "-c", _STAND_IN, "entry", *_FLAGS]
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        result = subprocess.run(
+            [*command, f"--address=127.0.0.1:{port}"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+    assert result.returncode == 2
+    errors_shown = [x for x in result.stderr.splitlines() if x[:1] != "{"]
+    assert len(errors_shown) == 1
+    assert "address already in use" in errors_shown[0]
+    with subprocess.Popen(
+        [*command, "--address=127.0.0.1:0"],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        while "entry_started" not in process.stderr.readline():
+            assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=60)
+    assert process.returncode == 0
+    assert output.split() == ["draining", "stopped"]
--- /dev/null
+++ b/tests/commands/test_main.py
@@ -0,0 +1,84 @@
+"""Tests of the program around the commands."""
+
+import subprocess
+import sys
+
+import pytest
+
+import slatechute
+from slatechute import __main__ as program
+from slatechute import commands
+from slatechute.commands import base
+
+
+def _program(*arguments: str) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, "-X", "importtime", "-m", "slatechute", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+def test_version_without_heavy_imports():
+    """Completion and scripts call the program often; it must start fast."""
+    result = _program("--version")
+    assert result.stdout == f"slatechute {slatechute.__version__}\n"
+    assert result.returncode == 0
+    for package in ("aiohttp", "pydantic", "reactivex", "websockets"):
+        assert f" {package}\n" not in result.stderr, package
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["nothing"],
+        ["entry", "--typo", "1"],
+        ["entry", "--fan-out"],
+        ["entry", "extra"],
+        ["entry", "--entry-id", "<b>\n"],
+        ["settings", "--fleet-key-file", "/"],
+        ["status"],
+        ["completions", "csh"],
+    ],
+)
+def test_unusable_arguments_give_one_line(arguments, capsys, monkeypatch):
+    """A traceback does not tell an operator what to change."""
+    monkeypatch.delenv("SLATECHUTE_ENTRY_ID", raising=False)
+    assert program.main(arguments) == base.ExitStatus.UNUSABLE
+    output = capsys.readouterr()
+    assert output.err.startswith("slatechute: ")
+    assert output.err.count("\n") == 1
+    assert not output.out
+
+
+def test_fault_is_told_from_wrong_input(capsys, monkeypatch):
+    """Scripts must not take a fault of slatechute for a wrong argument."""
+
+    def fail(*_):
+        raise KeyError("x")
+
+    monkeypatch.setattr(commands.ModuleLoader, "get", fail)
+    assert program.main(["settings"]) == base.ExitStatus.INTERNAL
+    assert capsys.readouterr().err.count("\n") == 1
+    assert program.main(["settings", "-v"]) == base.ExitStatus.INTERNAL
+    assert "Traceback" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completion_lists_commands(shell, capsys):
+    """A completion script without the commands and flags is useless."""
+    assert program.main(["completions", shell]) == 0
+    script = capsys.readouterr().out
+    assert "status" in script and "drain-limit-ms" in script
+
+
+def test_each_module_defines_its_command():
+    """A command under another name than its module cannot be run."""
+    loader = commands.ModuleLoader()
+    assert {"entry", "settings", "status"} <= set(loader.names)
+    for name in loader.names:
+        assert loader.has(name), name
+        command = loader.get(name)
+        assert command.name == name
+        assert command.description, name
--- /dev/null
+++ b/tests/commands/test_status.py
@@ -0,0 +1,157 @@
+"""Tests of `slatechute status` against admin servers in this process."""
+
+import asyncio
+import socket
+import threading
+
+from aiohttp import web
+import pytest
+
+from slatechute import __main__ as program
+
+
+@pytest.fixture
+def serve():
+    """Return a function that serves an answer and returns the address."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    runners = []
+
+    async def start(answer):
+        async def handle(request):
+            del request
+            if answer == "hang":
+                await asyncio.sleep(60)
+            if isinstance(answer, str):
+                return web.Response(text=answer)
+            return web.json_response(answer)
+
+        app = web.Application()
+        app.router.add_get("/status", handle)
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        runners.append(runner)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return "{}:{}".format(*runner.addresses[0])
+
+    def run(coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, loop).result(20)
+
+    yield lambda answer: run(start(answer))
+    for runner in runners:
+        run(runner.cleanup())
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
+
+
+def _host(entry_id="e1", revision=7, digest="aa", *, peers=(), **more):
+    own = {"revision": revision, "digest": digest, "newest_seen": revision}
+    own |= {"age_s": 12.3, "unconfirmed": False, "refused": []}
+    return {
+        "entry_id": entry_id,
+        "boot_id": f"{entry_id}-1",
+        "data_centre": "d1",
+        "state": "ready",
+        "configuration": own | more,
+        "peers": list(peers),
+    }
+
+
+def _peer(entry_id, revision=7, digest="aa", reachable=True):
+    return {
+        "entry_id": entry_id,
+        "revision": revision,
+        "digest": digest,
+        "reachable": reachable,
+    }
+
+
+def _row(output: str, entry_id: str) -> list[str]:
+    return next(x for x in output.splitlines() if f" {entry_id} " in x).split()
+
+
+def test_hosts_agree(serve, capsys):
+    """A healthy fleet must not look different, whichever way it is asked."""
+    first = serve(_host(peers=[_peer("e2"), _peer("e3")]))
+    second = serve(_host("e2", unconfirmed=True) | {"new_field": 1})
+    assert program.main(["status", first, f"http://{second}/"]) == 0
+    output = capsys.readouterr().out
+    assert "All hosts have revision 7." in output
+    assert "unconfirmed" in _row(output, "e2")
+    assert "(seen by e1)" in output
+
+
+@pytest.mark.parametrize(
+    ("hosts", "shown"),
+    [
+        ([_host(), _host("e2", 6, "bb")], "in force: 6, 7; newest seen: 7"),
+        ([_host(), _host("e2", 7, "bb")], "different content"),
+        ([_host(newest_seen=9)], "newest seen: 9"),
+        ([_host(peers=[_peer("e2", 5, "bb")])], "in force: 5, 7"),
+        ([_host(revision=0, digest="")], "No host has a configuration"),
+        (
+            [_host(refused=[{"revision": 8, "problems": ["a.toml: \x1b[2J"]}])],
+            "refuses revision 8: a.toml: ?[2J",
+        ),
+    ],
+)
+def test_hosts_disagree(serve, capsys, hosts, shown):
+    """A rollout that is not in force everywhere must fail a script."""
+    assert program.main(["status", *map(serve, hosts)]) == 1
+    assert shown in capsys.readouterr().out
+
+
+def test_lagging_host_is_marked(serve, capsys):
+    """The operator has to see which host is behind."""
+    program.main(["status", serve(_host()), serve(_host("e2", 6, "bb"))])
+    output = capsys.readouterr().out
+    assert _row(output, "e1")[-2:] == ["no", "no"]
+    assert _row(output, "e2")[-2:] == ["yes", "no"]
+
+
+def test_old_refusal_is_not_shown(serve, capsys):
+    """A refusal that a newer revision has replaced needs no action."""
+    address = serve(_host(refused=[{"revision": 5, "problems": ["old"]}]))
+    assert program.main(["status", address]) == 0
+    assert "old" not in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    "answer",
+    ["hang", "not json", '{"peers": 3}', "[" * 100_000, " " * 5_000_000],
+)
+def test_host_without_usable_answer(serve, capsys, answer):
+    """One broken host must not hide the state of the others."""
+    arguments = ["--timeout-ms=300", serve(_host()), serve(answer)]
+    assert program.main(["status", *arguments]) == 2
+    output = capsys.readouterr().out
+    assert _row(output, "e1")[-2:] == ["no", "no"]
+    assert "no answer" in output
+
+
+def test_host_that_is_down(capsys):
+    """A refused connection must be reported as such."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    assert program.main(["status", address]) == 2
+    assert "Connect call failed" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["localhost:1"],
+        ["https://127.0.0.1:1"],
+        ["http://127.0.0.1:1/x"],
+        ["http://127.0.0.1"],
+        ["http://[::1"],
+        ["127.0.0.1:1", "--timeout-ms=soon"],
+    ],
+)
+def test_unusable_argument(capsys, arguments):
+    """A wrong address must be named before any host is asked."""
+    assert program.main(["status", *arguments]) == 2
+    output = capsys.readouterr()
+    assert (output.out, output.err.count("\n")) == ("", 1)
