Add links between entries with heartbeats

Entries exchange slot requests and heartbeats over authenticated websocket links. The state machine of a link (peers/link.py) has no I/O; the connections hand frames over as plain calls from the transport callback and write all messages of one loop turn, or of one read, with one call.

The lower entry id connects. The higher one does so after 1 s without a link, because the neighbours of a list are not symmetric and a new entry may be unknown to the others; when both calls meet, the lower id's link stays on both sides. A paused process measures silence from its waking. Ruled out: awaiting Connection.send, one task and one system call for each message.

--- /dev/null
+++ b/slatechute/peers/links.py
@@ -0,0 +1,556 @@
+"""Links of this entry with its peers.
+
+For each pair of entries the one with the lower entry id connects. The other
+one connects only when there has been no link for a while, which covers peers
+whose own list does not contain this entry.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+import dataclasses
+import enum
+import functools
+import logging
+import types
+import urllib.parse
+
+import logbook
+from websockets.asyncio import client
+from websockets.asyncio import server
+
+from slatechute import events
+from slatechute import messages
+from slatechute import settings as settings_module
+from slatechute.peers import authentication
+from slatechute.peers import connections
+from slatechute.peers import counters
+from slatechute.peers import dialer
+from slatechute.peers import link as link_module
+from slatechute.util import clock as clock_module
+
+__all__ = ["Peer", "PeerLinks", "PeerState"]
+
+# Room for one configuration value of at most 1 MB in parts, twice.
+MAX_QUEUE_BYTES = 2 * 1024 * 1024
+# More than all peers of a restarting group at once; the oldest makes room.
+MAX_UNAUTHENTICATED = 128
+# The lower entry id reconnects within milliseconds when it knows this entry.
+FALLBACK_S = 1.0
+STOP_LIMIT_S = 1.0
+
+_Fault = counters.Fault
+_State = link_module.State
+
+_log = logbook.Logger(__name__)
+
+# Any host can make the library log a failed handshake; faults are counted here
+# instead.
+_library_log = logging.getLogger("slatechute.peers.websockets")
+_library_log.setLevel(logging.CRITICAL)
+
+
+class PeerState(enum.StrEnum):
+    """State of the link with a peer."""
+
+    CONNECTING = "connecting"
+    READY = "ready"
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """What is known of a peer; read-only outside this module.
+
+    Attributes:
+        entry_id: Entry id of the peer.
+        listed: Whether `set_peers` named it.
+        state: State of the link.
+        boot_id: Last start seen, empty before the first link.
+        data_centre: Data centre of the peer.
+        address: Address for callers.
+        peer_address: Address for peer links.
+        admin_address: Address for operators.
+        heartbeat: Last heartbeat, or None.
+        last_frame_ms: When the last frame came, by the clock of the links.
+    """
+
+    entry_id: str
+    listed: bool = False
+    state: PeerState = PeerState.CONNECTING
+    boot_id: str = ""
+    data_centre: str = ""
+    address: str = ""
+    peer_address: str = ""
+    admin_address: str = ""
+    heartbeat: messages.Heartbeat | None = None
+    last_frame_ms: float = 0.0
+
+    @property
+    def reachable(self) -> bool:
+        """Whether there is a live, authenticated link."""
+        return self.state is PeerState.READY
+
+
+class PeerLinks:
+    """Authenticated links with other entries, with heartbeats.
+
+    All methods have to be called on the event loop. `PeerReady` and `PeerLost`
+    are emitted on the bus, never from within `send`.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        boot_id: str,
+        clock: clock_module.Clock,
+        bus: events.EventBus,
+        on_message: Callable[[str, messages.Message], None],
+        heartbeat: Callable[[], messages.Heartbeat],
+        *,
+        metrics: counters.LinkMetrics | None = None,
+        versions: tuple[int, int] = (messages.VERSION_MIN, messages.VERSION),
+    ):
+        """Create the links; nothing is opened before `start`.
+
+        Args:
+            settings: Settings of this entry.
+            boot_id: Id of this start.
+            clock: Monotonic clock.
+            bus: Where `PeerReady` and `PeerLost` are emitted.
+            on_message: Called on the loop with the entry id of the peer and
+                each message, heartbeats included.
+            heartbeat: Returns the content of the next heartbeat.
+            metrics: Receiver of the counts.
+            versions: Lowest and highest supported version of the messages.
+        """
+        self.metrics = metrics or counters.LinkCounters()
+        self._settings = settings
+        self._boot_id = boot_id
+        self._clock = clock
+        self._bus = bus
+        self._on_message = on_message
+        self._heartbeat = heartbeat
+        self._versions = versions
+        self._key = settings.fleet_key.get_secret_value().encode()
+        self._peer_address = settings.peer_address
+        self._server: server.Server | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._next_tick_ms = 0.0
+        self._awake_since_ms = 0.0
+        self._peer_by_id: dict[str, Peer] = {}
+        self._dialer_by_id: dict[str, dialer.Dialer] = {}
+        self._connection_by_id: dict[str, connections.PeerConnection] = {}
+        # Used as ordered sets.
+        self._open: dict[connections.PeerConnection, None] = {}
+        self._unauthenticated: dict[connections.PeerConnection, None] = {}
+        self._dirty: list[connections.PeerConnection] = []
+        self._flush_handle: asyncio.Handle | None = None
+        self._is_reading = False
+        self._frames_read = 0
+
+    @property
+    def peer_address(self) -> str:
+        """Address that peers connect to; port 0 is resolved by `start`."""
+        return self._peer_address
+
+    async def start(self) -> None:
+        """Listen, start heartbeats and connect to the listed peers.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        parts = urllib.parse.urlsplit(f"//{self._settings.peer_address}")
+        self._server = await server.serve(
+            _wait_closed,
+            parts.hostname,
+            parts.port,
+            compression=None,
+            server_header=None,
+            open_timeout=None,  # the limit of Link.check covers it
+            ping_interval=None,
+            max_size=messages.MAX_FRAME_BYTES,
+            logger=_library_log,
+            create_connection=self._server_connection,
+        )
+        if not parts.port:
+            port = self._server.sockets[0].getsockname()[1]
+            host = self._settings.peer_address.rpartition(":")[0]
+            self._peer_address = f"{host}:{port}"
+        self._next_tick_ms = self._clock.now_ms()
+        self._awake_since_ms = self._next_tick_ms
+        self._tick()
+        for peer in self._peer_by_id.values():
+            self._start_dialer(peer)
+
+    async def stop(self) -> None:
+        """Close all links; takes at most about `STOP_LIMIT_S`."""
+        if self._server is None:
+            return
+        self._timer.cancel()
+        for task in self._dialer_by_id.values():
+            task.stop()
+        self._dialer_by_id.clear()
+        self._flush()
+        self._server.close(close_connections=False)
+        closing = list(self._open)
+        for connection in closing:
+            connection.link.state = _State.CLOSED
+            connection.close_soon()
+        self._connection_by_id.clear()
+        for peer in self._peer_by_id.values():
+            peer.state = PeerState.CONNECTING
+        waits = [asyncio.create_task(c.wait_closed()) for c in closing]
+        if waits:
+            _, late = await asyncio.wait(waits, timeout=STOP_LIMIT_S / 2)
+            for connection in closing:
+                connection.abort()
+            for wait in late:
+                wait.cancel()
+        try:
+            async with asyncio.timeout(STOP_LIMIT_S / 2):
+                await self._server.wait_closed()
+        except TimeoutError:
+            _log.warning("peer server did not close in time")
+        self._server = None
+
+    def set_peers(self, addresses_by_entry: Mapping[str, str]) -> None:
+        """Set the entries to be linked with.
+
+        A link with an entry that is no longer listed stays as long as it is
+        alive, but is not opened again.
+
+        Args:
+            addresses_by_entry: Peer address by entry id; this entry is
+                ignored.
+        """
+        own_id = self._settings.entry_id
+        for entry_id, address in addresses_by_entry.items():
+            if entry_id == own_id:
+                continue
+            peer = self._peer_by_id.setdefault(entry_id, Peer(entry_id))
+            peer.listed = True
+            peer.peer_address = address
+            self._start_dialer(peer)
+        for entry_id, peer in list(self._peer_by_id.items()):
+            if entry_id not in addresses_by_entry:
+                peer.listed = False
+                if entry_id in self._dialer_by_id:
+                    self._dialer_by_id.pop(entry_id).stop()
+                if entry_id not in self._connection_by_id:
+                    del self._peer_by_id[entry_id]
+
+    def peers(self) -> Mapping[str, Peer]:
+        """Return a live view of the peers by entry id.
+
+        It holds all listed entries and all others with a link.
+        """
+        return types.MappingProxyType(self._peer_by_id)
+
+    def send(self, peer_id: str, message: messages.Message) -> bool:
+        """Queue a message to a peer; never blocks.
+
+        Returns:
+            Whether it was queued. False without a link, when the frame is too
+            large, and when the queue is over its bound; the link is closed
+            then.
+        """
+        connection = self._connection_by_id.get(peer_id)
+        if connection is None:
+            return False
+        frame = messages.encode(message)
+        if len(frame) > messages.MAX_FRAME_BYTES:
+            self.metrics.failed(_Fault.OVERSIZED)
+            _log.error(
+                "{} of {} bytes for {} is too large",
+                type(message).__name__,
+                len(frame),
+                peer_id,
+            )
+            return False
+        return self._queue(connection, frame)
+
+    # Sending.
+
+    def _queue(
+        self, connection: connections.PeerConnection, frame: bytes
+    ) -> bool:
+        if connection.queued_bytes() + len(frame) > MAX_QUEUE_BYTES:
+            # Deferred: subscribers of PeerLost must not run inside of send.
+            asyncio.get_running_loop().call_soon(
+                self.failed, connection, _Fault.QUEUE_FULL, "queue is full"
+            )
+            return False
+        if not connection.outbox:
+            self._dirty.append(connection)
+        connection.outbox.append(frame)
+        connection.outbox_bytes += len(frame)
+        # Messages that answer a frame go out at the end of the read; others
+        # wait for the end of this turn, so that one write carries them all.
+        if not self._is_reading and self._flush_handle is None:
+            loop = asyncio.get_running_loop()
+            self._flush_handle = loop.call_soon(self._flush)
+        return True
+
+    def _flush(self) -> None:
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
+            self._flush_handle = None
+        dirty, self._dirty = self._dirty, []
+        for connection in dirty:
+            if connection.link.state is not _State.CLOSED:
+                frames, size = connection.flush()
+                self.metrics.sent(frames, size)
+
+    def _send_handshake(self, connection: connections.PeerConnection) -> None:
+        outgoing, connection.link.outgoing = connection.link.outgoing, []
+        for frame in outgoing:
+            self._queue(connection, frame)
+
+    # Heartbeats and time limits.
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._next_tick_ms > link_module.SILENCE_LIMIT_MS:
+            # This process was paused. What arrived meanwhile is read before or
+            # after this call; peers are judged from now on only.
+            _log.warning("paused for {:.0f} ms", now_ms - self._next_tick_ms)
+            self._awake_since_ms = now_ms
+        self._next_tick_ms = now_ms + link_module.HEARTBEAT_MS
+        self._timer = asyncio.get_running_loop().call_later(
+            link_module.HEARTBEAT_MS / 1000, self._tick
+        )
+        for connection in list(self._open):
+            try:
+                connection.link.check(now_ms, self._awake_since_ms)
+            except link_module.LinkFault as err:
+                self.failed(connection, err.fault, str(err))
+        self._send_heartbeat(self._connection_by_id.values())
+        self._flush()
+
+    def _send_heartbeat(self, targets) -> None:
+        try:
+            frame = messages.encode(self._heartbeat())
+        except Exception:
+            # Peers regard an entry that cannot describe itself as unreachable.
+            self.metrics.failed(_Fault.HEARTBEAT)
+            _log.exception("no heartbeat")
+            return
+        for connection in targets:
+            self._queue(connection, frame)
+
+    # Connections.
+
+    def _hello(self) -> messages.Hello:
+        settings = self._settings
+        return messages.Hello(
+            version_min=self._versions[0],
+            version_max=self._versions[1],
+            entry_id=settings.entry_id,
+            boot_id=self._boot_id,
+            data_centre=settings.data_centre,
+            address=settings.address,
+            peer_address=self._peer_address,
+            admin_address=settings.admin_address,
+            nonce=authentication.new_nonce(),
+        )
+
+    def _link(
+        self, role: authentication.Role, expected_peer_id: str = ""
+    ) -> link_module.Link:
+        now_ms = self._clock.now_ms()
+        return link_module.Link(
+            role, self._hello(), self._key, now_ms, expected_peer_id
+        )
+
+    def _server_connection(self, *args, **kwargs):
+        connection = connections.ServerConnection(*args, **kwargs)
+        connection.attach(self, self._link(authentication.Role.SERVER))
+        return connection
+
+    def _client_connection(self, peer_id, *args, **kwargs):
+        connection = connections.ClientConnection(*args, **kwargs)
+        link = self._link(authentication.Role.CLIENT, peer_id)
+        connection.attach(self, link)
+        return connection
+
+    def _start_dialer(self, peer: Peer) -> None:
+        if self._server is None or peer.entry_id in self._dialer_by_id:
+            return
+        is_lower = self._settings.entry_id < peer.entry_id
+        self._dialer_by_id[peer.entry_id] = dialer.Dialer(
+            functools.partial(self._connect, peer),
+            0.0 if is_lower else FALLBACK_S,
+        )
+        if peer.reachable:
+            self._dialer_by_id[peer.entry_id].linked()
+
+    async def _connect(self, peer: Peer) -> None:
+        try:
+            connection = await client.connect(
+                f"ws://{peer.peer_address}",
+                proxy=None,
+                compression=None,
+                user_agent_header=None,
+                open_timeout=link_module.AUTHENTICATION_LIMIT_MS / 1000,
+                ping_interval=None,
+                max_size=messages.MAX_FRAME_BYTES,
+                logger=_library_log,
+                create_connection=functools.partial(
+                    self._client_connection, peer.entry_id
+                ),
+            )
+        except Exception as err:
+            # Whatever is wrong with an address, the dialer has to go on.
+            self.metrics.failed(_Fault.CONNECT)
+            _log.debug("cannot connect to {}: {!r}", peer.entry_id, err)
+            return
+        if connection.link.state is _State.NEW:
+            connection.link.open()
+            self._send_handshake(connection)
+        await connection.wait_closed()
+
+    # connections.Owner
+
+    def opened(self, connection: connections.PeerConnection) -> None:
+        """Limit the unauthenticated connections."""
+        self._open[connection] = None
+        if connection.link.role is authentication.Role.SERVER:
+            self._unauthenticated[connection] = None
+            # The oldest goes: peers authenticate within milliseconds, while
+            # refusing new connections would let idle ones keep peers out.
+            if len(self._unauthenticated) > MAX_UNAUTHENTICATED:
+                oldest = next(iter(self._unauthenticated))
+                self.failed(oldest, _Fault.TOO_MANY, "too many connections")
+
+    def read_started(self) -> None:
+        """Hold back writes until the whole read is processed."""
+        self._is_reading = True
+
+    def read_finished(self, size: int) -> None:
+        """Write what the frames of one read caused."""
+        self._is_reading = False
+        self.metrics.received(self._frames_read, size)
+        self._frames_read = 0
+        if self._dirty:
+            self._flush()
+
+    def frame_received(
+        self, connection: connections.PeerConnection, frame: bytes
+    ) -> None:
+        """Take a frame."""
+        link = connection.link
+        if link.state is _State.CLOSED:
+            return
+        self._frames_read += 1
+        was_ready = link.state is _State.READY
+        try:
+            message = link.receive(frame, self._clock.now_ms())
+        except link_module.LinkFault as err:
+            self.failed(connection, err.fault, str(err))
+            return
+        if was_ready:
+            self._deliver(link, message)
+            return
+        self._send_handshake(connection)
+        if link.state is _State.READY:
+            self._adopt(connection)
+
+    def failed(
+        self,
+        connection: connections.PeerConnection,
+        fault: counters.Fault,
+        text: str,
+    ) -> None:
+        """Count a fault and close the connection."""
+        if connection.link.state is _State.CLOSED:
+            return
+        self.metrics.failed(fault)
+        _log.debug("link closed, {}: {}", fault, text)
+        self._drop(connection, fault)
+
+    def closed(self, connection: connections.PeerConnection) -> None:
+        """Take note that a connection was closed."""
+        state = connection.link.state
+        if state is _State.READY:
+            self.failed(connection, _Fault.CLOSED, "connection lost")
+        elif state is _State.NEW:  # counted where it was opened
+            self._drop(connection, _Fault.CONNECT)
+        else:
+            self.failed(connection, _Fault.HANDSHAKE, "not authenticated")
+        self._open.pop(connection, None)
+
+    def _deliver(
+        self, link: link_module.Link, message: messages.Message | None
+    ) -> None:
+        peer = self._peer_by_id[link.peer.entry_id]
+        peer.last_frame_ms = link.last_frame_ms
+        if message is None:
+            self.metrics.failed(_Fault.UNKNOWN_TAG)
+            return
+        if isinstance(message, messages.Heartbeat):
+            peer.heartbeat = message
+        try:
+            self._on_message(peer.entry_id, message)
+        except Exception:
+            self.metrics.failed(_Fault.HANDLER)
+            _log.exception("{} failed", type(message).__name__)
+
+    def _adopt(self, connection: connections.PeerConnection) -> None:
+        link = connection.link
+        hello = link.peer
+        self._unauthenticated.pop(connection, None)
+        older = self._connection_by_id.get(hello.entry_id)
+        if older is not None and not link.replaces(older.link):
+            self.failed(connection, _Fault.DUPLICATE, "link exists")
+            return
+        peer = self._peer_by_id.setdefault(hello.entry_id, Peer(hello.entry_id))
+        is_new = older is None or older.link.peer.boot_id != hello.boot_id
+        self._connection_by_id[hello.entry_id] = connection
+        if older is not None:
+            self.failed(older, _Fault.REPLACED, f"{hello.entry_id} reconnected")
+            if is_new:
+                self._emit_lost(peer, _Fault.REPLACED)
+        peer.state = PeerState.READY
+        peer.boot_id = hello.boot_id
+        peer.data_centre = hello.data_centre
+        peer.address = hello.address
+        peer.admin_address = hello.admin_address
+        peer.last_frame_ms = link.last_frame_ms
+        if not peer.listed:
+            peer.peer_address = hello.peer_address
+        if hello.entry_id in self._dialer_by_id:
+            self._dialer_by_id[hello.entry_id].linked()
+        self._send_heartbeat([connection])
+        if is_new:
+            peer.heartbeat = None
+            _log.info("peer {} ready, start {}", peer.entry_id, peer.boot_id)
+            self._bus.emit(events.PeerReady(peer.entry_id))
+
+    def _drop(
+        self, connection: connections.PeerConnection, fault: counters.Fault
+    ) -> None:
+        link = connection.link
+        link.state = _State.CLOSED
+        self._open.pop(connection, None)
+        self._unauthenticated.pop(connection, None)
+        connection.abort()
+        if link.peer is None:
+            return
+        entry_id = link.peer.entry_id
+        if self._connection_by_id.get(entry_id) is not connection:
+            return
+        del self._connection_by_id[entry_id]
+        peer = self._peer_by_id[entry_id]
+        if not peer.listed:
+            del self._peer_by_id[entry_id]
+        if entry_id in self._dialer_by_id:
+            self._dialer_by_id[entry_id].unlinked()
+        self._emit_lost(peer, fault)
+
+    def _emit_lost(self, peer: Peer, fault: counters.Fault) -> None:
+        peer.state = PeerState.CONNECTING
+        _log.info("peer {} lost: {}", peer.entry_id, fault)
+        self._bus.emit(events.PeerLost(peer.entry_id))
+
+
+async def _wait_closed(connection: server.ServerConnection) -> None:
+    await connection.wait_closed()
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,655 @@
+"""Tests of the links between entries, over loopback sockets."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import socket
+import time
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+from websockets.asyncio import client
+
+from slatechute import events
+from slatechute import messages
+from slatechute import settings as settings_module
+from slatechute.peers import authentication
+from slatechute.peers import counters
+from slatechute.peers import dialer
+from slatechute.peers import link
+from slatechute.peers import links
+from slatechute.util import clock
+
+_KEY = "key of the fleet 0123"
+_Fault = counters.Fault
+
+
+class _Node:
+    """An entry's links with everything they reported."""
+
+    def __init__(
+        self,
+        entry_id: str,
+        *,
+        key: str = _KEY,
+        address: str = "127.0.0.1:0",
+        boot: int = 1,
+        versions: tuple[int, int] = (1, 1),
+    ):
+        self.entry_id = entry_id
+        self.received: list[tuple[str, messages.Message]] = []
+        self.events: list[object] = []
+        bus = events.EventBus()
+        for event_type in (events.PeerReady, events.PeerLost):
+            bus.of(event_type).subscribe(self.events.append)
+        self.links = links.PeerLinks(
+            settings_module.EntrySettings(
+                entry_id=entry_id,
+                data_centre="dc1",
+                peer_address=address,
+                fleet_key=key,
+            ),
+            f"{entry_id}-{boot}",
+            clock.MonotonicClock(),
+            bus,
+            self._take,
+            lambda: messages.Heartbeat(revision=boot),
+            versions=versions,
+        )
+
+    def _take(self, peer_id: str, message: messages.Message) -> None:
+        if not isinstance(message, messages.Heartbeat):
+            self.received.append((peer_id, message))
+
+    def failures(self, fault: counters.Fault) -> int:
+        return self.links.metrics.failures_by_fault[fault]
+
+    def reaches(self, entry_id: str) -> bool:
+        peer = self.links.peers().get(entry_id)
+        return peer is not None and peer.reachable
+
+
+@contextlib.asynccontextmanager
+async def _started(*nodes: _Node):
+    try:
+        for node in nodes:
+            await node.links.start()
+        yield
+    finally:
+        for node in nodes:
+            await node.links.stop()
+
+
+def _introduce(*nodes: _Node) -> None:
+    addresses = {node.entry_id: node.links.peer_address for node in nodes}
+    for node in nodes:
+        node.links.set_peers(addresses)
+
+
+async def _until(condition: Callable[[], bool], limit_s: float = 5.0) -> None:
+    async with asyncio.timeout(limit_s):
+        # The conditions are plain attributes of the links.
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
+async def _linked(*nodes: _Node) -> None:
+    await _until(
+        lambda: all(
+            one.reaches(other.entry_id)
+            for one in nodes
+            for other in nodes
+            if one is not other
+        )
+    )
+
+
+class _RawPeer:
+    """A client that authenticates and then sends what a test wants."""
+
+    def __init__(self, entry_id: str = "raw", key: str = _KEY, boot: int = 1):
+        self.hello = messages.Hello(
+            *(1, 1, entry_id, f"{entry_id}-{boot}", "dc1"),
+            *("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"),
+            authentication.new_nonce(),
+        )
+        role = authentication.Role.CLIENT
+        self.link = link.Link(role, self.hello, key.encode(), 0.0)
+
+    async def connect(self, node: _Node) -> client.ClientConnection:
+        """Connect without authentication."""
+        return await client.connect(
+            f"ws://{node.links.peer_address}",
+            compression=None,
+            proxy=None,
+            ping_interval=None,
+            close_timeout=0.2,
+        )
+
+    async def authenticate(self, node: _Node) -> client.ClientConnection:
+        connection = await self.connect(node)
+        self.link.open()
+        while self.link.state is not link.State.READY:
+            for frame in self.link.outgoing:
+                await connection.send(frame)
+            self.link.outgoing.clear()
+            self.link.receive(await connection.recv(), 0.0)
+        return connection
+
+
+async def _is_closed_within(connection, limit_s: float) -> bool:
+    try:
+        await asyncio.wait_for(connection.wait_closed(), limit_s)
+    except TimeoutError:
+        return False
+    return True
+
+
+def test_messages_and_heartbeats_arrive_in_order():
+    """Guards against lost, reordered or misattributed messages."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2", boot=7)
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            sent = [messages.SlotCancel(number) for number in range(500)]
+            assert all(one.links.send("e2", message) for message in sent)
+            assert two.links.send("e1", messages.SlotGrant(1, 2, "t1"))
+            await _until(lambda: len(two.received) == 500 and one.received)
+            assert two.received == [("e1", message) for message in sent]
+            assert one.received == [("e2", messages.SlotGrant(1, 2, "t1"))]
+            await _until(lambda: one.links.peers()["e2"].heartbeat is not None)
+            peer = one.links.peers()["e2"]
+            assert peer.heartbeat.revision == 7
+            assert (peer.boot_id, peer.data_centre) == ("e2-7", "dc1")
+            assert one.events == [events.PeerReady("e2")]
+            assert not one.links.send("e3", messages.SlotCancel(1))
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("listing", ["e1", "e2"])
+def test_one_listing_side_is_enough(listing):
+    """Guards against new entries that wait until others list them.
+
+    The higher entry id connects after `FALLBACK_S` without a link.
+    """
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        async with _started(one, two):
+            knowing = one if listing == "e1" else two
+            other = two if listing == "e1" else one
+            address = other.links.peer_address
+            knowing.links.set_peers({other.entry_id: address})
+            await _linked(one, two)
+            await asyncio.sleep(0.6)
+            other.links.set_peers({})
+            assert other.reaches(knowing.entry_id)
+            assert len(one.events) == len(two.events) == 1
+            await knowing.links.stop()
+            await _until(lambda: not other.links.peers())
+
+    asyncio.run(run())
+
+
+def test_burst_is_written_with_few_writes():
+    """Guards against one system call for each message."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            connection = one.links._connection_by_id["e2"]
+            writes = []
+            write = connection.transport.write
+            connection.transport.write = lambda data: (
+                writes.append(len(data)),
+                write(data),
+            )
+            for number in range(100):
+                one.links.send("e2", messages.SlotCancel(number))
+            await _until(lambda: len(two.received) == 100)
+            # The burst, and heartbeats if a tick passed meanwhile.
+            assert len(writes) <= 5
+
+    asyncio.run(run())
+
+
+def test_wrong_key_gets_no_link():
+    """Guards against peers that do not know the fleet key."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2", key="another key of 16 bytes")
+        async with _started(one, two):
+            _introduce(one, two)
+            await _until(lambda: two.failures(_Fault.AUTHENTICATION) >= 2)
+            assert not one.events and not two.events
+
+    asyncio.run(run())
+
+
+def test_replayed_authentication_is_refused():
+    """Guards against recorded frames that are sent once more."""
+
+    async def run():
+        node = _Node("e1")
+        async with _started(node):
+            raw = _RawPeer("e2")
+            recorded = []
+            connection = await raw.connect(node)
+            raw.link.open()
+            for _ in range(2):
+                frames, raw.link.outgoing = raw.link.outgoing, []
+                for frame in frames:
+                    recorded.append(frame)
+                    await connection.send(frame)
+                raw.link.receive(await connection.recv(), 0.0)
+            await _until(lambda: node.reaches("e2"))
+            assert len(recorded) == 2
+            replay = await _RawPeer("e2").connect(node)
+            for frame in recorded:
+                await replay.send(frame)
+            assert await _is_closed_within(replay, 1.0)
+            assert node.failures(_Fault.AUTHENTICATION) == 1
+            assert node.events == [events.PeerReady("e2")]
+            await connection.close()
+
+    asyncio.run(run())
+
+
+def test_reflected_proof_is_refused():
+    """Guards against a peer that sends back the frames it gets."""
+
+    async def run():
+        node = _Node("e1")
+        from_client = _RawPeer("e0")
+        from_client.link.open()
+        hello = from_client.link.outgoing.pop()
+        with pytest.raises(link.LinkFault):
+            from_client.link.receive(hello, 0.0)
+        async with _started(node):
+            raw = _RawPeer("e2")
+            connection = await raw.connect(node)
+            raw.link.open()
+            await connection.send(raw.link.outgoing.pop())
+            await connection.send(await connection.recv())
+            assert await _is_closed_within(connection, 1.0)
+            assert not node.events
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("one_range", "two_range", "works"),
+    [((1, 2), (2, 3), True), ((2, 3), (1, 2), True), ((1, 1), (2, 3), False)],
+)
+def test_version_ranges(one_range, two_range, works):
+    """Guards against a roll-out that cuts old and new entries apart."""
+
+    async def run():
+        one = _Node("e1", versions=one_range)
+        two = _Node("e2", versions=two_range)
+        async with _started(one, two):
+            _introduce(one, two)
+            if works:
+                await _linked(one, two)
+                link_of_one = one.links._connection_by_id["e2"].link
+                assert link_of_one.version == 2
+            else:
+                await _until(lambda: two.failures(_Fault.VERSION) >= 2)
+                assert not one.events and not two.events
+
+    asyncio.run(run())
+
+
+def _closing_frames():
+    valid = messages.encode(messages.SlotRequest(1, "plans", 0.0, 10.0))
+    return strategies.one_of(
+        strategies.binary(max_size=200),
+        strategies.integers(0, len(valid) - 1).map(lambda end: valid[:end]),
+        # CBOR tags with semantics, for instance 30 (rational) with a zero
+        # denominator, reach decoders that raise other errors.
+        strategies.tuples(
+            strategies.integers(0, 40), strategies.binary(max_size=20)
+        ).map(lambda pair: _tag_head(pair[0]) + pair[1]),
+        strategies.just(bytes.fromhex("d81e820100")),
+        strategies.just(b"\x81" * 5000),
+    )
+
+
+def _tag_head(tag: int) -> bytes:
+    return bytes([0xC0 + tag]) if tag < 24 else bytes([0xD8, tag])
+
+
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis.given(strategies.booleans(), _closing_frames())
+def test_any_frame_is_taken_or_closes_the_link(is_ready, frame):
+    """Guards against input that raises anything but a fault of the link."""
+    raw = _RawPeer()
+    if is_ready:
+        raw.link.state = link.State.READY
+    else:
+        raw.link.open()
+    try:
+        raw.link.receive(frame, 0.0)
+    except link.LinkFault:
+        return
+    assert is_ready, "a frame passed before authentication"
+
+
+@pytest.mark.parametrize(
+    ("frame", "fault"),
+    [
+        (b"\xff\xff", _Fault.MALFORMED),
+        (messages.encode(messages.SlotCancel(1))[:-1], _Fault.MALFORMED),
+        ("text", _Fault.MALFORMED),
+        (bytes(messages.MAX_FRAME_BYTES + 1), _Fault.OVERSIZED),
+        (messages.encode(messages.Proof(b"")), _Fault.UNEXPECTED),
+    ],
+)
+def test_bad_frame_closes_only_its_link(frame, fault):
+    """Guards against one broken peer that disturbs the links of others."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            connection = await _RawPeer().authenticate(one)
+            await connection.send(messages.encode(messages.SlotCancel(5)))
+            await connection.send(frame)
+            assert await _is_closed_within(connection, 1.0)
+            assert one.failures(fault) == 1
+            assert one.received == [("raw", messages.SlotCancel(5))]
+            assert one.events[1:] == [
+                events.PeerReady("raw"),
+                events.PeerLost("raw"),
+            ]
+            assert one.links.send("e2", messages.SlotCancel(6))
+            await _until(lambda: two.received)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("data", "fault"),
+    [
+        (b"\x00garbage\r\n\r\n" * 20, _Fault.HANDSHAKE),
+        (b"", _Fault.AUTHENTICATION_TIMEOUT),
+    ],
+)
+def test_connection_without_handshake_is_closed(data, fault):
+    """Guards against strangers that hold connections or send garbage."""
+
+    async def run():
+        node = _Node("e1")
+        async with _started(node):
+            host, _, port = node.links.peer_address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            with contextlib.suppress(ConnectionError):
+                async with asyncio.timeout(2.0):
+                    await reader.read()
+            writer.close()
+            await _until(lambda: node.failures(fault) == 1, 1.0)
+            assert not node.links._open
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("kind", ["nothing", "message", "large"])
+def test_unauthenticated_connection_is_closed(kind):
+    """Guards against peers that skip or never finish authentication."""
+    frames = {
+        "message": messages.encode(messages.SlotCancel(1)),
+        "large": bytes(5000),
+    }
+    faults = {
+        "nothing": _Fault.AUTHENTICATION_TIMEOUT,
+        "message": _Fault.UNEXPECTED,
+        "large": _Fault.OVERSIZED,
+    }
+
+    async def run():
+        node = _Node("e1")
+        async with _started(node):
+            connection = await _RawPeer().connect(node)
+            if kind in frames:
+                await connection.send(frames[kind])
+            assert await _is_closed_within(connection, 2.0)
+            assert node.failures(faults[kind]) == 1
+            assert not node.received and not node.events
+
+    asyncio.run(run())
+
+
+def test_unauthenticated_connections_are_limited(monkeypatch):
+    """Guards against strangers that use up memory or keep peers out."""
+    monkeypatch.setattr(links, "MAX_UNAUTHENTICATED", 4)
+
+    async def run():
+        node = _Node("e1")
+        async with _started(node):
+            idle = [await _RawPeer().connect(node) for _ in range(10)]
+            assert len(node.links._unauthenticated) <= 4
+            assert node.failures(_Fault.TOO_MANY) == 6
+            await _RawPeer("e2").authenticate(node)
+            await _until(lambda: node.reaches("e2"))
+            for connection in idle:
+                connection.transport.abort()
+
+    asyncio.run(run())
+
+
+def test_silent_link_is_found_and_opened_again():
+    """Guards against links that stay open without data.
+
+    400 ms of silence are judged every 100 ms; 1 s leaves room.
+    """
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            silent = two.links._connection_by_id["e1"]
+            # Neither data nor the end of the connection passes any more.
+            silent.transport.pause_reading()
+            silent.transport.write = lambda data: None
+            await _until(lambda: events.PeerLost("e2") in one.events, 1.0)
+            assert one.failures(_Fault.SILENT) == 1
+            await _linked(one, two)
+            assert one.events[-1] == events.PeerReady("e2")
+            assert two.links._connection_by_id["e1"] is not silent
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "awake_since_ms", "is_silent"),
+    [(399, 0, False), (400, 0, True), (2000, 1700, False), (2100, 1700, True)],
+)
+def test_silence_limit(now_ms, awake_since_ms, is_silent):
+    """Guards against early and late judgement, also after a pause."""
+    raw = _RawPeer()
+    raw.link.state = link.State.READY
+    raw.link.receive(messages.encode(messages.Heartbeat()), 0.0)
+    if is_silent:
+        with pytest.raises(link.LinkFault, match="no frame"):
+            raw.link.check(now_ms, awake_since_ms)
+    else:
+        raw.link.check(now_ms, awake_since_ms)
+
+
+def test_pause_of_this_process_blames_no_peer():
+    """Guards against an entry that wakes up and drops all its links."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            time.sleep(0.8)  # noqa: ASYNC251, pauses both ends on purpose
+            await asyncio.sleep(0.6)
+            assert one.events == [events.PeerReady("e2")]
+            assert two.events == [events.PeerReady("e1")]
+
+    asyncio.run(run())
+
+
+def test_restart_of_a_peer_is_lost_and_ready():
+    """Guards against leases that survive the start that held them."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            address = two.links.peer_address
+            await two.links.stop()
+            again = _Node("e2", address=address, boot=2)
+            async with _started(again):
+                _introduce(one, again)
+                await _linked(one, again)
+                assert one.events == [
+                    events.PeerReady("e2"),
+                    events.PeerLost("e2"),
+                    events.PeerReady("e2"),
+                ]
+                assert one.links.peers()["e2"].boot_id == "e2-2"
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("boot", [1, 2])
+def test_newer_connection_replaces_a_half_open_one(boot):
+    """Guards against a dead connection that keeps its peer out.
+
+    The same start stays ready; another start is lost and ready again.
+    """
+
+    async def run():
+        node = _Node("e9")
+        async with _started(node):
+            old = await _RawPeer("e2").authenticate(node)
+            await _until(lambda: node.reaches("e2"))
+            new = await _RawPeer("e2", boot=boot).authenticate(node)
+            assert await _is_closed_within(old, 0.3)
+            ready, lost = events.PeerReady("e2"), events.PeerLost("e2")
+            expected = [ready] if boot == 1 else [ready, lost, ready]
+            assert node.events == expected
+            await new.send(messages.encode(messages.SlotCancel(1)))
+            await _until(lambda: node.received)
+            await new.close()
+
+    asyncio.run(run())
+
+
+def test_simultaneous_calls_keep_one_link(monkeypatch):
+    """Guards against two sides that each close what the other keeps."""
+    monkeypatch.setattr(links, "FALLBACK_S", 0.0)
+
+    async def run():
+        for _ in range(10):
+            one, two = _Node("e1"), _Node("e2")
+            async with _started(one, two):
+                _introduce(one, two)
+                await _linked(one, two)
+                await asyncio.sleep(0.05)
+                assert one.reaches("e2") and two.reaches("e1")
+                assert one.events == [events.PeerReady("e2")]
+                assert two.events == [events.PeerReady("e1")]
+                assert len(one.links._open) == 1
+
+    asyncio.run(run())
+
+
+def test_full_queue_closes_the_link():
+    """Guards against memory that a peer which does not read uses up."""
+
+    async def run():
+        node = _Node("e1")
+        async with _started(node):
+            connection = await _RawPeer("e2").authenticate(node)
+            connection.transport.pause_reading()
+            await _until(lambda: node.reaches("e2"))
+            part = messages.DocumentParts("d", 1, {"p": "x" * 200_000})
+            queued = 0
+            while node.links.send("e2", part):
+                queued += 1
+                assert queued < 100
+                # Still reachable: the event must not come from inside send.
+                assert node.reaches("e2")
+            assert node.reaches("e2")
+            await _until(lambda: not node.reaches("e2"), 0.2)
+            assert node.failures(_Fault.QUEUE_FULL) == 1
+            assert node.events[-1] == events.PeerLost("e2")
+            connection.transport.abort()
+
+    asyncio.run(run())
+
+
+def test_oversized_message_is_not_sent():
+    """Guards against a frame for which the peer would close the link."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            part = messages.DocumentParts("d", 1, {"p": "x" * 300_000})
+            assert not one.links.send("e2", part)
+            assert one.links.send("e2", messages.SlotCancel(1))
+            await _until(lambda: two.received)
+            assert one.events == [events.PeerReady("e2")]
+
+    asyncio.run(run())
+
+
+def test_failing_callbacks_do_not_break_links():
+    """Guards against a fault of the application that cuts entries apart."""
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        one.links._on_message = lambda peer_id, message: 1 / 0
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            two.links.send("e1", messages.SlotCancel(1))
+            await _until(lambda: one.failures(_Fault.HANDLER) >= 2)
+            assert one.events == [events.PeerReady("e2")]
+
+    asyncio.run(run())
+
+
+def test_stop_is_bounded():
+    """Guards against a stop that waits for silent peers."""
+
+    async def run():
+        node = _Node("e1")
+        await node.links.start()
+        listener = socket.create_server(("127.0.0.1", 0))
+        port = listener.getsockname()[1]
+        node.links.set_peers({"e2": f"127.0.0.1:{port}", "e3": "nonsense"})
+        connection = await _RawPeer("e4").authenticate(node)
+        connection.transport.pause_reading()
+        await asyncio.sleep(0.05)
+        start = time.monotonic()
+        await node.links.stop()
+        assert time.monotonic() - start < links.STOP_LIMIT_S + 1.0
+        listener.close()
+        connection.transport.abort()
+
+    asyncio.run(run())
+
+
+def test_backoff_stays_in_its_bounds():
+    """Guards against calls at full speed and against lost peers."""
+    for failures in range(40):
+        delay_s = dialer.backoff_s(failures)
+        limit_s = min(dialer.BACKOFF_MAX_S, 0.05 * 2**failures)
+        assert limit_s / 2 <= delay_s <= limit_s
