--- /dev/null
+++ b/tests/test_execution.py
@@ -0,0 +1,239 @@
+"""Attempts, retries and hedges against real targets behind a faulty proxy."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from slatechute import errors
+from slatechute import events
+from slatechute import exchange
+from slatechute import execution
+from slatechute import leases
+from slatechute import metrics
+from slatechute import requests
+from slatechute.configuration import models
+from slatechute.fakes import target as fakes
+from slatechute.fakes import tcp_proxy
+from slatechute.policies import baselines
+from slatechute.util import clock as clocks
+
+
+@dataclasses.dataclass
+class _Setup:
+    executor: execution.Executor
+    targets: list[fakes.FakeTarget]
+    proxies: list[tcp_proxy.FaultProxy]
+    clock: clocks.MonotonicClock
+    metrics: metrics.Metrics
+    order: list[str]
+
+    def request(self, number: int = 1, **kwargs) -> requests.Request:
+        rule = models.RequestRule(
+            kwargs.pop("repeatable", True),
+            kwargs.pop("bulk", False),
+            1000,
+        )
+        now_ms = self.clock.now_ms()
+        return requests.Request(
+            f"e1-aa.1.{number}",
+            "plans",
+            kwargs.pop("method", "GET"),
+            "/plans/1",
+            kwargs.pop("headers", []),
+            kwargs.pop("body", b""),
+            rule,
+            now_ms,
+            now_ms + kwargs.pop("deadline_ms", 1000),
+            **kwargs,
+        )
+
+    def runs(self, number: int = 1) -> int:
+        key = f"e1-aa.1.{number}"
+        return sum(len(t.runs_by_request_id.get(key, ())) for t in self.targets)
+
+
+class _InOrder(baselines.RandomChoice):
+    """Takes the first target that is not excluded."""
+
+    def choose(self, candidates):
+        return candidates[0]
+
+
+@contextlib.asynccontextmanager
+async def _setup(count: int = 2, work_ms: float = 5.0):
+    async with contextlib.AsyncExitStack() as stack:
+        targets, proxies, listed = [], [], []
+        for number in range(count):
+            settings = fakes.TargetSettings(
+                name=f"t{number}", work_ms=work_ms, fixed_work=True
+            )
+            target = fakes.FakeTarget(settings)
+            await target.start()
+            stack.push_async_callback(target.stop)
+            proxy = tcp_proxy.FaultProxy(target.address)
+            await proxy.start()
+            stack.push_async_callback(proxy.stop)
+            targets.append(target)
+            proxies.append(proxy)
+            listed.append(
+                leases.Target(f"t{number}", "plans", proxy.address, "d")
+            )
+        clock = clocks.MonotonicClock()
+        client = exchange.TargetClient(10)
+        await client.start()
+        stack.push_async_callback(client.stop)
+        counters = metrics.Metrics()
+        executor = execution.Executor(
+            _InOrder(clock, lambda service: listed),
+            client,
+            clock,
+            events.EventBus(),
+            lambda message: None,
+            counters,
+        )
+        yield _Setup(executor, targets, proxies, clock, counters, [])
+
+
+def _run(scenario) -> None:
+    async def main():
+        async with _setup() as setup:
+            await scenario(setup)
+
+    asyncio.run(main())
+
+
+async def _error(setup: _Setup, request) -> errors.RequestError:
+    with pytest.raises(errors.RequestError) as caught:
+        await setup.executor.execute(request)
+    return caught.value
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_refused_connection_is_sent_elsewhere(repeatable):
+    """Guards against giving up a request that certainly did not run."""
+
+    async def scenario(setup):
+        await setup.proxies[0].refuse(True)
+        request = setup.request(repeatable=repeatable)
+        attempt = await setup.executor.execute(request)
+        assert attempt.answer.status == 200
+        assert setup.runs() == 1
+
+    _run(scenario)
+
+
+def test_lost_answer_does_not_run_a_request_twice():
+    """Guards against a retry of what may have run."""
+
+    async def scenario(setup):
+        setup.proxies[0].to_client.cut_after_bytes = 10
+        error = await _error(setup, setup.request(repeatable=False))
+        assert error.outcome is errors.Outcome.UNKNOWN
+        assert error.reason is errors.Reason.CONNECTION_LOST
+        assert setup.runs() == 1
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_http_library_does_not_resend_by_itself(method):
+    """Guards against aiohttp's own retry on a kept connection that fails."""
+
+    async def scenario(setup):
+        first = setup.request(1, repeatable=False, method=method)
+        await setup.executor.execute(first)
+        setup.proxies[0].to_client.cut_after_bytes = 0
+        second = setup.request(2, repeatable=False, method=method)
+        error = await _error(setup, second)
+        assert error.outcome is errors.Outcome.UNKNOWN
+        assert setup.runs(2) == 1
+
+    _run(scenario)
+
+
+def test_shed_request_is_sent_elsewhere():
+    """Guards against passing on a refusal while others have room."""
+
+    async def scenario(setup):
+        setup.targets[0].leave()
+        attempt = await setup.executor.execute(setup.request(repeatable=False))
+        assert attempt.answer.status == 200
+        assert setup.metrics.value("retries_total", reason="target_shed") == 1
+
+    _run(scenario)
+
+
+def test_deadline_ends_the_request_and_cancels_the_target():
+    """Guards against work that goes on after its caller gave up."""
+
+    async def scenario(setup):
+        setup.targets[0].slow_factor = 400
+        request = setup.request(repeatable=False, deadline_ms=100)
+        error = await _error(setup, request)
+        assert error.reason is errors.Reason.DEADLINE
+        assert error.outcome is errors.Outcome.UNKNOWN
+        await asyncio.sleep(0.1)
+        assert setup.targets[0].running == 0
+
+    _run(scenario)
+
+
+def test_slow_repeatable_request_is_hedged_once():
+    """Guards against a slow target in the tail of repeatable requests."""
+
+    async def scenario(setup):
+        setup.targets[0].slow_factor = 100
+        start_ms = setup.clock.now_ms()
+        attempt = await setup.executor.execute(setup.request())
+        assert attempt.lease.target.id == "t1"
+        assert setup.clock.now_ms() - start_ms < 400
+        assert setup.metrics.value("hedges_total") == 1
+        await asyncio.sleep(0.05)
+        assert setup.targets[0].running == 0
+
+    _run(scenario)
+
+
+def test_request_that_crashes_targets_is_stopped():
+    """Guards against a request that takes down one target after another."""
+
+    async def main():
+        async with _setup(count=4) as setup:
+            crash = [("X-Crash", "1")]
+            await _error(setup, setup.request(1, headers=crash))
+            error = await _error(setup, setup.request(2, headers=crash))
+            assert error.reason is errors.Reason.QUARANTINED
+            assert error.outcome is errors.Outcome.NOT_RUN
+            assert sum(t.crashes for t in setup.targets) == 2
+
+    asyncio.run(main())
+
+
+def test_retries_stay_in_their_budget():
+    """Guards against retries that multiply the load on failing targets."""
+
+    async def scenario(setup):
+        for target in setup.targets:
+            target.fail_fast = True
+        count = 200
+        for number in range(count):
+            await setup.executor.execute(setup.request(number))
+        runs = sum(setup.runs(number) for number in range(count))
+        # 10% and the three tokens that a budget starts with.
+        assert count < runs <= count * 1.1 + 3
+
+    _run(scenario)
+
+
+def test_upstream_retry_is_not_retried_again():
+    """Guards against retries that multiply with the depth of calls."""
+
+    async def scenario(setup):
+        setup.targets[0].fail_fast = True
+        attempt = await setup.executor.execute(setup.request(attempt=1))
+        assert attempt.answer.status == 500
+        assert setup.runs() == 1
+
+    _run(scenario)
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,72 @@
+"""Request ids: which resends may run."""
+
+import pytest
+
+from slatechute import errors
+from slatechute import requests
+
+
+def _table(size: int = 10) -> requests.RequestTable:
+    return requests.RequestTable("e1-aa", size)
+
+
+def _refusal(table, text, now_ms=1000.0, *, repeatable=False):
+    with pytest.raises(errors.RequestError) as caught:
+        table.admit(text, repeatable, now_ms)
+    return caught.value
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ("e1-bb.900.x", errors.Reason.FOREIGN_REQUEST_ID),
+        ("e2-aa.900.x", errors.Reason.FOREIGN_REQUEST_ID),
+        ("e1-aa.1001.x", errors.Reason.EXPIRED_REQUEST_ID),
+    ],
+)
+def test_id_of_another_start_may_have_run(text, reason):
+    """Guards against a second run by an entry that did not issue the id."""
+    error = _refusal(_table(), text)
+    assert (error.reason, error.outcome) == (reason, errors.Outcome.UNKNOWN)
+
+
+def test_known_id_is_refused_until_its_prefix_has_expired():
+    """Guards against a gap between forgetting an id and its expiry."""
+    table = _table()
+    table.admit("e1-aa.900.x", False, 1000.0)
+    table.finished("e1-aa.900.x", 200)
+    last_ms = 900 + requests.ID_WINDOW_MS
+    for now_ms in (1001.0, last_ms - 1, last_ms, last_ms + 1e6):
+        error = _refusal(table, "e1-aa.900.x", now_ms)
+        assert error.outcome is errors.Outcome.UNKNOWN
+
+
+def test_request_that_did_not_run_may_be_resent():
+    """Guards against a not-run request that can never be sent again."""
+    table = _table()
+    table.admit("e1-aa.900.x", False, 1000.0)
+    table.withdraw("e1-aa.900.x")
+    assert table.admit("e1-aa.900.x", False, 1001.0) == "e1-aa.900.x"
+
+
+def test_full_table_refuses_as_not_run():
+    """Guards against forgetting ids under load, and against a leak."""
+    table = _table(size=2)
+    table.admit("e1-aa.900.x", False, 1000.0)
+    table.admit("e1-aa.900.y", False, 1000.0)
+    error = _refusal(table, "e1-aa.900.z")
+    assert error.reason is errors.Reason.REQUEST_TABLE_FULL
+    assert error.outcome is errors.Outcome.NOT_RUN
+    later_ms = 900 + requests.ID_WINDOW_MS
+    fresh = f"e1-aa.{later_ms}.z"
+    assert table.admit(fresh, False, later_ms) == fresh
+
+
+def test_repeatable_request_may_use_any_id():
+    """Guards against refusing reads that move to another entry."""
+    assert _table().admit("e2-zz.1.x", True, 1000.0) == "e2-zz.1.x"
+
+
+def test_malformed_id_is_a_bad_request():
+    """Guards against ids that break headers of the target."""
+    assert _refusal(_table(), "a b").reason is errors.Reason.BAD_REQUEST
