Let the metrics count peer links, and share the instance types

The links' LinkMetrics protocol and the metrics module had two sets of names for the same counts; the metrics now implement the protocol. Entries and targets are the dataclasses of the instances document everywhere.

--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -19,6 +19,7 @@
 from slatechute import leases
 from slatechute import messages
 from slatechute import targets
+from slatechute.configuration import instances
 
 __all__ = ["Assignment", "Dispatcher", "Port", "Ticket"]
 
@@ -92,7 +93,7 @@
         cold: Whether it was started moments ago.
     """
 
-    target: leases.Target
+    target: instances.Target
     slots: int
     cold: bool = False
 
@@ -129,7 +130,7 @@
         self._service_by_lease: dict[int, str] = {}
         self._held_by_id: dict[int, leases.Lease] = {}
         self._dispatcher_by_target: dict[str, str] = {}
-        self._target_by_id: dict[str, leases.Target] = {}
+        self._target_by_id: dict[str, instances.Target] = {}
         self._load_by_peer: dict[str, dict[str, messages.ServiceLoad]] = {}
         self._reports_due: dict[str, set[str]] = {}
         self._lost_peers: dict[str, float] = {}
@@ -143,7 +144,7 @@
         service: str,
         *,
         dispatcher_by_target: dict[str, str],
-        targets_by_id: dict[str, leases.Target],
+        targets_by_id: dict[str, instances.Target],
         slots: int,
         queue_length: int,
         share: float,
@@ -193,7 +194,7 @@
         self._forget_targets(service, {})
 
     def _forget_targets(
-        self, service: str, keep: dict[str, leases.Target]
+        self, service: str, keep: dict[str, instances.Target]
     ) -> None:
         gone = [
             target.id
@@ -485,7 +486,7 @@
         )
         self._hold(ticket, lease)
 
-    def _next_local(self, target: leases.Target) -> Ticket | None:
+    def _next_local(self, target: instances.Target) -> Ticket | None:
         state = self._services.get(target.service)
         if state is None or not state.local_waiting:
             return None
--- a/slatechute/leases.py
+++ b/slatechute/leases.py
@@ -3,7 +3,9 @@
 import dataclasses
 import enum
 
-__all__ = ["Lease", "Result", "Target"]
+from slatechute.configuration import instances
+
+__all__ = ["Lease", "Result"]
 
 
 class Result(enum.StrEnum):
@@ -17,23 +19,6 @@
     UNUSED = "unused"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """One instance of a service, as the list of instances names it.
-
-    Attributes:
-        id: Id of this start of the instance.
-        service: Service that it runs.
-        address: IP address and port.
-        data_centre: Where it runs.
-    """
-
-    id: str
-    service: str
-    address: str
-    data_centre: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lease:
     """Right to run one request on a slot of a target.
@@ -49,7 +34,7 @@
     """
 
     id: int
-    target: Target
+    target: instances.Target
     dispatcher: str
     holder: str
     bulk: bool
--- a/slatechute/membership.py
+++ b/slatechute/membership.py
@@ -8,35 +8,18 @@
 from collections.abc import Iterable
 import dataclasses
 
-from slatechute import leases
 from slatechute import ownership
+from slatechute.configuration import instances
 
-__all__ = ["EntryInfo", "Membership", "ServicePlan"]
+__all__ = ["LEAVING", "Membership", "ServicePlan"]
+
+LEAVING = "leaving"
 
 # A departed target's mark is kept this many generations of the list longer,
 # since a lagging list may name it again.
 _MAX_LEAVING_MARKS = 100_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EntryInfo:
-    """An entry as the list or its own link names it.
-
-    Attributes:
-        id: Entry id.
-        address: IP address and port for callers.
-        peer_address: IP address and port for peer links.
-        data_centre: Where it runs.
-        leaving: Whether it has started its planned stop.
-    """
-
-    id: str
-    address: str
-    peer_address: str
-    data_centre: str
-    leaving: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicePlan:
     """Who dispatches the targets of a service.
@@ -48,7 +31,7 @@
         group: Entries of the service, reachable or not.
     """
 
-    targets_by_id: dict[str, leases.Target]
+    targets_by_id: dict[str, instances.Target]
     dispatcher_by_target: dict[str, str]
     share: float
     group: tuple[str, ...]
@@ -57,19 +40,19 @@
 class Membership:
     """What this entry believes of the fleet."""
 
-    def __init__(self, own: EntryInfo, group_size: int):
+    def __init__(self, own: instances.Entry, group_size: int):
         self._own = own
         self._group_size = group_size
-        self._listed_by_id: dict[str, EntryInfo] = {}
-        self._linked_by_id: dict[str, EntryInfo] = {}
-        self._targets_by_service: dict[str, dict[str, leases.Target]] = {}
+        self._listed_by_id: dict[str, instances.Entry] = {}
+        self._linked_by_id: dict[str, instances.Entry] = {}
+        self._targets_by_service: dict[str, dict[str, instances.Target]] = {}
         self._listed_targets: set[str] = set()
         self._known_targets: set[str] = set()
         self._leaving: dict[str, None] = {}
         self._has_list = False
 
     @property
-    def own(self) -> EntryInfo:
+    def own(self) -> instances.Entry:
         """This entry."""
         return self._own
 
@@ -80,16 +63,18 @@
 
     def set_own_leaving(self) -> None:
         """Take this entry out of address answers and dispatch."""
-        self._own = dataclasses.replace(self._own, leaving=True)
+        self._own = dataclasses.replace(self._own, state=LEAVING)
 
     def set_list(
-        self, entries: Iterable[EntryInfo], targets: Iterable[leases.Target]
+        self,
+        entries: Iterable[instances.Entry],
+        targets: Iterable[instances.Target],
     ) -> frozenset[str]:
         """Take in a list; return targets that are new since the last one."""
         self._listed_by_id = {
             entry.id: entry for entry in entries if entry.id != self._own.id
         }
-        by_service: dict[str, dict[str, leases.Target]] = {}
+        by_service: dict[str, dict[str, instances.Target]] = {}
         for target in targets:
             by_service.setdefault(target.service, {})[target.id] = target
         listed = {key for group in by_service.values() for key in group}
@@ -103,7 +88,7 @@
         self._has_list = True
         return fresh
 
-    def set_linked(self, entries: Iterable[EntryInfo]) -> None:
+    def set_linked(self, entries: Iterable[instances.Entry]) -> None:
         """Take in the entries with a live link."""
         self._linked_by_id = {entry.id: entry for entry in entries}
 
@@ -120,7 +105,7 @@
             del self._leaving[next(iter(self._leaving))]
         return True
 
-    def targets_of(self, service: str) -> list[leases.Target]:
+    def targets_of(self, service: str) -> list[instances.Target]:
         """Return the targets of a service that may get work."""
         known = self._targets_by_service.get(service, {})
         return [t for t in known.values() if t.id not in self._leaving]
@@ -139,7 +124,7 @@
             if key in self._listed_by_id
         }
 
-    def entries(self) -> dict[str, EntryInfo]:
+    def entries(self) -> dict[str, instances.Entry]:
         """Return all known entries by id, direct evidence first."""
         known = {**self._listed_by_id, **self._linked_by_id}
         known[self._own.id] = self._own
@@ -160,9 +145,9 @@
             key: known[key].data_centre
             for key in group
             if key == self._own.id or key in self._linked_by_id
-            if not known[key].leaving
+            if known[key].state != LEAVING
         }
-        staying = [key for key in group if not known[key].leaving]
+        staying = [key for key in group if known[key].state != LEAVING]
         targets = {t.id: t for t in self.targets_of(service)}
         dispatcher_by_target = {}
         for target in targets.values():
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -200,30 +200,28 @@
         """Count a call to the platform service."""
         self._platform_calls.inc()
 
-    def frame_received(self, size_bytes: int) -> None:
-        """Count a frame from a peer."""
-        frames, octets = self._received
-        frames()
-        octets(size_bytes)
-
-    def frame_sent(self, size_bytes: int) -> None:
-        """Count a frame to a peer."""
-        frames, octets = self._sent
-        frames()
-        octets(size_bytes)
-
-    def frame_refused(self, kind: str) -> None:
-        """Count a frame from a peer that was not accepted.
-
-        Args:
-            kind: Constant such as `malformed`, `oversized` or `unknown_tag`.
-        """
-        increment = self._frame_error_by_kind.get(kind)
+    # peers.counters.LinkMetrics
+
+    def received(self, frames: int, size: int) -> None:
+        """Count frames and bytes read from peers."""
+        count_frames, count_bytes = self._received
+        count_frames(frames)
+        count_bytes(size)
+
+    def sent(self, frames: int, size: int) -> None:
+        """Count frames and bytes written to peers."""
+        count_frames, count_bytes = self._sent
+        count_frames(frames)
+        count_bytes(size)
+
+    def failed(self, fault: str) -> None:
+        """Count a closed link or a dropped frame."""
+        increment = self._frame_error_by_kind.get(fault)
         if increment is None:
-            capped = self._frame_error_kinds.cap(kind)
+            capped = self._frame_error_kinds.cap(fault)
             increment = self._peer_frame_errors.labels(capped).inc
-            if capped == kind:
-                self._frame_error_by_kind[kind] = increment
+            if capped == fault:
+                self._frame_error_by_kind[fault] = increment
         increment()
 
     def duplicate_refused(self) -> None:
--- a/slatechute/policies/baselines.py
+++ b/slatechute/policies/baselines.py
@@ -7,6 +7,7 @@
 from slatechute import errors
 from slatechute import latencies
 from slatechute import leases
+from slatechute.configuration import instances
 from slatechute.util import clock as clocks
 
 __all__ = ["LeastInFlight", "RandomChoice", "TwoChoices"]
@@ -18,7 +19,7 @@
     def __init__(
         self,
         clock: clocks.Clock,
-        targets_of: Callable[[str], list[leases.Target]],
+        targets_of: Callable[[str], list[instances.Target]],
         seed: int | None = None,
     ):
         self._clock = clock
@@ -28,7 +29,7 @@
         self._times_by_service: dict[str, latencies.ServiceTimes] = {}
         self.inflight_by_target: dict[str, int] = {}
 
-    def choose(self, candidates: list[leases.Target]) -> leases.Target:
+    def choose(self, candidates: list[instances.Target]) -> instances.Target:
         """Return one of the candidates."""
         return self._random.choice(candidates)
 
@@ -83,7 +84,7 @@
 class LeastInFlight(RandomChoice):
     """Takes the target with the fewest exchanges of this entry."""
 
-    def choose(self, candidates: list[leases.Target]) -> leases.Target:
+    def choose(self, candidates: list[instances.Target]) -> instances.Target:
         """Return a least used candidate; equal ones are chosen at random."""
         count = self.inflight_by_target.get
         fewest = min(count(target.id, 0) for target in candidates)
@@ -101,17 +102,17 @@
     def __init__(
         self,
         clock: clocks.Clock,
-        targets_of: Callable[[str], list[leases.Target]],
+        targets_of: Callable[[str], list[instances.Target]],
         seed: int | None = None,
     ):
         super().__init__(clock, targets_of, seed)
         self.load_by_target: dict[str, float] = {}
 
-    def choose(self, candidates: list[leases.Target]) -> leases.Target:
+    def choose(self, candidates: list[instances.Target]) -> instances.Target:
         """Return the better of two candidates drawn at random."""
         drawn = self._random.sample(candidates, min(2, len(candidates)))
         return min(drawn, key=self._load)
 
-    def _load(self, target: leases.Target) -> float:
+    def _load(self, target: instances.Target) -> float:
         reported = self.load_by_target.get(target.id, 0.0)
         return reported + self.inflight_by_target.get(target.id, 0)
--- a/slatechute/targets.py
+++ b/slatechute/targets.py
@@ -4,6 +4,7 @@
 
 from slatechute import leases
 from slatechute import statechart
+from slatechute.configuration import instances
 
 __all__ = ["CHART", "TargetState"]
 
@@ -40,7 +41,7 @@
         ready_ms: Nothing is granted before this time.
     """
 
-    def __init__(self, target: leases.Target, slots: int, *, cold: bool):
+    def __init__(self, target: instances.Target, slots: int, *, cold: bool):
         self.target = target
         self.slots = slots
         self.state = CHART.initial if cold else "serving"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,6 +5,7 @@
 from slatechute import leases
 from slatechute import messages
 from slatechute import ownership
+from slatechute.configuration import instances
 from slatechute.util import clock as clocks
 
 
@@ -68,7 +69,9 @@
         self.cut: set[frozenset[str]] = set()
         self.outbox: list[tuple[str, str, bytes]] = []
         self.target_by_id = {
-            f"t{n}": leases.Target(f"t{n}", "plans", f"127.0.0.1:{n + 1}", "d")
+            f"t{n}": instances.Target(
+                f"t{n}", "plans", f"127.0.0.1:{n + 1}", "d", "live"
+            )
             for n in range(targets)
         }
         self.entry_by_id = {
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -10,9 +10,9 @@
 from slatechute import events
 from slatechute import exchange
 from slatechute import execution
-from slatechute import leases
 from slatechute import metrics
 from slatechute import requests
+from slatechute.configuration import instances
 from slatechute.configuration import models
 from slatechute.fakes import target as fakes
 from slatechute.fakes import tcp_proxy
@@ -78,7 +78,9 @@
             targets.append(target)
             proxies.append(proxy)
             listed.append(
-                leases.Target(f"t{number}", "plans", proxy.address, "d")
+                instances.Target(
+                    f"t{number}", "plans", proxy.address, "d", "live"
+                )
             )
         clock = clocks.MonotonicClock()
         client = exchange.TargetClient(10)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -49,8 +49,8 @@
 def test_frame_error_kinds_are_capped(metrics):
     """A kind built from a peer's data must not grow the label set."""
     for number in range(40):
-        metrics.frame_refused(f"k{number}")
-        metrics.frame_refused("k0")
+        metrics.failed(f"k{number}")
+        metrics.failed("k0")
     assert metrics.value("peer_frame_errors_total", kind="k0") == 41
     assert metrics.value("peer_frame_errors_total", kind="other") == 24
 
@@ -60,8 +60,8 @@
     metrics.hedged()
     metrics.probed(120)
     metrics.platform_called()
-    metrics.frame_sent(10)
-    metrics.frame_received(30)
+    metrics.sent(1, 10)
+    metrics.received(1, 30)
     metrics.duplicate_refused()
     metrics.answered(total_s=0.020, added_s=0.0007)
     assert metrics.value("hedges_total") == 1
