Spread documents from the platform and between entries

SpreadCore decides who reads the platform, when to call it, and what to send; Spread drives it on the event loop. A document is assembled from exactly one announcement: parts must match its digests and come from a peer that made it. When the peer that was asked stays silent for 1 s or sends a wrong part, the next peer that made the same announcement is asked. Each peer is the source of one fetch for each document at most, which bounds the memory.

The watch continues above the platform's own revision or the one in force, not above what peers announced; a wrong revision of a peer would otherwise end the watch.

In simulation 18 entries in 4 data centres adopt a change within 1 s of its publication to a single reader.

--- /dev/null
+++ b/tests/configuration/test_spread.py
@@ -0,0 +1,505 @@
+"""Tests of the distribution of documents, mostly on simulated networks."""
+
+import asyncio
+import heapq
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from slatechute import errors
+from slatechute import events
+from slatechute import messages
+from slatechute import settings as settings_module
+from slatechute.configuration import folder
+from slatechute.configuration import instances
+from slatechute.configuration import spread
+from slatechute.configuration import store
+from slatechute.platforms import base
+from slatechute.util import clock as clock_module
+
+_NAME = base.CONFIGURATION
+_SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=100
+)
+
+
+def _entry(entry_id, data_centre="d1", state="live"):
+    return instances.Entry(entry_id, "h:1", "h:2", "h:3", data_centre, state)
+
+
+def _document(revision, valid=True, parts=3):
+    # Only the last part changes with the revision.
+    text_by_part = {
+        f"{n}.toml": f"services.s{n}.slots = 1" for n in range(parts)
+    }
+    text_by_part["x.toml"] = f"fleet.keep_ms = {1000 + revision}"
+    if not valid:
+        text_by_part["y.toml"] = "unknown = 1"
+    return base.Document(_NAME, revision, text_by_part)
+
+
+def _digest(document):
+    return messages.DocumentDigest(
+        document.name, document.revision, document.digest_by_part
+    )
+
+
+def _core(entry_id="e1", data_centre="d1", **options):
+    settings = settings_module.EntrySettings(
+        entry_id=entry_id,
+        data_centre=data_centre,
+        fleet_key="k" * 16,
+        **options,
+    )
+    documents = store.DocumentStore(events.EventBus())
+    rng = random.Random(entry_id)
+    return spread.SpreadCore(settings, documents, rng, 0), documents
+
+
+class _Network:
+    """Cores that exchange frames with loss, delay, damage and partition."""
+
+    def __init__(self, entries, seed):
+        self.rng = random.Random(seed)
+        self.entries = entries
+        self.now_ms = 0
+        self.loss = self.damage = 0.0
+        self.max_delay_ms = 5
+        self.is_split = False
+        self.platform = {}  # Published documents by revision.
+        self.staleness = {entry.id: 0 for entry in entries}
+        self.is_platform_up = True
+        self.callers = set()
+        self._frames = []
+        self._core_by_id, self._documents_by_id = {}, {}
+        for entry in entries:
+            core, documents = _core(entry.id, entry.data_centre)
+            self._core_by_id[entry.id] = core
+            self._documents_by_id[entry.id] = documents
+            self._post(entry.id, core.on_peers_changed(entries, 0))
+
+    def revisions(self):
+        found = [d.document(_NAME) for d in self._documents_by_id.values()]
+        return [document and document.revision for document in found]
+
+    def _post(self, sender, outbox):
+        for peer, message in outbox:
+            frame = messages.encode(message)
+            assert len(frame) <= messages.MAX_FRAME_BYTES
+            if self.is_split and (sender < "e3") != (peer < "e3"):
+                continue
+            if self.rng.random() >= self.loss:
+                due = self.now_ms + self.rng.uniform(0, self.max_delay_ms)
+                item = (due, self.rng.random(), sender, peer, frame)
+                heapq.heappush(self._frames, item)
+
+    def _receive(self, sender, peer, frame):
+        message = messages.decode(frame)
+        texts = getattr(message, "text_by_part", None)
+        if texts and self.rng.random() < self.damage:
+            texts[next(iter(texts))] = "fleet.keep_ms = 7777"
+        core = self._core_by_id[peer]
+        self._post(peer, core.on_message(sender, message, self.now_ms))
+
+    def _ask_platform(self, entry_id, core):
+        call = core.next_platform_call(_NAME, self.now_ms)
+        if call.kind is spread.PlatformCallKind.WAIT:
+            return
+        self.callers.add(entry_id)
+        newest = max(self.platform, default=0) - self.staleness[entry_id]
+        found = [r for r in self.platform if r <= newest]
+        if not self.is_platform_up or not found:
+            core.on_platform_failure(_NAME, self.now_ms)
+            return
+        document = self.platform[max(found)]
+        if call.kind is spread.PlatformCallKind.WATCH:
+            document = document if document.revision > call.after else None
+        self._post(
+            entry_id, core.on_platform_document(_NAME, document, self.now_ms)
+        )
+
+    def run(self, duration_ms):
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += spread.TICK_MS
+            before = self.revisions()
+            for entry_id, core in self._core_by_id.items():
+                self._post(entry_id, core.tick(self.now_ms))
+                self._ask_platform(entry_id, core)
+            while self._frames and self._frames[0][0] <= self.now_ms:
+                self._receive(*heapq.heappop(self._frames)[2:])
+            self._check(before)
+
+    def _check(self, before):
+        for old, documents in zip(
+            before, self._documents_by_id.values(), strict=True
+        ):
+            document = documents.document(_NAME)
+            if document is None:
+                assert old is None
+                continue
+            assert old is None or document.revision >= old
+            assert document == self.platform[document.revision]
+            assert "y.toml" not in document.text_by_part
+
+
+_ENTRIES = [_entry(f"e{n}", f"d{n % 3}") for n in range(6)]
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            [
+                "valid",
+                "invalid",
+                "stale",
+                "fresh",
+                "split",
+                "heal",
+                "down",
+                "up",
+            ]
+        ),
+        strategies.integers(0, 5),
+        strategies.integers(1, 20),
+    ),
+    min_size=3,
+    max_size=12,
+)
+
+
+@hypothesis.given(
+    _STEPS,
+    strategies.integers(0, 999),
+    strategies.sampled_from([0.0, 0.2, 0.5]),
+    strategies.sampled_from([0.0, 0.3]),
+    strategies.sampled_from([1, 300, 3000]),
+)
+@_SETTINGS
+def test_fleet_never_reverts_and_converges(steps, seed, loss, damage, delay):
+    # Guards against an entry that adopts an older, invalid or mixed document,
+    # and against parts of the fleet that stay behind after faults end.
+    network = _Network(_ENTRIES, seed)
+    network.loss, network.damage = loss, damage
+    network.max_delay_ms = delay
+    network.platform[1] = _document(1)
+    for action, number, ticks in steps:
+        if action in ("valid", "invalid"):
+            revision = max(network.platform) + 1 + number
+            network.platform[revision] = _document(revision, action == "valid")
+        elif action in ("stale", "fresh"):
+            network.staleness[f"e{number}"] = number * (action == "stale")
+        elif action in ("split", "heal"):
+            network.is_split = action == "split"
+        else:
+            network.is_platform_up = action == "up"
+        network.run(ticks * spread.TICK_MS)
+    network.loss = network.damage = 0
+    network.max_delay_ms = 5
+    network.is_split, network.is_platform_up = False, True
+    network.staleness = dict.fromkeys(network.staleness, 0)
+    newest = max(network.platform) + 1
+    network.platform[newest] = _document(newest)
+    network.run(spread.BACKOFF_MAX_MS + 5000)
+    assert network.revisions() == [newest] * 6
+
+
+def test_only_readers_call_the_platform_and_changes_arrive_within_a_second():
+    # Guards against platform load that grows with the fleet, and against
+    # spreading that waits for the next resent digest.
+    entries = [_entry(f"e{n:02}", f"d{n % 4}") for n in range(18)]
+    network = _Network(entries, 1)
+    network.run(spread.START_MS - spread.TICK_MS)
+    assert not network.callers
+    network.platform[1] = _document(1)
+    network.run(5000)
+    assert network.revisions() == [1] * 18
+    readers = {
+        reader
+        for centre in ("d0", "d1", "d2", "d3")
+        for reader in spread.readers(centre, entries)
+    }
+    assert len(readers) == 8
+    flags = {
+        entry_id: core.is_reader
+        for entry_id, core in network._core_by_id.items()
+    }
+    assert {entry_id for entry_id, flag in flags.items() if flag} == readers
+    network.platform[2] = _document(2)
+    network.staleness = {e.id: int(e.id != min(readers)) for e in entries}
+    network.callers.clear()
+    network.run(1000)
+    assert network.revisions() == [2] * 18
+    assert network.callers == readers
+
+
+def test_replaced_entry_gets_documents_from_peers_before_the_platform():
+    # Guards against a start that depends on the platform.
+    core, documents = _core()
+    outbox = core.on_peers_changed([_entry("e2")], 0)
+    assert ("e2", messages.DocumentRequest(_NAME, 0, [])) in outbox
+    [(_, request)] = core.on_message("e2", _digest(_document(4)), 5)
+    parts = messages.DocumentParts(_NAME, 4, _document(4).text_by_part)
+    assert set(request.parts) == set(parts.text_by_part)
+    core.on_message("e2", parts, 10)
+    assert documents.document(_NAME) == _document(4)
+    assert not documents.status()[_NAME].unconfirmed
+    call = core.next_platform_call(_NAME, spread.START_MS - 1)
+    assert call.kind is spread.PlatformCallKind.WAIT
+
+
+def test_only_changed_parts_are_requested():
+    # Guards against whole documents on the wire for each small change.
+    core, documents = _core()
+    documents.offer(_document(1), store.PLATFORM)
+    [(_, request)] = core.on_message("e2", _digest(_document(2)), 0)
+    assert request == messages.DocumentRequest(_NAME, 2, ["x.toml"])
+    fewer = base.Document(_NAME, 3, dict(_document(1).text_by_part))
+    del fewer.text_by_part["0.toml"]
+    core.on_message("e2", _digest(fewer), 0)
+    assert documents.document(_NAME) == fewer
+
+
+def test_peer_that_is_behind_is_told_what_is_in_force():
+    # Guards against news that travel in one direction of a link only.
+    core, documents = _core()
+    documents.offer(_document(2), store.PLATFORM)
+    outbox = core.on_message("e2", _digest(_document(1)), 0)
+    assert outbox == [("e2", _digest(_document(2)))]
+
+
+def test_silent_or_wrong_peer_is_replaced_by_the_next_announcer():
+    # Guards against a peer that announces a document and withholds it.
+    core, documents = _core()
+    for peer in ("e2", "e3", "e4"):
+        core.on_message(peer, _digest(_document(4)), 0)
+    [(peer, request)] = core.tick(spread.FETCH_TIMEOUT_MS)[:1]
+    assert (peer, request.revision) == ("e3", 4)
+    wrong = messages.DocumentParts(_NAME, 4, {"x.toml": "wrong"})
+    [(peer, _)] = core.on_message("e3", wrong, 1001)
+    assert peer == "e4"
+    right = messages.DocumentParts(_NAME, 4, _document(4).text_by_part)
+    core.on_message("e2", right, 1002)
+    assert documents.document(_NAME) is None
+    core.on_message("e4", right, 1002)
+    assert documents.document(_NAME).revision == 4
+
+
+def test_announcements_of_one_peer_are_bounded():
+    # Guards against memory filled by documents that are never delivered.
+    core, _ = _core()
+    for revision in range(50):
+        core.on_message("e2", _digest(_document(revision)), 0)
+    assert core.status().fetches == 1
+    core.on_message("e2", messages.DocumentDigest(_NAME, 2**53, {}), 0)
+    assert core.status().count_by_fault == {"malformed_digest": 1}
+    text = "#" * folder.MAX_PART_BYTES
+    large = base.Document(_NAME, 99, {f"{n}": text for n in range(21)})
+    core.on_message("e3", _digest(large), 0)
+    parts = messages.DocumentParts(_NAME, 99, large.text_by_part)
+    core.on_message("e3", parts, 0)
+    assert core.status().count_by_fault["document_too_large"] == 1
+
+
+def test_document_refused_here_is_neither_announced_nor_fetched_again():
+    # Guards against two builds that exchange a document for ever, and against
+    # spreading what this build refuses.
+    core, documents = _core()
+    core.on_peers_changed([_entry("e2"), _entry("e3", "d2")], 0)
+    documents.offer(_document(6), store.PLATFORM)
+    refused = _document(7, valid=False)
+    core.on_message("e2", _digest(refused), 0)
+    parts = messages.DocumentParts(_NAME, 7, refused.text_by_part)
+    assert core.on_message("e2", parts, 0) == []
+    assert documents.status()[_NAME].refusals[0].source == "e2"
+    assert core.on_message("e3", _digest(refused), 0) == []
+    outbox = core.tick(spread.DIGEST_MS / 2) + core.tick(spread.DIGEST_MS)
+    announced = [message for _, message in outbox if message.name == _NAME]
+    assert announced == [_digest(_document(6))] * 2
+    # A wrong revision of a peer must not keep the watch above the platform's.
+    core.on_platform_document(_NAME, _document(6), 2000)
+    assert core.next_platform_call(_NAME, 2000).after == 6
+
+
+def test_paused_entry_asks_its_peers_first():
+    # Guards against work on outdated documents after a pause.
+    core, _ = _core()
+    core.on_peers_changed([_entry("e2")], 0)
+    core.tick(100)
+    first = core.tick(100 + spread.PAUSE_MS + 1)[0]
+    assert first == ("e2", messages.DocumentRequest(_NAME, 0, []))
+
+
+def test_backoff_and_rate_limit_bound_the_platform_calls():
+    # Guards against a failing or misbehaving platform that is called in a loop.
+    core, _ = _core()
+    failed = answered = 0
+    for now_ms in range(0, 300_000, 100):
+        kind = core.next_platform_call(_NAME, now_ms).kind
+        if kind is not spread.PlatformCallKind.WAIT:
+            core.on_platform_failure(_NAME, now_ms)
+            failed += 1
+    core, _ = _core()
+    for now_ms in range(0, 10_000, 10):
+        kind = core.next_platform_call(_NAME, now_ms).kind
+        if kind is not spread.PlatformCallKind.WAIT:
+            core.on_platform_document(_NAME, _document(1), now_ms)
+            answered += 1
+    # The watch goes on above what peers brought and reads after a failure.
+    core, documents = _core()
+    documents.offer(_document(4), "e2")
+    core.on_platform_document(_NAME, _document(3), 0)
+    assert core.next_platform_call(_NAME, 1000).after == 4
+    core.on_platform_failure(_NAME, 1000)
+    kind = core.next_platform_call(_NAME, 2000).kind
+    assert kind is spread.PlatformCallKind.READ
+    assert 10 < failed < 60
+    assert answered <= spread.PLATFORM_BURST + 10 * spread.PLATFORM_CALLS_PER_S
+
+
+def test_parts_are_packed_into_frames():
+    # Guards against frames that close the link.
+    core, documents = _core()
+    text = "# é" + "é" * (folder.MAX_PART_BYTES // 2 - 2)
+    big = {f"{n}.toml": text for n in range(3)} | {"s.toml": "", "t.toml": ""}
+    documents.offer(base.Document(_NAME, 3, big), store.PLATFORM)
+    outbox = core.on_message(
+        "e2", messages.DocumentRequest(_NAME, 3, [*big, "0.toml", "none"]), 0
+    )
+    frames = [messages.encode(message) for _, message in outbox]
+    assert max(map(len, frames)) <= messages.MAX_FRAME_BYTES
+    assert [len(m.text_by_part) for _, m in outbox] == [1, 1, 3]
+    digest = {f"{n:096}": "0" * 32 for n in range(folder.MAX_PARTS)}
+    announcement = messages.DocumentDigest(_NAME, 2**53 - 1, digest)
+    assert len(messages.encode(announcement)) <= messages.MAX_FRAME_BYTES
+
+
+@pytest.mark.parametrize("degree", [1, 2, 3, 6])
+@pytest.mark.parametrize("centres", [[1], [3], [1, 1, 1], [5, 1, 4], [2] * 12])
+def test_announcements_reach_every_entry(degree, centres):
+    # Guards against neighbour sets that leave a data centre without news.
+    entries = [
+        _entry(f"e{d}-{n}", f"d{d:02}")
+        for d, size in enumerate(centres)
+        for n in range(size)
+    ]
+    next_by_id = {
+        e.id: spread.neighbours(e.id, e.data_centre, entries, degree)
+        for e in entries
+    }
+    assert all(len(found) <= degree for found in next_by_id.values())
+    reached, pending = set(), [entries[0].id]
+    while pending:
+        entry_id = pending.pop()
+        if entry_id not in reached:
+            reached.add(entry_id)
+            pending += next_by_id[entry_id]
+    assert reached == set(next_by_id)
+
+
+_NAMES = strategies.sampled_from([_NAME, base.INSTANCES, "other"])
+_REVISIONS = strategies.sampled_from([-1, 0, 1, 2, 2**53, 2**70])
+_PARTS = strategies.sampled_from(["0.toml", "x.toml", "", "\ud800", "z" * 200])
+_KNOWN = list(_document(2).digest_by_part.items())
+_MESSAGES = strategies.one_of(
+    strategies.builds(
+        messages.DocumentDigest,
+        _NAMES,
+        _REVISIONS,
+        strategies.dictionaries(_PARTS, strategies.sampled_from(["", "0" * 32]))
+        | strategies.lists(strategies.sampled_from(_KNOWN)).map(dict),
+    ),
+    strategies.builds(
+        messages.DocumentRequest, _NAMES, _REVISIONS, strategies.lists(_PARTS)
+    ),
+    strategies.builds(
+        messages.DocumentParts,
+        _NAMES,
+        _REVISIONS,
+        strategies.dictionaries(_PARTS, strategies.text(max_size=5))
+        | strategies.just(_document(2).text_by_part),
+    ),
+    strategies.just(messages.SlotCancel(1)),
+)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.sampled_from(["e2", "e3"]), _MESSAGES)
+    )
+)
+@_SETTINGS
+def test_any_messages_are_survived(sequence):
+    # Guards against a peer that stops this entry or fills its memory.
+    core, documents = _core()
+    core.on_peers_changed([_entry("e2"), _entry("e3")], 0)
+    documents.offer(_document(1), store.PLATFORM)
+    for now_ms, (peer, message) in enumerate(sequence):
+        core.on_message(peer, message, now_ms)
+        core.tick(now_ms * 100)
+        assert core.status().fetches <= 4
+    assert documents.document(_NAME).revision in (1, 2)
+
+
+class _Platform:
+    """Fails once, then serves revision 1 and publishes 2 to watchers."""
+
+    def __init__(self):
+        self.failures = 0
+        self.is_list_watched = asyncio.Event()
+
+    async def read(self, name):
+        if not self.failures:
+            self.failures += 1
+            raise errors.PlatformError("down")
+        if name == base.INSTANCES:
+            return base.Document(name, 1, {})
+        return _document(1)
+
+    async def watch(self, name, after, wait_s):
+        if name == base.CONFIGURATION and after < 2:
+            return _document(2)
+        if name == base.INSTANCES:
+            self.is_list_watched.set()
+        await asyncio.sleep(wait_s)
+        return None
+
+
+def test_driver_follows_the_platform_and_sends(monkeypatch):
+    # Guards against a driver that ends with a failure of the platform or of a
+    # subscriber.
+    monkeypatch.setattr(spread, "START_MS", 10)
+    settings = settings_module.EntrySettings(
+        entry_id="e1", data_centre="d1", fleet_key="k" * 16
+    )
+    bus = events.EventBus()
+    bus.of(events.InstancesAdopted).subscribe(lambda event: 1 / 0)
+    documents = store.DocumentStore(bus)
+    expected = ("e2", _digest(_document(2)))
+    sent = []
+
+    async def run():
+        is_sent = asyncio.Event()
+
+        def send(peer_id, message):
+            sent.append((peer_id, message))
+            if sent[-1] == expected:
+                is_sent.set()
+
+        platform = _Platform()
+        clock = clock_module.MonotonicClock()
+        driver = spread.Spread(settings, platform, documents, send, clock)
+        driver.on_peers_changed([_entry("e2")])
+        await driver.start()
+        async with asyncio.timeout(10):
+            await is_sent.wait()
+            await platform.is_list_watched.wait()
+        driver.on_message("e2", messages.DocumentRequest(_NAME, 0, []))
+        await driver.stop()
+        return driver.status()
+
+    status = asyncio.run(run())
+    assert status.is_reader
+    assert status.count_by_fault["platform_failure"] == 1
+    assert documents.status()[base.INSTANCES].revision == 1
+    assert sent[-1] == expected
