--- /dev/null
+++ b/slatechute/commands/explain.py
@@ -0,0 +1,83 @@
+"""`slatechute explain`: show which file sets a key."""
+
+import json
+import pathlib
+from typing import Any
+
+from cleo import helpers
+from cleo.commands import command
+from cleo.io.outputs import output
+
+from slatechute import errors
+from slatechute.configuration import folder
+
+__all__ = ["ExplainCommand", "format_value"]
+
+
+def format_value(value: Any) -> str:
+    """Return a value much as a TOML file has it.
+
+    >>> format_value(["GET"]), format_value(True), format_value(None)
+    ('["GET"]', 'true', '(none)')
+    """
+    if value is None:
+        return "(none)"
+    return json.dumps(value, ensure_ascii=False, default=str)
+
+
+class ExplainCommand(command.Command):
+    """Print the value of a key, or of all keys of a table, and its origin."""
+
+    name = "explain"
+    description = "Show which file sets a key and what it overrides."
+    arguments = [
+        helpers.argument("folder", "Folder with .toml files."),
+        helpers.argument("key", "Dotted key of a value or a table."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command; return 1 for an unknown key or a broken folder."""
+        path = pathlib.Path(self.argument("folder"))
+        text_by_part, problems = folder.read(path)
+        if problems:
+            return self._fail(problems)
+        try:
+            merged = folder.merge(text_by_part)
+            key = folder.format_key(folder.parse_key(self.argument("key")))
+        except errors.ConfigurationError as err:
+            return self._fail(err.problems)
+        except ValueError as err:
+            return self._fail([f"{self.argument('key')}: {err}"])
+        value_by_key = folder.values_by_key(merged.tree)
+        try:
+            configuration = folder.build(text_by_part)
+        except errors.ConfigurationError:
+            # The files say enough without the defaults.
+            self._fail([f"{path}: has problems, see `slatechute check`"])
+        else:
+            value_by_key |= folder.values_by_key(configuration.model_dump())
+        found = [
+            known
+            for known in sorted(value_by_key)
+            if known == key or known.startswith(f"{key}.")
+        ]
+        if not found:
+            return self._fail([f"{key}: is not set and has no default"])
+        for known in found:
+            self._explain(known, value_by_key[known], merged)
+        return 0
+
+    def _explain(self, key: str, value: Any, merged: folder.Merged) -> None:
+        lines = [f"{key} = {format_value(value)}"]
+        origin = merged.origin_by_key.get(key)
+        if origin is None:
+            lines.append("  default, set by no file")
+        else:
+            lines.append(f"  set by {origin.file}")
+            if origin.overrode:
+                lines.append(f"  overrode {', '.join(origin.overrode)}")
+        self.io.write_line(lines, type=output.Type.RAW)
+
+    def _fail(self, problems: list[str]) -> int:
+        self.io.write_error_line(problems, type=output.Type.RAW)
+        return 1
--- a/slatechute/configuration/folder.py
+++ b/slatechute/configuration/folder.py
@@ -33,6 +33,7 @@
     "part_problems",
     "read",
     "stack",
+    "values_by_key",
 ]
 
 # A part travels in one peer frame of at most 256 KiB.
@@ -168,26 +169,37 @@
     return True
 
 
+def _part_problem(part: str, text: str) -> str | None:
+    if not isinstance(part, str) or not isinstance(text, str):
+        return f"{part!a}: is not text"
+    if not _is_encodable(part) or not _is_encodable(text):
+        return f"{part!a}: is not valid Unicode"
+    if not 0 < len(part.encode()) <= MAX_PART_NAME_BYTES:
+        return f"{part!a}: name is empty or too long"
+    size = len(text.encode())
+    if size > MAX_PART_BYTES:
+        return f"{part}: {size} bytes, at most {MAX_PART_BYTES} allowed"
+    return None
+
+
 def part_problems(text_by_part: dict[str, str]) -> list[str]:
     """Return what makes the parts of any document unfit to travel."""
+    found = [_part_problem(*item) for item in text_by_part.items()]
+    return [
+        *_size_problems(text_by_part),
+        *(problem for problem in found if problem is not None),
+    ]
+
+
+def _size_problems(text_by_part: dict[str, str]) -> list[str]:
     problems = []
-    total = 0
     if len(text_by_part) > MAX_PARTS:
         problems.append(f"document: more than {MAX_PARTS} parts")
-    for part, text in text_by_part.items():
-        if not isinstance(part, str) or not isinstance(text, str):
-            problems.append(f"{part!a}: is not text")
-        elif not _is_encodable(part) or not _is_encodable(text):
-            problems.append(f"{part!a}: is not valid Unicode")
-        else:
-            size = len(text.encode())
-            total += size
-            if not 0 < len(part.encode()) <= MAX_PART_NAME_BYTES:
-                problems.append(f"{part!a}: name is empty or too long")
-            if size > MAX_PART_BYTES:
-                problems.append(
-                    f"{part}: {size} bytes, at most {MAX_PART_BYTES} allowed"
-                )
+    total = sum(
+        len(text.encode(errors="replace"))
+        for text in text_by_part.values()
+        if isinstance(text, str)
+    )
     if total > MAX_DOCUMENT_BYTES:
         problems.append(
             f"document: {total} bytes, at most {MAX_DOCUMENT_BYTES} allowed"
@@ -350,18 +362,29 @@
     return tree
 
 
-def _merge(text_by_part: dict[str, str]) -> tuple[Merged, list[str], bool]:
+def _merge(
+    text_by_part: dict[str, str], is_partial: bool
+) -> tuple[Merged, list[str], bool]:
+    """Merge all files that can be merged.
+
+    Returns:
+        The result, all problems, and whether files are left out of the result.
+    """
     problems = part_problems(text_by_part)
-    if problems:
+    if _size_problems(text_by_part):
         return Merged({}, {}, {}), problems, True
-    layers = [
-        parse_file(file, text_by_part[file]) for file in sorted(text_by_part)
-    ]
+    files = sorted(
+        part
+        for part, text in text_by_part.items()
+        if _part_problem(part, text) is None
+    )
+    layers = [parse_file(file, text_by_part[file]) for file in files]
     layer = functools.reduce(stack, layers, Layer())
-    problems = list(layer.problems)
-    # After a file that could not be parsed, a key may be absent only because
+    problems += layer.problems
+    is_partial = is_partial or layer.broken or len(files) < len(text_by_part)
+    # Without a file that could not be parsed, a key may be absent only because
     # that file would have set it.
-    if not layer.broken:
+    if not is_partial:
         problems += [
             f"{removal.file}: remove: {format_key(removal.path)}: no earlier "
             "file sets this key"
@@ -370,7 +393,7 @@
         ]
     merged = Merged({}, {}, {"": layer.root.files})
     merged.tree = _flatten(layer.root, (), merged)
-    return merged, problems, layer.broken
+    return merged, problems, is_partial
 
 
 def merge(text_by_part: dict[str, str]) -> Merged:
@@ -383,7 +406,7 @@
         errors.ConfigurationError: Files cannot be parsed or merged; lists
             every problem.
     """
-    merged, problems, _ = _merge(text_by_part)
+    merged, problems, _ = _merge(text_by_part, False)
     if problems:
         raise errors.ConfigurationError(problems)
     return merged
@@ -401,14 +424,14 @@
 
 
 def _model_problems(
-    merged: Merged, err: pydantic.ValidationError, broken: bool
+    merged: Merged, err: pydantic.ValidationError, is_partial: bool
 ) -> list[str]:
     problems = []
     for fault in err.errors(include_url=False, include_input=False):
         path = tuple(str(part) for part in fault["loc"])
         reason = fault["msg"][:1].lower() + fault["msg"][1:]
         if fault["type"] == "missing":
-            if broken:
+            if is_partial:
                 continue
             reason = "is missing"
         elif fault["type"] == "extra_forbidden":
@@ -417,26 +440,45 @@
     return problems
 
 
-def build(text_by_part: dict[str, str]) -> models.Configuration:
+def build(
+    text_by_part: dict[str, str], *, is_partial: bool = False
+) -> models.Configuration:
     """Return the validated configuration of the folder.
 
     Args:
         text_by_part: Text of each file by its name.
+        is_partial: Whether files are known to be left out, so that absent keys
+            are no problem.
 
     Raises:
         errors.ConfigurationError: The folder is not valid; lists every problem
             with its file, key or line, and reason.
     """
-    merged, problems, broken = _merge(text_by_part)
+    merged, problems, is_partial = _merge(text_by_part, is_partial)
     try:
         configuration = models.Configuration.model_validate(merged.tree)
     except pydantic.ValidationError as err:
-        problems += _model_problems(merged, err, broken)
+        problems += _model_problems(merged, err, is_partial)
     if problems:
         raise errors.ConfigurationError(problems)
     return configuration
 
 
+def values_by_key(tree: dict[str, Any], path: _Path = ()) -> dict[str, Any]:
+    """Return the values of nested tables by dotted key.
+
+    >>> values_by_key({"fleet": {"keep_ms": 900}})
+    {'fleet.keep_ms': 900}
+    """
+    found = {}
+    for key, value in tree.items():
+        if isinstance(value, dict):
+            found |= values_by_key(value, (*path, key))
+        else:
+            found[format_key((*path, key))] = value
+    return found
+
+
 def read(path: pathlib.Path) -> tuple[dict[str, str], list[str]]:
     """Read a folder from disk.
 
--- a/tests/configuration/test_folder.py
+++ b/tests/configuration/test_folder.py
@@ -87,11 +87,13 @@
     # Guards against "is missing" for a key that the broken file would set.
     assert _problems(
         {
+            "0.toml": None,
             "1.toml": "[services.plans]\nslots = \n",
             "2.toml": "remove = ['services.kit']\n"
             "[services.plans]\nqueue_length = 9\nextra = 1",
         }
     ) == [
+        "'0.toml': is not text",
         "1.toml: line 2, column 9: Invalid value",
         "2.toml: services.plans.extra: unknown key",
     ]
