Run the whole path as separate processes

Requests of peers now wait 10 ms longer than own ones for a freed slot: a grant to a peer leaves the slot idle for two hops. The rounds in which further dispatchers are asked double, since under overload each request asked all 17 of them.

--- /dev/null
+++ b/slatechute/application.py
@@ -0,0 +1,543 @@
+"""The application of one entry: builds the parts and wires them by events."""
+
+import asyncio
+import random
+
+import aiohttp
+
+from slatechute import admin
+from slatechute import callers
+from slatechute import errors
+from slatechute import events
+from slatechute import exchange
+from slatechute import execution
+from slatechute import identifiers
+from slatechute import leases
+from slatechute import logs
+from slatechute import membership
+from slatechute import messages
+from slatechute import metrics
+from slatechute import requests
+from slatechute import settings as entry_settings
+from slatechute.configuration import instances
+from slatechute.configuration import models
+from slatechute.configuration import spread
+from slatechute.configuration import store
+from slatechute.peers import links
+from slatechute.platforms import base as platforms
+from slatechute.platforms import http as http_platform
+from slatechute.policies import base as policies
+from slatechute.policies import baselines
+from slatechute.policies import owner
+from slatechute.util import clock as clocks
+
+__all__ = ["Application"]
+
+_LOG = logs.get_logger(__name__)
+
+_TICK_MS = 10.0
+# A tick that is this late means that the process was paused: leases and links
+# that it believes in may have passed to others meanwhile.
+_PAUSE_MS = 250.0
+# A new entry waits this long for links to its peers before it dispatches,
+# since without them it would take every target for its own.
+_SETTLE_MS = 500.0
+_MAX_ADDRESSES = 4
+_LOAD_POLL_S = 0.5
+
+
+class Application:
+    """One entry.
+
+    Attributes:
+        boot_id: Id of this start.
+        clock: Monotonic clock of all parts.
+        bus: Events between the parts.
+        metrics: Counters of this entry.
+        policy: Chooses slots.
+        membership: Known entries and targets.
+        ready: Set once this entry dispatches.
+    """
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        platform: platforms.Platform | None = None,
+    ):
+        self.settings = settings
+        self.boot_id = identifiers.new_boot_id(settings.entry_id)
+        self.clock = clocks.MonotonicClock()
+        self.bus = events.EventBus()
+        self.metrics = metrics.Metrics()
+        self.membership = membership.Membership(
+            instances.Entry(
+                settings.entry_id,
+                settings.address,
+                settings.peer_address,
+                settings.admin_address,
+                settings.data_centre,
+                "live",
+            ),
+            settings.group_size,
+        )
+        self._configuration = models.Configuration()
+        self._revision = 0
+        self._digest = ""
+        self._adopted_ms = 0.0
+        self._state = "starting"
+        self.ready = asyncio.Event()
+        self._settle_until_ms: float | None = None
+        self._plan_due = False
+        self._cold_ids: frozenset[str] = frozenset()
+        self._last_tick_ms = self.clock.now_ms()
+        self._random = random.Random()
+        self._tasks: list[asyncio.Task] = []
+        self._session: aiohttp.ClientSession | None = None
+        self._platform = platform
+        self._plans: dict[str, membership.ServicePlan] = {}
+        self._build()
+        self._wire()
+
+    def _build(self) -> None:
+        settings = self.settings
+        self._links = links.PeerLinks(
+            settings,
+            self.boot_id,
+            self.clock,
+            self.bus,
+            self._on_message,
+            self._heartbeat,
+            metrics=self.metrics,
+        )
+        self.policy = self._make_policy()
+        self._client = exchange.TargetClient(settings.target_connections)
+        self._executor = execution.Executor(
+            self.policy,
+            self._client,
+            self.clock,
+            self.bus,
+            self._announce,
+            self.metrics,
+        )
+        self._callers = callers.CallerServer(
+            settings,
+            self._executor,
+            self,
+            requests.RequestTable(self.boot_id, settings.request_table_size),
+            self.clock,
+            self.metrics,
+        )
+        self._store = store.DocumentStore(self.bus)
+        self._admin = admin.AdminServer(
+            settings, self.metrics, self.readiness, self.status
+        )
+
+    def _make_policy(self) -> policies.Policy:
+        if self.settings.policy == "owner":
+            return owner.OwnerPolicy(
+                self.settings, self.clock, self._links.send, self._announce
+            )
+        baseline = {
+            "random_choice": baselines.RandomChoice,
+            "least_in_flight": baselines.LeastInFlight,
+            "two_choices": baselines.TwoChoices,
+        }[self.settings.policy]
+        return baseline(self.clock, self.membership.targets_of)
+
+    def _wire(self) -> None:
+        bus = self.bus
+        bus.of(events.ConfigurationAdopted).subscribe(self._on_configuration)
+        bus.of(events.InstancesAdopted).subscribe(self._on_instances)
+        bus.of(events.PeerReady).subscribe(self._on_peer_ready)
+        bus.of(events.PeerLost).subscribe(self._on_peer_lost)
+        bus.of(events.TargetLeaving).subscribe(self._on_target_leaving)
+
+    # Life cycle.
+
+    async def start(self) -> None:
+        """Open all servers and links.
+
+        Raises:
+            OSError: An address cannot be used.
+        """
+        await self._client.start()
+        await self._admin.start()
+        await self._callers.start()
+        await self._links.start()
+        self._session = aiohttp.ClientSession()
+        if self._platform is None:
+            self._platform = http_platform.HttpPlatform(
+                self.settings.platform_url, self._session
+            )
+        self._spread = spread.Spread(
+            self.settings,
+            self._platform,
+            self._store,
+            self._links.send,
+            self.clock,
+        )
+        await self._spread.start()
+        self._tasks.append(asyncio.create_task(self._tick()))
+        if isinstance(self.policy, baselines.TwoChoices):
+            self._tasks.append(asyncio.create_task(self._poll_loads()))
+        _LOG.info("entry_started", boot_id=self.boot_id)
+
+    async def drain(self) -> bool:
+        """Leave the fleet and wait for the work in flight.
+
+        Returns:
+            False when work was still in flight at the drain limit.
+        """
+        self._state = "draining"
+        self.membership.set_own_leaving()
+        self.bus.emit(events.Draining())
+        self._replan()
+        _LOG.info("entry_draining")
+        start_ms = self.clock.now_ms()
+        keep_ms = self._configuration.fleet.keep_ms
+        while self.clock.now_ms() - start_ms < self.settings.drain_limit_ms:
+            kept = self.clock.now_ms() - start_ms < keep_ms
+            if not kept and not self._callers.inflight:
+                return True
+            await asyncio.sleep(_TICK_MS / 1000)
+        return not self._callers.inflight
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await self._callers.stop()
+        await self._spread.stop()
+        await self._links.stop()
+        await self._admin.stop()
+        await self._client.stop()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_MS / 1000)
+            now_ms = self.clock.now_ms()
+            paused = now_ms - self._last_tick_ms > _PAUSE_MS
+            self._last_tick_ms = now_ms
+            if isinstance(self.policy, owner.OwnerPolicy):
+                if paused:
+                    reachable = self.membership.reachable()
+                    self.policy.dispatcher.resume(reachable, now_ms)
+                self.policy.dispatcher.tick(now_ms)
+            settle_ms = self._settle_until_ms
+            if self._state == "starting" and settle_ms is not None:
+                self._settle(now_ms, settle_ms)
+
+    def _settle(self, now_ms: float, until_ms: float) -> None:
+        """Begin to dispatch once the peers are linked or did not answer."""
+        if not self._configuration.services:
+            return
+        listed = self.membership.peer_addresses(self._configuration.services)
+        linked = self.membership.reachable()
+        if now_ms >= until_ms or linked.issuperset(listed):
+            self._state = "ready"
+            self.ready.set()
+            self._replan()
+
+    # Documents and membership.
+
+    def _on_configuration(self, event: events.ConfigurationAdopted) -> None:
+        gone = set(self._configuration.services) - set(
+            event.configuration.services
+        )
+        self._configuration = event.configuration
+        self._revision = event.revision
+        self._digest = event.digest
+        self._adopted_ms = self.clock.now_ms()
+        self.metrics.configuration_adopted(event.revision)
+        self._executor.set_rules(event.configuration.fleet)
+        if isinstance(self.policy, owner.OwnerPolicy):
+            for service in gone:
+                self.policy.dispatcher.remove_service(service)
+        _LOG.info("configuration_in_force", revision=event.revision)
+        self._set_peers()
+        self._replan()
+
+    def _on_instances(self, event: events.InstancesAdopted) -> None:
+        known = self._store.instances
+        fresh = self.membership.set_list(
+            known.entries_by_id.values(), known.targets_by_id.values()
+        )
+        self._cold_ids |= fresh
+        for target in known.targets_by_id.values():
+            if target.state == membership.LEAVING:
+                self.bus.emit(events.TargetLeaving(target.id, "list"))
+        if self._settle_until_ms is None:
+            self._settle_until_ms = self.clock.now_ms() + _SETTLE_MS
+        self._set_peers()
+        self._replan()
+
+    def _set_peers(self) -> None:
+        wanted = self.membership.peer_addresses(self._configuration.services)
+        self._links.set_peers(wanted)
+
+    def _on_peer_ready(self, event: events.PeerReady) -> None:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            self.policy.dispatcher.peer_ready(event.entry_id)
+        _LOG.info("peer_ready", peer=event.entry_id)
+        self._peers_changed()
+
+    def _on_peer_lost(self, event: events.PeerLost) -> None:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            now_ms = self.clock.now_ms()
+            self.policy.dispatcher.peer_lost(event.entry_id, now_ms)
+        _LOG.warning("peer_lost", peer=event.entry_id)
+        self._peers_changed()
+
+    def _peers_changed(self) -> None:
+        linked = [
+            _entry_of(peer)
+            for peer in self._links.peers().values()
+            if peer.reachable
+        ]
+        self.membership.set_linked(linked)
+        self._spread.on_peers_changed(self.membership.entries().values())
+        self._replan()
+
+    def _on_target_leaving(self, event: events.TargetLeaving) -> None:
+        if not self.membership.mark_leaving(event.target_id):
+            return
+        _LOG.info("target_leaving", peer=event.target_id, source=event.source)
+        if isinstance(self.policy, owner.OwnerPolicy):
+            self.policy.dispatcher.target_leaving(event.target_id)
+        if event.source in ("answer", "list"):
+            report = messages.TargetReport(event.target_id, "leaving")
+            self._announce(report)
+        self._replan()
+
+    def _replan(self) -> None:
+        """Work out the dispatchers once for all changes of this turn."""
+        if not self._plan_due:
+            self._plan_due = True
+            asyncio.get_running_loop().call_soon(self._plan)
+
+    def _plan(self) -> None:
+        self._plan_due = False
+        if self._state == "starting":
+            return
+        now_ms = self.clock.now_ms()
+        for name, service in self._configuration.services.items():
+            plan = self.membership.plan(name)
+            self._plans[name] = plan
+            if isinstance(self.policy, owner.OwnerPolicy):
+                self.policy.dispatcher.set_service(
+                    name,
+                    dispatcher_by_target=plan.dispatcher_by_target,
+                    targets_by_id=plan.targets_by_id,
+                    slots=service.slots,
+                    queue_length=service.queue_length,
+                    share=plan.share,
+                    cold_ids=self._cold_ids,
+                    reachable=self.membership.reachable(),
+                    now_ms=now_ms,
+                )
+        self._cold_ids = frozenset()
+
+    # Peers.
+
+    def _announce(self, message: messages.Message) -> None:
+        for peer_id in self.membership.reachable():
+            self._links.send(peer_id, message)
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        now_ms = self.clock.now_ms()
+        loads = []
+        if isinstance(self.policy, owner.OwnerPolicy):
+            loads = self.policy.dispatcher.loads(now_ms)
+        return messages.Heartbeat(
+            self._state == "draining",
+            loads,
+            self._revision,
+            self._digest,
+            now_ms,
+        )
+
+    def _on_message(self, peer_id: str, message: messages.Message) -> None:
+        now_ms = self.clock.now_ms()
+        if isinstance(
+            message,
+            (
+                messages.DocumentDigest,
+                messages.DocumentRequest,
+                messages.DocumentParts,
+            ),
+        ):
+            self._spread.on_message(peer_id, message)
+        elif isinstance(message, messages.Heartbeat):
+            self._on_heartbeat(peer_id, message)
+        elif isinstance(message, messages.TargetReport):
+            self._on_target_report(peer_id, message, now_ms)
+        elif isinstance(message, messages.CrashStrike):
+            self._executor.quarantine.strike(
+                message.fingerprint, message.target_id, now_ms
+            )
+        elif isinstance(self.policy, owner.OwnerPolicy):
+            self._on_slot_message(peer_id, message, now_ms)
+
+    def _on_heartbeat(self, peer_id: str, message: messages.Heartbeat) -> None:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            self.policy.dispatcher.on_load(peer_id, message.loads)
+        known = self.membership.entries().get(peer_id)
+        if (
+            known is not None
+            and (known.state == membership.LEAVING) != message.leaving
+        ):
+            self._peers_changed()
+
+    def _on_target_report(
+        self, peer_id: str, message: messages.TargetReport, now_ms: float
+    ) -> None:
+        if message.state == "leaving":
+            self.bus.emit(events.TargetLeaving(message.target_id, peer_id))
+        elif isinstance(self.policy, owner.OwnerPolicy):
+            self.policy.dispatcher.on_target_ejected(
+                message.target_id, message.duration_ms, now_ms
+            )
+
+    def _on_slot_message(
+        self, peer_id: str, message: messages.Message, now_ms: float
+    ) -> None:
+        dispatcher = self.policy.dispatcher
+        match message:
+            case messages.SlotRequest():
+                dispatcher.on_request(peer_id, message, now_ms)
+            case messages.SlotGrant():
+                if now_ms - self._last_tick_ms > _PAUSE_MS:
+                    self._return_stale(peer_id, message)
+                else:
+                    dispatcher.on_grant(peer_id, message, now_ms)
+            case messages.SlotRelease():
+                dispatcher.on_release(message, now_ms)
+            case messages.SlotCancel():
+                dispatcher.on_cancel(peer_id, message)
+            case messages.SlotRefusal():
+                dispatcher.on_refusal(peer_id, message, now_ms)
+            case messages.TakeOver():
+                dispatcher.on_take_over(peer_id, message)
+            case messages.InflightReport():
+                dispatcher.on_inflight_report(peer_id, message, now_ms)
+
+    def _return_stale(self, peer_id: str, message: messages.SlotGrant) -> None:
+        """Return a slot whose grant waited while this process was paused."""
+        self.metrics.retried(errors.Reason.LEASE_STALE)
+        unused = messages.SlotRelease(
+            message.lease_id, message.target_id, leases.Result.UNUSED.value
+        )
+        self._links.send(peer_id, unused)
+
+    # callers.Directory
+
+    def configuration(self) -> models.Configuration:
+        """Return the configuration in force."""
+        return self._configuration
+
+    def addresses_for(self, service: str) -> list[dict[str, str]]:
+        """Return addresses with id prefixes, entries with most slots first.
+
+        Entries that start or leave are left out unless there is no other.
+        """
+        plan = self._plans.get(service)
+        dispatching = plan.dispatcher_by_target.values() if plan else ()
+        targets_by_entry: dict[str, int] = {}
+        for entry_id in dispatching:
+            targets_by_entry[entry_id] = targets_by_entry.get(entry_id, 0) + 1
+        weighted = sorted(
+            targets_by_entry,
+            key=lambda entry_id: (
+                -(self._random.random() ** (1 / targets_by_entry[entry_id]))
+            ),
+        )
+        found = [self._address(key) for key in weighted[:_MAX_ADDRESSES]]
+        found = [item for item in found if item is not None]
+        return found or [self._address(self.settings.entry_id)]
+
+    def _address(self, entry_id: str) -> dict[str, str] | None:
+        if entry_id == self.settings.entry_id:
+            prefix = identifiers.issue_prefix(self.boot_id, self.clock.now_ms())
+            return {"address": self.settings.address, "id_prefix": prefix}
+        peer = self._links.peers().get(entry_id)
+        if peer is None or peer.heartbeat is None:
+            return None
+        # The peer's clock as of its last heartbeat: a little behind, so the
+        # prefix expires a little early and never late.
+        prefix = identifiers.issue_prefix(peer.boot_id, peer.heartbeat.clock_ms)
+        return {"address": peer.address, "id_prefix": prefix}
+
+    # Operators.
+
+    def readiness(self) -> str:
+        """Return `starting`, `ready` or `draining`."""
+        return self._state
+
+    def status(self) -> dict:
+        """Return what operators see of this entry."""
+        peers = [
+            {
+                "entry_id": peer.entry_id,
+                "reachable": peer.reachable,
+                "revision": peer.heartbeat.revision if peer.heartbeat else 0,
+                "digest": peer.heartbeat.digest if peer.heartbeat else "",
+            }
+            for peer in self._links.peers().values()
+        ]
+        return {
+            "entry_id": self.settings.entry_id,
+            "boot_id": self.boot_id,
+            "data_centre": self.settings.data_centre,
+            "state": self._state,
+            "configuration": self._configuration_status(),
+            "peers": peers,
+        }
+
+    def _configuration_status(self) -> dict:
+        status = self._store.status()[platforms.CONFIGURATION]
+        return {
+            "revision": status.revision or 0,
+            "digest": status.digest,
+            "newest_seen": status.highest_revision or 0,
+            "age_s": round((self.clock.now_ms() - self._adopted_ms) / 1000, 3),
+            "unconfirmed": status.unconfirmed,
+            "refused": [
+                {"revision": item.revision, "problems": list(item.problems)}
+                for item in status.refusals
+            ],
+        }
+
+    # Baselines.
+
+    async def _poll_loads(self) -> None:
+        """Ask each target for its load, as entries without leases must."""
+        while True:
+            await asyncio.sleep(_LOAD_POLL_S)
+            for service in self._configuration.services:
+                for target in self.membership.targets_of(service):
+                    await self._poll_load(target)
+
+    async def _poll_load(self, target: instances.Target) -> None:
+        url = f"http://{target.address}/-/load"
+        try:
+            async with self._session.get(url) as response:
+                text = await response.text()
+                report = await response.json()
+        except (aiohttp.ClientError, TimeoutError):
+            return
+        self.metrics.probed(len(text))
+        self.policy.load_by_target[target.id] = float(report["load"])
+
+
+def _entry_of(peer: links.Peer) -> instances.Entry:
+    leaving = peer.heartbeat is not None and peer.heartbeat.leaving
+    return instances.Entry(
+        peer.entry_id,
+        peer.address,
+        peer.peer_address,
+        peer.admin_address,
+        peer.data_centre,
+        membership.LEAVING if leaving else "live",
+    )
--- /dev/null
+++ b/slatechute/benches/dispatch.py
@@ -0,0 +1,233 @@
+"""Bench of the dispatch policy against entries that choose alone."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import os
+import time
+
+from hdrh import histogram
+
+from slatechute.benches import processes
+from slatechute.fakes import deployments
+
+__all__ = ["DispatchBench", "Plan", "Run"]
+
+BASELINES = ("random_choice", "least_in_flight", "two_choices")
+# The same policy with hedges as in production; the others run without.
+HEDGED = "owner_hedged"
+POLICIES = ("owner", HEDGED, *BASELINES)
+_NO_HEDGES = {"50-bench.toml": "[fleet]\nhedge_ratio = 0.0\n"}
+_SLOW_FACTOR = 8.0
+_SLOW_SHARE = 0.05
+_SLOW_WORK_TIMES = 20.0
+_CALLER_PROCESSES = 3
+_WARM_UP_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What to run.
+
+    Attributes:
+        deployment: Name of the deployment; its first service is called.
+        policies: Policies to compare.
+        loads: Offered work as a share of all slots.
+        seconds: Length of each run.
+        work_ms: Mean work time of a request.
+        entries: Number of entry processes.
+        seed: Seed of load, work times and slow phases.
+    """
+
+    deployment: str
+    policies: tuple[str, ...] = POLICIES
+    loads: tuple[float, ...] = (0.5, 0.7, 0.85)
+    seconds: float = 10.0
+    work_ms: float = 20.0
+    entries: int = 18
+    seed: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Result of one run.
+
+    Attributes:
+        policy: Policy that chose the targets.
+        load: Offered load.
+        served: Verified answers.
+        refused: Refusals.
+        other: Other ends.
+        p50_ms: Median latency at the caller.
+        p99_ms: 99th percentile.
+        p999_ms: 99.9th percentile.
+        probes_per_s: Requests spent on measuring.
+        cpu_busy: Part of the machine's processor time in use.
+    """
+
+    policy: str
+    load: float
+    served: int
+    refused: int
+    other: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    probes_per_s: float
+    cpu_busy: float
+
+
+class DispatchBench:
+    """Runs a plan on real processes."""
+
+    def __init__(self, plan: Plan, report: Callable[[Run], None]):
+        self._plan = plan
+        self._report = report
+        self._deployment = deployments.DEPLOYMENTS[plan.deployment]
+        self._size = self._deployment.services[0]
+
+    async def run(self) -> dict:
+        """Run all policies; return results and ratios for JSON."""
+        runs = []
+        for policy in self._plan.policies:
+            runs += await self._run_policy(policy)
+        return {
+            "bench": "dispatch",
+            "revision": processes.git_revision(),
+            "plan": dataclasses.asdict(self._plan),
+            "service": dataclasses.asdict(self._size),
+            "runs": [dataclasses.asdict(run) for run in runs],
+            "ratios": _ratios(runs),
+        }
+
+    async def _run_policy(self, policy: str) -> list[Run]:
+        plan = self._plan
+        fleet = processes.ProcessFleet(
+            self._deployment,
+            entries=plan.entries,
+            flags={"policy": "owner" if policy == HEDGED else policy},
+            services=[self._size.name],
+            work_ms=plan.work_ms,
+            seed=plan.seed,
+            extra_files={} if policy == HEDGED else _NO_HEDGES,
+        )
+        callers = [processes.Node("callers") for _ in range(_CALLER_PROCESSES)]
+        runs = []
+        async with fleet:
+            for node in callers:
+                await node.start()
+            await self._send(fleet, callers, plan.loads[0], _WARM_UP_S)
+            for load in plan.loads:
+                run = await self._run_load(fleet, callers, policy, load)
+                self._report(run)
+                runs.append(run)
+            for node in callers:
+                await node.stop()
+        return runs
+
+    async def _run_load(
+        self,
+        fleet: processes.ProcessFleet,
+        callers: list[processes.Node],
+        policy: str,
+        load: float,
+    ) -> Run:
+        plan = self._plan
+        nodes = fleet.target_nodes[self._size.name]
+        for number, node in enumerate(nodes):
+            await node.call(
+                "slow_phases",
+                factor=_SLOW_FACTOR,
+                length_ms=_SLOW_WORK_TIMES * plan.work_ms,
+                share=_SLOW_SHARE,
+                seed=plan.seed * 100 + number,
+            )
+        before = [await node.call("stats") for node in nodes]
+        busy, start = _busy_s(), time.monotonic()
+        results = await self._send(fleet, callers, load, plan.seconds)
+        elapsed_s = time.monotonic() - start
+        busy = (_busy_s() - busy) / elapsed_s / (os.cpu_count() or 1)
+        after = [await node.call("stats") for node in nodes]
+        for node in nodes:
+            await node.call("slow_phases")
+            await node.call("forget")
+        probes = sum(
+            late["probes"] - early["probes"]
+            for late, early in zip(after, before, strict=True)
+        )
+        total = histogram.HdrHistogram(1, 60_000_000, 3)
+        for result in results:
+            total.decode_and_add(result["latencies"])
+        value = total.get_value_at_percentile
+        return Run(
+            policy,
+            load,
+            sum(result["served"] for result in results),
+            sum(n for result in results for *_, n in result["refused"]),
+            sum(n for result in results for *_, n in result["errors"]),
+            value(50) / 1000,
+            value(99) / 1000,
+            value(99.9) / 1000,
+            round(probes / elapsed_s, 1),
+            round(busy, 3),
+        )
+
+    async def _send(
+        self,
+        fleet: processes.ProcessFleet,
+        callers: list[processes.Node],
+        load: float,
+        seconds: float,
+    ) -> list[dict]:
+        size, plan = self._size, self._plan
+        capacity = size.instances * size.slots * 1000 / plan.work_ms
+        rate = load * capacity / len(callers)
+        return await asyncio.gather(
+            *(
+                node.call(
+                    "run",
+                    settings={
+                        "entries": fleet.entry_addresses,
+                        "service": size.name,
+                        "method": size.method,
+                        "path": size.path,
+                        "deadline_ms": 10_000,
+                        "seed": plan.seed * 100 + number,
+                    },
+                    rate=rate,
+                    count=int(rate * seconds),
+                )
+                for number, node in enumerate(callers)
+            )
+        )
+
+
+def _busy_s() -> float:
+    """Return the processor time used on this machine so far."""
+    with open("/proc/stat", encoding="ascii") as stat:
+        fields = [int(text) for text in stat.readline().split()[1:]]
+    idle = fields[3] + fields[4]
+    return (sum(fields[:8]) - idle) / os.sysconf("SC_CLK_TCK")
+
+
+def _ratios(runs: list[Run]) -> list[dict]:
+    """Return p99 and p99.9 of the chosen policy over the best baseline."""
+    found = []
+    for load in sorted({run.load for run in runs}):
+        at_load = {run.policy: run for run in runs if run.load == load}
+        others = [at_load[name] for name in BASELINES if name in at_load]
+        for policy in ("owner", HEDGED):
+            if policy not in at_load or not others:
+                continue
+            own = at_load[policy]
+            best_p99_ms = min(run.p99_ms for run in others)
+            best_p999_ms = min(run.p999_ms for run in others)
+            found.append(
+                {
+                    "policy": policy,
+                    "load": load,
+                    "p99": round(own.p99_ms / best_p99_ms, 3),
+                    "p999": round(own.p999_ms / best_p999_ms, 3),
+                }
+            )
+    return found
--- /dev/null
+++ b/slatechute/benches/node.py
@@ -0,0 +1,199 @@
+"""Process of a bench: targets or callers, driven by JSON lines.
+
+Commands arrive on standard input, one JSON object a line; each is answered by
+one line on standard output. The process ends with its input.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import gc
+import json
+import random
+import sys
+import time
+from typing import Any
+
+from slatechute.fakes import caller as callers
+from slatechute.fakes import target as targets
+
+__all__ = ["CallerNode", "SlowPhases", "TargetNode", "main"]
+
+_MAX_LINE_BYTES = 64 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlowPhases:
+    """Noisy neighbours: each target is slowed at random times.
+
+    Attributes:
+        factor: Factor of all work times meanwhile.
+        length_ms: Length of a slow phase.
+        share: Share of its time for which a target is slow.
+        seed: Seed of the times.
+    """
+
+    factor: float
+    length_ms: float
+    share: float
+    seed: int
+
+    async def run(self, target: targets.FakeTarget, number: int) -> None:
+        """Slow a target down again and again until cancelled."""
+        rng = random.Random(self.seed * 1000 + number)
+        mean_s = self.length_ms / 1000 * (1 - self.share) / self.share
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / mean_s))
+            target.slow_factor = self.factor
+            await asyncio.sleep(self.length_ms / 1000)
+            target.slow_factor = 1.0
+
+
+class TargetNode:
+    """Holds targets and applies faults to them."""
+
+    def __init__(self):
+        self._targets: list[targets.FakeTarget] = []
+        self._phases: list[asyncio.Task] = []
+
+    async def start(self, settings: list[dict[str, Any]]) -> list[dict]:
+        """Start targets; return their rows for the list of instances."""
+        for item in settings:
+            target = targets.FakeTarget(targets.TargetSettings(**item))
+            await target.start()
+            self._targets.append(target)
+        return self.listing()
+
+    def listing(self) -> list[dict]:
+        """Return the present rows for the list of instances."""
+        return [dataclasses.asdict(t.listing()) for t in self._targets]
+
+    def slow_phases(self, **phases: Any) -> None:
+        """Replace the slow phases; without arguments there are none."""
+        for task in self._phases:
+            task.cancel()
+        self._phases = []
+        for target in self._targets:
+            target.slow_factor = 1.0
+        if phases:
+            plan = SlowPhases(**phases)
+            self._phases = [
+                asyncio.create_task(plan.run(target, number))
+                for number, target in enumerate(self._targets)
+            ]
+
+    def fault(self, number: int, name: str, value: Any = None) -> None:
+        """Apply a fault to a target: set an attribute or call a method."""
+        target = self._targets[number]
+        if name in ("slow_factor", "fail_fast"):
+            setattr(target, name, value)
+        elif name in ("leave", "crash", "silence_connections"):
+            getattr(target, name)()
+        else:
+            raise ValueError(f"unknown fault {name}")
+
+    def check(self, not_run: list[str], once: list[str]) -> dict:
+        """Compare outcomes told to callers with what was run.
+
+        Args:
+            not_run: Prefix-free ids of requests refused as not run.
+            once: Ids of requests that must not run twice.
+        """
+        runs: collections.Counter[str] = collections.Counter()
+        for target in self._targets:
+            for request_id, found in target.runs_by_request_id.items():
+                runs[request_id] += len(found)
+        return {
+            "ran": sum(1 for key in not_run if runs[key]),
+            "runs": {key: runs[key] for key in once if runs[key]},
+        }
+
+    def stats(self) -> dict:
+        """Return counts over all targets."""
+        return {
+            "runs": sum(
+                len(runs)
+                for target in self._targets
+                for runs in target.runs_by_request_id.values()
+            ),
+            "refusals": sum(t.refusals.total() for t in self._targets),
+            "probes": sum(t.probes.requests for t in self._targets),
+            "probe_bytes": sum(t.probes.wire_bytes for t in self._targets),
+            "cpu_s": time.process_time(),
+        }
+
+    def forget(self) -> None:
+        """Drop all recorded runs."""
+        for target in self._targets:
+            target.runs_by_request_id.clear()
+
+
+class CallerNode:
+    """Sends load."""
+
+    async def run(
+        self, settings: dict[str, Any], rate: float, count: int
+    ) -> dict:
+        """Send requests; return counts, ids and the encoded histogram."""
+        async with callers.FakeCaller(
+            callers.CallerSettings(**settings)
+        ) as caller:
+            result = await caller.run(rate, count)
+        return {
+            "served": result.served,
+            "refused": [[*key, n] for key, n in result.refused.items()],
+            "errors": [[*key, n] for key, n in result.errors.items()],
+            "ids_by_outcome": dict(result.ids_by_outcome),
+            "latencies": result.latencies_us.encode().decode(),
+            "duration_s": result.duration_s,
+            "cpu_s": time.process_time(),
+        }
+
+    async def paired(
+        self, settings: dict[str, Any], direct: str, count: int, pause_s: float
+    ) -> dict:
+        """Send each request once directly and once through an entry.
+
+        Returns:
+            Latencies in ms, `direct` and `through`, in the order sent.
+        """
+        direct_ms, through_ms = [], []
+        async with callers.FakeCaller(
+            callers.CallerSettings(**settings)
+        ) as caller:
+            for _ in range(count):
+                answer = await caller.send()
+                through_ms.append(answer.latency_ms)
+                await asyncio.sleep(pause_s)
+                answer = await caller.send(request_id="d.1.1", address=direct)
+                direct_ms.append(answer.latency_ms)
+                await asyncio.sleep(pause_s)
+        return {"direct": direct_ms, "through": through_ms}
+
+
+async def _serve(node: object) -> None:
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=_MAX_LINE_BYTES)
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        command = json.loads(line)
+        method = getattr(node, command.pop("op"))
+        answer = method(**command)
+        if asyncio.iscoroutine(answer):
+            answer = await answer
+        print(json.dumps(answer), flush=True)
+
+
+def main(kind: str) -> None:
+    """Serve commands until the input ends."""
+    # Pauses of the collector would show as latency of the entries.
+    gc.freeze()
+    gc.disable()
+    node = {"targets": TargetNode, "callers": CallerNode}[kind]()
+    asyncio.run(_serve(node))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -26,6 +26,7 @@
 # A request that waits longer asks further dispatchers: the first ones may be
 # slow, cut off or may never have got the message.
 WIDEN_AFTER_MS = 20.0
+REMOTE_HANDICAP_MS = 10.0
 LEASE_GRACE_MS = 1000.0
 TAKE_OVER_WAIT_MS = 100.0
 _MAX_REMOTE_WAITING = 10_000
@@ -98,7 +99,14 @@
     cold: bool = False
 
 
-def _arrival(ticket: Ticket) -> float:
+def _order(ticket: Ticket) -> float:
+    """Return the sort key of waiting requests.
+
+    A slot that goes to a request of the same entry is in use at once, while
+    the grant to a peer takes two hops during which the slot is idle.
+    """
+    if ticket.origin:
+        return ticket.arrived_ms + REMOTE_HANDICAP_MS
     return ticket.arrived_ms
 
 
@@ -106,7 +114,7 @@
     """Waiting requests and targets of one service."""
 
     def __init__(self):
-        self.waiting = sortedcontainers.SortedKeyList(key=_arrival)
+        self.waiting = sortedcontainers.SortedKeyList(key=_order)
         self.state_by_id: dict[str, targets.TargetState] = {}
         self.times = latencies.ServiceTimes()
         self.dispatchers: list[str] = []
@@ -381,7 +389,9 @@
 
     def _ask(self, state: _ServiceState, ticket: Ticket, now_ms: float) -> None:
         """Ask the next dispatchers, those with free slots first."""
-        ticket.widen_ms = now_ms + WIDEN_AFTER_MS
+        # Longer each time: under overload more messages would not help.
+        rounds = 2 ** (len(ticket.asked) // self._fan_out)
+        ticket.widen_ms = now_ms + WIDEN_AFTER_MS * rounds
         asked = 0
         for peer_id in self._ask_order(state, ticket):
             request = messages.SlotRequest(
--- a/slatechute/fakes/caller.py
+++ b/slatechute/fakes/caller.py
@@ -156,13 +156,20 @@
     async def __aexit__(self, *_exc: object) -> None:
         await self._session.close()
 
-    async def run(self, rate: float, count: int) -> Result:
+    async def run(
+        self, rate: float, count: int, *, result: Result | None = None
+    ) -> Result:
         """Send `count` requests at Poisson times, `rate` a second on average.
 
         The times do not depend on the answers, and latencies count from the
         time a request was due, so a slow answer does not hide a queue.
+
+        Args:
+            rate: Requests a second.
+            count: Number of requests.
+            result: Counts into this object, which may be read meanwhile.
         """
-        result = Result()
+        result = Result() if result is None else result
         start = due = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for _ in range(count):
--- a/slatechute/peers/links.py
+++ b/slatechute/peers/links.py
@@ -14,11 +14,11 @@
 import types
 import urllib.parse
 
-import logbook
 from websockets.asyncio import client
 from websockets.asyncio import server
 
 from slatechute import events
+from slatechute import logs
 from slatechute import messages
 from slatechute import settings as settings_module
 from slatechute.peers import authentication
@@ -41,7 +41,7 @@
 _Fault = counters.Fault
 _State = link_module.State
 
-_log = logbook.Logger(__name__)
+_log = logs.get_logger(__name__)
 
 # Any host can make the library log a failed handshake; faults are counted here
 # instead.
@@ -209,7 +209,7 @@
             async with asyncio.timeout(STOP_LIMIT_S / 2):
                 await self._server.wait_closed()
         except TimeoutError:
-            _log.warning("peer server did not close in time")
+            _log.warning("peer_server_stop_late")
         self._server = None
 
     def set_peers(self, addresses_by_entry: Mapping[str, str]) -> None:
@@ -260,10 +260,10 @@
         if len(frame) > messages.MAX_FRAME_BYTES:
             self.metrics.failed(_Fault.OVERSIZED)
             _log.error(
-                "{} of {} bytes for {} is too large",
-                type(message).__name__,
-                len(frame),
-                peer_id,
+                "frame_too_large",
+                peer=peer_id,
+                message=type(message).__name__,
+                size=len(frame),
             )
             return False
         return self._queue(connection, frame)
@@ -312,7 +312,7 @@
         if now_ms - self._next_tick_ms > link_module.SILENCE_LIMIT_MS:
             # This process was paused. What arrived meanwhile is read before or
             # after this call; peers are judged from now on only.
-            _log.warning("paused for {:.0f} ms", now_ms - self._next_tick_ms)
+            _log.warning("process_paused", ms=now_ms - self._next_tick_ms)
             self._awake_since_ms = now_ms
         self._next_tick_ms = now_ms + link_module.HEARTBEAT_MS
         self._timer = asyncio.get_running_loop().call_later(
@@ -332,7 +332,7 @@
         except Exception:
             # Peers regard an entry that cannot describe itself as unreachable.
             self.metrics.failed(_Fault.HEARTBEAT)
-            _log.exception("no heartbeat")
+            _log.exception("heartbeat_failed")
             return
         for connection in targets:
             self._queue(connection, frame)
@@ -401,7 +401,7 @@
         except Exception as err:
             # Whatever is wrong with an address, the dialer has to go on.
             self.metrics.failed(_Fault.CONNECT)
-            _log.debug("cannot connect to {}: {!r}", peer.entry_id, err)
+            _log.debug("connect_failed", peer=peer.entry_id, error=repr(err))
             return
         if connection.link.state is _State.NEW:
             connection.link.open()
@@ -464,7 +464,7 @@
         if connection.link.state is _State.CLOSED:
             return
         self.metrics.failed(fault)
-        _log.debug("link closed, {}: {}", fault, text)
+        _log.debug("link_closed", fault=fault, detail=text)
         self._drop(connection, fault)
 
     def closed(self, connection: connections.PeerConnection) -> None:
@@ -492,7 +492,7 @@
             self._on_message(peer.entry_id, message)
         except Exception:
             self.metrics.failed(_Fault.HANDLER)
-            _log.exception("{} failed", type(message).__name__)
+            _log.exception("handler_failed", message=type(message).__name__)
 
     def _adopt(self, connection: connections.PeerConnection) -> None:
         link = connection.link
@@ -522,7 +522,7 @@
         self._send_heartbeat([connection])
         if is_new:
             peer.heartbeat = None
-            _log.info("peer {} ready, start {}", peer.entry_id, peer.boot_id)
+            _log.debug("link_ready", peer=peer.entry_id, boot_id=peer.boot_id)
             self._bus.emit(events.PeerReady(peer.entry_id))
 
     def _drop(
@@ -548,7 +548,7 @@
 
     def _emit_lost(self, peer: Peer, fault: counters.Fault) -> None:
         peer.state = PeerState.CONNECTING
-        _log.info("peer {} lost: {}", peer.entry_id, fault)
+        _log.debug("link_lost", peer=peer.entry_id, fault=fault)
         self._bus.emit(events.PeerLost(peer.entry_id))
 
 
