Stop endless recursion when a cancelled request is granted a slot

Cause: the dispatcher kept a request queued while it granted it; a caller that was gone returned the slot at once, which served the queue again and granted the same request. The request now leaves the queue first; a test shows the recursion and fails before.

A target on probation is tried again after 100 ms, and one quick exchange ends the probation: a slow phase of 400 ms kept a target out for many seconds. Callers get 8 addresses instead of 4, and a bench node runs 4 callers, so that load does not gather at a few entries.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -42,7 +42,7 @@
 # A new entry waits this long for links to its peers before it dispatches,
 # since without them it would take every target for its own.
 _SETTLE_MS = 500.0
-_MAX_ADDRESSES = 4
+_MAX_ADDRESSES = 8
 _LOAD_POLL_S = 0.5
 
 
--- a/slatechute/benches/node.py
+++ b/slatechute/benches/node.py
@@ -132,23 +132,45 @@
     """Sends load."""
 
     async def run(
-        self, settings: dict[str, Any], rate: float, count: int
+        self,
+        settings: dict[str, Any],
+        rate: float,
+        count: int,
+        callers_count: int = 4,
     ) -> dict:
-        """Send requests; return counts, ids and the encoded histogram."""
-        async with callers.FakeCaller(
-            callers.CallerSettings(**settings)
-        ) as caller:
-            result = await caller.run(rate, count)
+        """Send requests from several callers with addresses of their own.
+
+        Returns:
+            Counts, ids and the encoded histogram of all of them.
+        """
+        total = callers.Result()
+        runs = []
+        for number in range(callers_count):
+            own = {**settings, "seed": settings["seed"] * 100 + number}
+            share = count // callers_count + (number < count % callers_count)
+            runs.append(self._run_one(own, rate / callers_count, share, total))
+        await asyncio.gather(*runs)
         return {
-            "served": result.served,
-            "refused": [[*key, n] for key, n in result.refused.items()],
-            "errors": [[*key, n] for key, n in result.errors.items()],
-            "ids_by_outcome": dict(result.ids_by_outcome),
-            "latencies": result.latencies_us.encode().decode(),
-            "duration_s": result.duration_s,
+            "served": total.served,
+            "refused": [[*key, n] for key, n in total.refused.items()],
+            "errors": [[*key, n] for key, n in total.errors.items()],
+            "ids_by_outcome": dict(total.ids_by_outcome),
+            "latencies": total.latencies_us.encode().decode(),
             "cpu_s": time.process_time(),
         }
 
+    async def _run_one(
+        self,
+        settings: dict[str, Any],
+        rate: float,
+        count: int,
+        total: callers.Result,
+    ) -> None:
+        async with callers.FakeCaller(
+            callers.CallerSettings(**settings)
+        ) as caller:
+            await caller.run(rate, count, result=total)
+
     async def paired(
         self, settings: dict[str, Any], direct: str, count: int, pause_s: float
     ) -> dict:
--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -656,24 +656,23 @@
         """Grant free slots to the oldest requests that can use them."""
         if not state.waiting:
             return
-        served = []
-        for ticket in state.waiting:
+        waiting = state.waiting
+        index = 0
+        while index < len(waiting):
+            ticket = waiting[index]
             chosen = self._best_target(state, ticket, now_ms)
             if chosen is not None:
-                served.append(ticket)
-                self._grant_waiting(ticket, chosen, now_ms)
-            elif not ticket.excluded and not ticket.bulk:
+                # First of all out of the queue: a request that was cancelled
+                # meanwhile returns its slot, which calls this method again.
+                self._remove_ticket(ticket)
+                if not ticket.origin:
+                    self._cancel_asked(ticket)
+                self._grant(ticket, chosen, now_ms)
+            elif ticket.excluded or ticket.bulk:
+                index += 1
+            else:
                 # No slot for an ordinary request: none for younger ones.
-                break
-        for ticket in served:
-            self._remove_ticket(ticket)
-
-    def _grant_waiting(
-        self, ticket: Ticket, chosen: targets.TargetState, now_ms: float
-    ) -> None:
-        if not ticket.origin:
-            self._cancel_asked(ticket)
-        self._grant(ticket, chosen, now_ms)
+                return
 
     def _grant(
         self, ticket: Ticket, chosen: targets.TargetState, now_ms: float
--- a/slatechute/targets.py
+++ b/slatechute/targets.py
@@ -25,7 +25,7 @@
 _EJECT_MS = 1000.0
 _MAX_EJECT_MS = 30_000.0
 # A target on probation is tried again after this time without a request.
-_PROBATION_TRIAL_MS = 1000.0
+_PROBATION_TRIAL_MS = 100.0
 
 
 class TargetState:
@@ -164,10 +164,14 @@
         self._average(service_ms)
         if self._samples < _MIN_SAMPLES:
             return
-        if self.average_ms > _SLOW_FACTOR * median_ms:
+        if self.state == "probation":
+            # One quick exchange ends the probation: slow phases are short, and
+            # an average would need several rare trials to fall.
+            if service_ms < _RECOVERED_FACTOR * median_ms:
+                self._fire("recovered")
+                self.average_ms = service_ms
+        elif self.average_ms > _SLOW_FACTOR * median_ms:
             self._fire("slow")
-        elif self.average_ms < _RECOVERED_FACTOR * median_ms:
-            self._fire("recovered")
 
     def _average(self, service_ms: float) -> None:
         self._samples += 1
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -204,3 +204,25 @@
         ]
         used = _used_by_target(fleet, running)
         assert all(count <= fleet.slots for count in used.values())
+
+
+def test_slot_of_a_cancelled_request_goes_to_the_next_one(monkeypatch):
+    """Guards against granting the same request again within its grant.
+
+    A caller that is gone returns the slot while the dispatcher is serving; the
+    request was still queued then and the two calls recursed without end.
+    """
+    fleet = fleets.Fleet(entries=1, targets=1, slots=1)
+    entry = fleet.entry_by_id["e0"]
+    for number in (1, 2, 3):
+        entry.submit(number)
+    granted = entry.granted
+
+    def return_if_gone(number, lease):
+        granted(number, lease)
+        if number == 2:
+            entry.finish(number, leases.Result.UNUSED)
+
+    monkeypatch.setattr(entry, "granted", return_if_gone)
+    entry.finish(1)
+    assert 3 in entry.lease_by_number
