Take ports of local fleets outside the ephemeral range

Cause: free_address bound port 0 and closed the socket, so an outgoing connection could get the port before the entry bound it. Ports now come from 10000 to 32000, below the range of outgoing connections here (32768 to 60999), each once in a process.

--- a/slatechute/fakes/local_fleet.py
+++ b/slatechute/fakes/local_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import socket
 
 from slatechute import application
@@ -19,11 +20,29 @@
 _READY_LIMIT_S = 10.0
 
 
+# Below the range from which the system takes the ports of outgoing connections:
+# one of those could take the port before the server binds it.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_given_ports: set[int] = set()
+
+
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address whose port is free now.
+
+    An address is given out once in a process.
+    """
+    while True:
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def target_settings(
