Print bench results as valid JSON

Cause: Command.print replaces control characters, and so the line ends of indented JSON, by '?'. bench dispatch gave text that no JSON parser reads.

--- a/slatechute/commands/base.py
+++ b/slatechute/commands/base.py
@@ -1,6 +1,8 @@
 """Behaviour that the commands share."""
 
 import enum
+import json
+from typing import Any
 
 from cleo.commands import command as cleo_command
 from cleo.io.outputs import output
@@ -37,6 +39,12 @@
         shown = "".join(c if c.isprintable() else "?" for c in text)
         self.io.write_line(shown, type=output.Type.RAW)
 
+    def print_json(self, value: Any) -> None:
+        """Write a value as indented JSON."""
+        # `print` replaces line ends, like all control characters.
+        for line in json.dumps(value, indent=1).splitlines():
+            self.print(line)
+
     def print_columns(self, rows: list[list[str]]) -> None:
         """Write rows as aligned columns."""
         widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
