Add the command bench spread

Measures on entry processes the time from publishing a change to being in force at the last host, the same with one working reader, and platform calls, CPU and bytes at several sizes. Times come from log lines: each line now has the monotonic time of the host, which all processes of a machine share. FakePlatform gets replicas with the same documents and faults of their own, so that some readers see an old revision or no answer to a watch.

--- a/slatechute/benches/processes.py
+++ b/slatechute/benches/processes.py
@@ -1,6 +1,7 @@
 """Fleet of real processes for the benches: entries, targets and callers."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import json
 import os
@@ -84,13 +85,30 @@
         data_centre: Its data centre.
     """
 
-    def __init__(self, entry_id: str, data_centre: str, flags: dict[str, str]):
+    def __init__(
+        self,
+        entry_id: str,
+        data_centre: str,
+        flags: dict[str, str],
+        on_log: Callable[[dict[str, Any]], None] | None = None,
+    ):
+        """Prepare a process.
+
+        Args:
+            entry_id: Id of the entry.
+            data_centre: Its data centre.
+            flags: Further flags of `slatechute entry`.
+            on_log: Receives each log line; without it the lines go to the
+                standard error of this process.
+        """
         self.entry_id = entry_id
         self.data_centre = data_centre
         self.address = local_fleet.free_address()
         self.peer_address = local_fleet.free_address()
         self.admin_address = local_fleet.free_address()
         self._flags = flags
+        self._on_log = on_log
+        self._reader: asyncio.Task | None = None
         self._process: asyncio.subprocess.Process | None = None
 
     @property
@@ -127,7 +145,13 @@
             "entry",
             *arguments,
             env=environment,
+            stderr=subprocess.PIPE if self._on_log else None,
+            limit=_MAX_LINE_BYTES,
         )
+        if self._on_log is not None:
+            self._reader = asyncio.create_task(
+                _read_log(self._process.stderr, self._on_log)
+            )
 
     def signal(self, number: signal.Signals) -> None:
         """Send the process a signal."""
@@ -150,6 +174,8 @@
                 self._process.send_signal(signal.SIGCONT)
                 self._process.kill()
         await self.wait()
+        if self._reader is not None:
+            await self._reader
 
     async def get(self, session: aiohttp.ClientSession, path: str) -> str:
         """Return the text of a page of the admin server."""
@@ -162,10 +188,13 @@
 
         Raises:
             TimeoutError: It is not ready in time.
+            ChildProcessError: The process has ended.
         """
         url = f"http://{self.admin_address}/ready"
         async with asyncio.timeout(_READY_S):
             while True:
+                if self._process.returncode is not None:
+                    raise ChildProcessError(f"{self.entry_id} has ended")
                 with contextlib.suppress(aiohttp.ClientError):
                     async with session.get(url) as response:
                         if response.status == 200:
@@ -173,6 +202,19 @@
                 await asyncio.sleep(_POLL_S)
 
 
+async def _read_log(
+    stream: asyncio.StreamReader, on_log: Callable[[dict[str, Any]], None]
+) -> None:
+    while line := await stream.readline():
+        try:
+            content = json.loads(line)
+        except ValueError:
+            # A traceback of the interpreter, not a log line.
+            sys.stderr.write(line.decode(errors="replace"))
+        else:
+            on_log(content)
+
+
 class ProcessFleet:
     """Platform in this process; entries, targets and callers in others.
 
--- /dev/null
+++ b/slatechute/commands/bench_spread.py
@@ -0,0 +1,88 @@
+"""Command `slatechute bench spread`."""
+
+import asyncio
+import json
+from typing import ClassVar
+
+from cleo import helpers
+from cleo.io.inputs import option
+
+from slatechute import errors
+from slatechute.benches import spread
+from slatechute.commands import base
+
+__all__ = ["BenchSpreadCommand"]
+
+
+class BenchSpreadCommand(base.Command):
+    """Measures how fast and at what cost configuration spreads."""
+
+    name = "bench spread"
+    description = "Measure the distribution of configuration on real processes."
+    help = """\
+Starts entries over 4 data centres as processes on loopback. `propagation`
+measures the time from publishing a change to the last host that has it in
+force, `stale` the same with one working reader, `calls` the calls of the
+platform and the overhead of control at several sizes. Prints progress on
+standard error and the results as JSON.
+
+Exit status: 0 when the bench has run; 2 when an option cannot be used."""
+    options: ClassVar[list[option.Option]] = [
+        helpers.option(
+            "only",
+            None,
+            "Parts, by commas.",
+            flag=False,
+            default=",".join(spread.PARTS),
+        ),
+        helpers.option(
+            "entries",
+            None,
+            "Entry processes for changes.",
+            flag=False,
+            default="18",
+        ),
+        helpers.option(
+            "sizes",
+            None,
+            "Entry processes for calls, by commas.",
+            flag=False,
+            default="3,9,18",
+        ),
+        helpers.option("changes", None, "Changes.", flag=False, default="50"),
+        helpers.option(
+            "seconds", None, "Length of a window.", flag=False, default="25"
+        ),
+        helpers.option("seed", None, "Seed.", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Run the bench.
+
+        Raises:
+            errors.SettingsError: An option cannot be used.
+        """
+        try:
+            plan = spread.Plan(
+                tuple(str(self.option("only")).split(",")),
+                int(self.option("entries")),
+                tuple(int(x) for x in str(self.option("sizes")).split(",")),
+                int(self.option("changes")),
+                float(self.option("seconds")),
+                int(self.option("seed")),
+            )
+        except ValueError as error:
+            raise errors.SettingsError(str(error)) from None
+        unknown = set(plan.only) - set(spread.PARTS)
+        if unknown:
+            raise errors.SettingsError(f"no part {sorted(unknown)}")
+        if not all(1 <= size <= 64 for size in (plan.entries, *plan.sizes)):
+            raise errors.SettingsError("entries or sizes out of range")
+        if not 1 <= plan.changes <= 500 or not 1 <= plan.seconds <= 120:
+            raise errors.SettingsError("changes or seconds out of range")
+        bench = spread.SpreadBench(plan, self._report)
+        self.print_json(asyncio.run(bench.run()))
+        return base.ExitStatus.OK
+
+    def _report(self, result: dict) -> None:
+        self.line_error(json.dumps(result))
--- a/slatechute/fakes/platform.py
+++ b/slatechute/fakes/platform.py
@@ -53,16 +53,33 @@
         calls: Calls received; a waiting watch is one call.
         lag_ms: Delay between `set_entries` or `set_targets` and publication.
         latency_ms: Delay of each response.
+        is_watch_silent: Whether watches end without news; reads still answer.
     """
 
-    def __init__(self, *, lag_ms: float = 0.0):
+    def __init__(
+        self, *, lag_ms: float = 0.0, origin: "FakePlatform | None" = None
+    ):
+        """Create a platform.
+
+        Args:
+            lag_ms: Delay between `set_entries` or `set_targets` and
+                publication.
+            origin: Platform whose documents this one serves too, so that some
+                clients can see faults that others do not.
+        """
         self.url = ""
         self.calls = 0
         self.lag_ms = lag_ms
         self.latency_ms = 0.0
+        self.is_watch_silent = False
         self._down = False
         self._stale = 0
+        self._frozen_by_name: dict[str, base.Document] | None = None
+        self._replicas: list[FakePlatform] = []
         self._history_by_name: dict[str, collections.deque[base.Document]] = {}
+        if origin is not None:
+            self._history_by_name = origin._history_by_name
+            origin._replicas.append(self)
         self._changed = asyncio.Event()
         self._call_times: collections.deque[float] = collections.deque(
             maxlen=_CALLS_KEPT
@@ -92,6 +109,25 @@
         self._stale = int(value)
         self._wake_watches()
 
+    @property
+    def frozen(self) -> bool:
+        """Whether the documents of the moment it was set are served."""
+        return self._frozen_by_name is not None
+
+    @frozen.setter
+    def frozen(self, value: bool) -> None:
+        if value != self.frozen:
+            self._frozen_by_name = (
+                {name: h[-1] for name, h in self._history_by_name.items()}
+                if value
+                else None
+            )
+            self._wake_watches()
+
+    def calls_since(self, start: float) -> list[float]:
+        """Return the times of the calls after a time of `time.monotonic`."""
+        return [at for at in self._call_times if at >= start]
+
     def calls_per_second(self, window_s: float = 1.0) -> float:
         """Return the rate of calls over the last `window_s`."""
         start = time.monotonic() - window_s
@@ -196,6 +232,8 @@
         return history[-1].text_by_part if history else None
 
     def _served(self, name: str) -> base.Document | None:
+        if self._frozen_by_name is not None:
+            return self._frozen_by_name.get(name)
         history = self._history_by_name.get(name)
         if not history:
             return None
@@ -204,6 +242,8 @@
     def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+        for replica in self._replicas:
+            replica._wake_watches()
 
     async def _next(
         self, name: str, after: int, wait_s: float
@@ -211,7 +251,11 @@
         deadline = time.monotonic() + wait_s
         while not self._down:
             document = self._served(name)
-            if document is not None and document.revision > after:
+            if (
+                document is not None
+                and document.revision > after
+                and not self.is_watch_silent
+            ):
                 return document
             try:
                 async with asyncio.timeout(deadline - time.monotonic()):
--- a/slatechute/logs.py
+++ b/slatechute/logs.py
@@ -38,7 +38,7 @@
 # data; its oldest window is then dropped to bound the memory.
 _MAX_WINDOWS = 256
 
-_RESERVED = frozenset({"time", "level", "logger", "event"})
+_RESERVED = frozenset({"time", "monotonic_s", "level", "logger", "event"})
 
 
 class _Window:
@@ -159,6 +159,9 @@
     del handler
     content = {
         "time": record.time.isoformat(timespec="milliseconds") + "Z",
+        # Orders the lines of all processes of a host, also when its clock is
+        # set.
+        "monotonic_s": round(time.monotonic(), 4),
         "level": record.level_name.lower(),
         "logger": record.channel,
         "event": record.message,
--- /dev/null
+++ b/tests/commands/test_bench_spread.py
@@ -0,0 +1,35 @@
+"""Tests of `slatechute bench spread` without processes."""
+
+import json
+
+import pytest
+
+from slatechute import __main__ as program
+from slatechute.benches import spread
+
+
+def test_result_is_json(monkeypatch, capsys):
+    """Line ends replaced like other control characters break the output."""
+
+    async def run(self):
+        return {"only": self._plan.only, "seed": self._plan.seed}
+
+    monkeypatch.setattr(spread.SpreadBench, "run", run)
+    assert program.main(["bench", "spread", "--only=stale", "--seed=3"]) == 0
+    shown = json.loads(capsys.readouterr().out)
+    assert shown == {"only": ["stale"], "seed": 3}
+
+
+@pytest.mark.parametrize(
+    "argument", ["--only=x", "--sizes=0", "--changes=many", "--seconds=1e9"]
+)
+def test_unusable_option(argument, capsys):
+    """A typing error must not start processes."""
+    assert program.main(["bench", "spread", argument]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_peak_counts_calls_within_a_second():
+    """Guards against bursts hidden by windows with fixed bounds."""
+    assert spread._peak([0.9, 1.1, 1.8, 1.95, 4.0]) == 3
+    assert spread._peak([]) == 0
--- a/tests/fakes/test_platform.py
+++ b/tests/fakes/test_platform.py
@@ -62,6 +62,36 @@
     _with_platform(scenario)
 
 
+def test_replica_shows_faults_of_its_own():
+    """Guards against a fault for some clients that all clients see."""
+
+    async def scenario(fake, reader):
+        fake.publish("configuration", {"x": "a"})
+        frozen, silent = (platform.FakePlatform(origin=fake) for _ in "ab")
+        async with aiohttp.ClientSession() as session:
+            await frozen.start()
+            await silent.start()
+            old = http.HttpPlatform(frozen.url, session)
+            quiet = http.HttpPlatform(silent.url, session)
+            frozen.frozen = silent.is_watch_silent = True
+            watch = asyncio.create_task(reader.watch("configuration", 1, 5))
+            await asyncio.sleep(0.05)
+            fake.publish("configuration", {"x": "b"})
+            assert (await watch).revision == 2
+            assert (await old.read("configuration")).revision == 1
+            assert await old.watch("configuration", 1, 0.05) is None
+            assert await quiet.watch("configuration", 1, 0.05) is None
+            assert (await quiet.read("configuration")).revision == 2
+            watch = asyncio.create_task(old.watch("configuration", 1, 5))
+            await asyncio.sleep(0.05)
+            frozen.frozen = False
+            assert (await watch).revision == 2
+            await frozen.stop()
+            await silent.stop()
+
+    _with_platform(scenario)
+
+
 def test_calls_are_counted_by_time():
     """Guards against rates that count calls outside of the window."""
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,6 +4,7 @@
 import io
 import json
 import logging
+import time
 
 import pytest
 
@@ -31,6 +32,7 @@
     )
     (line,) = _lines(stream)
     assert line.pop("time").endswith("Z")
+    assert 0 < line.pop("monotonic_s") <= time.monotonic()
     assert line == {
         "level": "warning",
         "logger": "fields",
