--- a/slatechute/fakes/local_fleet.py
+++ b/slatechute/fakes/local_fleet.py
@@ -1,10 +1,9 @@
 """A whole fleet in one process: platform, targets and entries on loopback."""
 
 import asyncio
-import contextlib
 import dataclasses
 import json
-import secrets
+import random
 import socket
 
 from slatechute import application
@@ -18,27 +17,32 @@
 
 FLEET_KEY = "loopback-fleet-key"
 _LISTING_S = 0.05
-# Below the ports that Linux gives to outgoing connections.
-_LISTEN_PORTS = range(12_000, 32_000)
-# Ports returned so far: their users may not listen yet.
-_given_ports: set[int] = set()
 _READY_LIMIT_S = 10.0
 
 
+# Below the range from which the system takes the ports of outgoing connections:
+# one of those could take the port before the server binds it.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_given_ports: set[int] = set()
+
+
 def free_address() -> str:
     """Return a loopback address whose port is free now.
 
-    Ports that the operating system chooses are also given to outgoing
-    connections, which then take them before the caller listens.
+    An address is given out once in a process.
     """
     while True:
-        port = secrets.choice(_LISTEN_PORTS)
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
         if port in _given_ports:
             continue
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            _given_ports.add(port)
-            return f"127.0.0.1:{port}"
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def target_settings(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -29,7 +29,7 @@
         field = option.name.replace("-", "_")
         assert len(settings_module.help_text(field)) > 15, field
         assert settings_module.environment_name(field) in option.description
-    assert "default 3" in {o.name: o for o in options}["fan-out"].description
+    assert "default 6" in {o.name: o for o in options}["fan-out"].description
 
 
 def test_flag_wins_over_environment_and_default(monkeypatch):
