Return a slot that nobody takes in the next turn of the loop

Under overload an entry answered 500 and lost slots for good. A request whose wait was cancelled, but whose task had not run yet, was granted a slot; the policy gave it back at once, from inside the dispatcher's loop over the waiting requests, which granted it to the same request again until the recursion limit.

Ruled out: target connections, quarantine and ejections (counters at zero). The new test raises RecursionError without the change.

--- a/slatechute/policies/owner.py
+++ b/slatechute/policies/owner.py
@@ -108,7 +108,11 @@
         """Give a waiting request of this entry its slot."""
         future = self._future_by_number.get(number)
         if future is None or future.done():
-            self.release(lease, leases.Result.UNUSED, 0.0)
+            # Not at once: the dispatcher is still serving the waiting requests
+            # and would grant the freed slot to this one again, without end.
+            asyncio.get_running_loop().call_soon(
+                self.release, lease, leases.Result.UNUSED, 0.0
+            )
         else:
             future.set_result(lease)
 
