Add the bench of what an entry adds to a call

Three entries, four targets and callers as processes; each call is sent once to a target and once through an entry, with the slot local or leased.

--- a/slatechute/benches/node.py
+++ b/slatechute/benches/node.py
@@ -150,25 +150,112 @@
         }
 
     async def paired(
-        self, settings: dict[str, Any], direct: str, count: int, pause_s: float
+        self,
+        settings: dict[str, Any],
+        direct: str,
+        count: int,
+        pause_s: float,
+        entry: str | None = None,
     ) -> dict:
         """Send each request once directly and once through an entry.
 
+        Args:
+            settings: Settings of the caller.
+            direct: Address of a target.
+            count: Number of pairs.
+            pause_s: Pause after each call.
+            entry: Address of the entry; one that the fleet names when None.
+
         Returns:
-            Latencies in ms, `direct` and `through`, in the order sent.
+            Latencies in ms, `direct` and `through`, in the order sent, and the
+            number of calls that were not `served`.
         """
         direct_ms, through_ms = [], []
+        not_served = 0
+        through_id = None if entry is None else "d.1.1"
         async with callers.FakeCaller(
             callers.CallerSettings(**settings)
         ) as caller:
             for _ in range(count):
-                answer = await caller.send()
+                answer = await caller.send(request_id=through_id, address=entry)
                 through_ms.append(answer.latency_ms)
+                not_served += answer.outcome != "served"
                 await asyncio.sleep(pause_s)
                 answer = await caller.send(request_id="d.1.1", address=direct)
                 direct_ms.append(answer.latency_ms)
+                not_served += answer.outcome != "served"
                 await asyncio.sleep(pause_s)
-        return {"direct": direct_ms, "through": through_ms}
+        return {
+            "direct": direct_ms,
+            "through": through_ms,
+            "not_served": not_served,
+        }
+
+    async def closed_loop(
+        self,
+        settings: dict[str, Any],
+        entry: str,
+        workers: int,
+        seconds: float,
+    ) -> dict:
+        """Send requests one after the other from several workers.
+
+        Args:
+            settings: Settings of the caller.
+            entry: Address of the entry.
+            workers: Number of requests in flight.
+            seconds: Length of the run.
+
+        Returns:
+            Counts of the answers by outcome, and the median latency.
+        """
+        answers: list[callers.Answer] = []
+        end = time.monotonic() + seconds
+
+        async def work(caller: callers.FakeCaller) -> None:
+            while time.monotonic() < end:
+                answers.append(
+                    await caller.send(request_id="d.1.1", address=entry)
+                )
+
+        async with callers.FakeCaller(
+            callers.CallerSettings(**settings)
+        ) as caller:
+            await asyncio.gather(*(work(caller) for _ in range(workers)))
+        return _counts(answers)
+
+    async def open_loop(
+        self, settings: dict[str, Any], entry: str, rate: float, count: int
+    ) -> dict:
+        """Send requests to one entry at Poisson times.
+
+        Returns:
+            Counts of the answers by outcome, and the median latency.
+        """
+        rng = random.Random(settings["seed"])
+        due = time.monotonic()
+        tasks = []
+        async with callers.FakeCaller(
+            callers.CallerSettings(**settings)
+        ) as caller:
+            for _ in range(count):
+                due += rng.expovariate(rate)
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                call = caller.send(request_id="d.1.1", address=entry, due=due)
+                tasks.append(asyncio.create_task(call))
+            return _counts(await asyncio.gather(*tasks))
+
+
+def _counts(answers: list[callers.Answer]) -> dict:
+    outcomes = collections.Counter(
+        answer.outcome
+        if answer.outcome == "served"
+        else f"{answer.outcome} {answer.detail} {answer.status}"
+        for answer in answers
+    )
+    latencies_ms = sorted(answer.latency_ms for answer in answers)
+    median_ms = latencies_ms[len(latencies_ms) // 2] if latencies_ms else 0.0
+    return {"outcomes": dict(outcomes), "median_ms": median_ms}
 
 
 async def _serve(node: object) -> None:
--- a/slatechute/benches/processes.py
+++ b/slatechute/benches/processes.py
@@ -194,6 +194,7 @@
         seed: int = 1,
         extra_files: dict[str, str] | None = None,
         target_processes: int = 2,
+        fixed_work: bool = False,
     ):
         self.deployment = deployment
         self.platform = platforms.FakePlatform()
@@ -208,6 +209,7 @@
         self._seed = seed
         self._extra_files = extra_files or {}
         self._target_processes = target_processes
+        self._fixed_work = fixed_work
         self._started = 0
         self._stack = contextlib.AsyncExitStack()
 
@@ -286,6 +288,7 @@
                 )
                 settings.append(
                     {name: getattr(item, name) for name in item.__slots__}
+                    | {"fixed_work": self._fixed_work}
                 )
             rows += await node.call("start", settings=settings)
         self.rows_by_service[size.name] = rows
