Hold bytes and connects in the fault proxy, and shed in the fake target

Tests of the fault matrix have to place a request at a chosen step: partly written, connecting, or with an answer partly read. Latency cannot do that, since it delays whole chunks and never stops a stream at a byte.

Ruled out: a second proxy for tests only; the bench needs the same faults.

--- a/slatechute/benches/node.py
+++ b/slatechute/benches/node.py
@@ -85,7 +85,7 @@
     def fault(self, number: int, name: str, value: Any = None) -> None:
         """Apply a fault to a target: set an attribute or call a method."""
         target = self._targets[number]
-        if name in ("slow_factor", "fail_fast"):
+        if name in ("slow_factor", "fail_fast", "shedding"):
             setattr(target, name, value)
         elif name in ("leave", "crash", "silence_connections"):
             getattr(target, name)()
--- a/slatechute/fakes/target.py
+++ b/slatechute/fakes/target.py
@@ -23,6 +23,7 @@
     "TargetSettings",
     "answer_chunks",
     "hold_port",
+    "listening_socket",
 ]
 
 ANSWER_DIGEST_HEADER = "X-Answer-Digest"
@@ -123,6 +124,7 @@
         address: Host and port, known after `start`.
         slow_factor: Factor of all work times.
         fail_fast: Whether requests fail with 500 at once, without a slot.
+        shedding: Whether requests are refused as not run.
         leaving: Whether new requests are refused.
         runs_by_request_id: All runs, over all instances.
         refusals: Requests that did not run, by reason.
@@ -139,6 +141,7 @@
         self.address = ""
         self.slow_factor = 1.0
         self.fail_fast = False
+        self.shedding = False
         self.leaving = False
         self.left = 0.0
         self.runs_by_request_id: dict[str, list[Run]] = {}
@@ -277,6 +280,8 @@
         if self.leaving:
             self.arrivals_while_leaving.append(time.monotonic())
             return await self._refuse(request, "leaving")
+        if self.shedding:
+            return await self._refuse(request, "shedding")
         if self.fail_fast:
             self._record(request, 0.0).end("failed")
             return await self._send(request, 500, headers, b"failed")
@@ -402,6 +407,15 @@
     return holder
 
 
+def listening_socket(host: str, port: int, *, backlog: int) -> socket.socket:
+    """Return a socket that listens on a held port and accepts nothing."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind((host, port))
+    listener.listen(backlog)
+    return listener
+
+
 class _Instance:
     """State that a crash loses."""
 
--- a/slatechute/fakes/tcp_proxy.py
+++ b/slatechute/fakes/tcp_proxy.py
@@ -25,6 +25,7 @@
             stays silent for good, since its stream has a gap.
         cut_after_bytes: Each connection is closed at both ends as soon as
             this many bytes have passed since it was opened.
+        hold_after_bytes: Set by `FaultProxy.hold`.
         bytes_forwarded: Bytes passed on.
         bytes_swallowed: Bytes dropped.
     """
@@ -32,6 +33,7 @@
     latency_ms: float = 0.0
     silent: bool = False
     cut_after_bytes: int | None = None
+    hold_after_bytes: int | None = None
     bytes_forwarded: int = 0
     bytes_swallowed: int = 0
 
@@ -54,12 +56,19 @@
         self._links: set[_Link] = set()
         self._listener: asyncio.Server | None = None
         self._port_holder: socket.socket | None = None
+        self._hanging: list[socket.socket] = []
+        self._released = asyncio.Event()
 
     @property
     def connections(self) -> int:
         """Open connections, also silent ones."""
         return len(self._links)
 
+    @property
+    def holding(self) -> int:
+        """Connections that hold bytes back."""
+        return sum(1 for link in self._links if link.holding)
+
     async def start(self) -> None:
         """Listen on a loopback port chosen by the operating system."""
         self._port_holder = target.hold_port()
@@ -68,6 +77,7 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
+        await self.hang_connects(False)
         await self.refuse(True)
         if self._port_holder is not None:
             self._port_holder.close()
@@ -86,6 +96,46 @@
                 self._accept, host, int(port), reuse_port=True, backlog=1024
             )
 
+    async def hang_connects(self, hang: bool) -> None:
+        """Leave new connections without an answer, or accept them again."""
+        await self.refuse(hang)
+        for sock in self._hanging:
+            sock.close()
+        self._hanging = []
+        if hang:
+            host, port = self.address.split(":")
+            listener = target.listening_socket(host, int(port), backlog=0)
+            self._hanging.append(listener)
+            # The kernel drops the SYN packets of further connections while
+            # the queue of a listener that accepts nothing is full.
+            filler = socket.socket()
+            filler.connect((host, int(port)))
+            self._hanging.append(filler)
+
+    def hold(
+        self, *, to_upstream: int | None = None, to_client: int | None = None
+    ) -> None:
+        """Let that many more bytes pass on each connection, then hold.
+
+        Held bytes are neither lost nor passed on until `release`.
+        """
+        self._released.clear()
+        for direction, limit in (
+            (self.to_upstream, to_upstream),
+            (self.to_client, to_client),
+        ):
+            direction.hold_after_bytes = limit
+            for link in self._links:
+                link.allowed[direction] = limit
+
+    def release(self) -> None:
+        """Pass on what was held and all that follows."""
+        self.to_upstream.hold_after_bytes = None
+        self.to_client.hold_after_bytes = None
+        for link in self._links:
+            link.allowed.clear()
+        self._released.set()
+
     def reset(self) -> None:
         """Reset all present connections at both ends."""
         for link in self._links:
@@ -138,7 +188,10 @@
             ):
                 chunks = asyncio.Queue(_CHUNKS_IN_FLIGHT)
                 group.create_task(_receive(source, chunks, direction))
-                group.create_task(_deliver(link, chunks, sink, direction))
+                link.allowed[direction] = direction.hold_after_bytes
+                group.create_task(
+                    _deliver(link, chunks, sink, direction, self._released)
+                )
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -146,6 +199,10 @@
     task: asyncio.Task
     writers: list[asyncio.StreamWriter]
     silent: set[Direction] = dataclasses.field(default_factory=set)
+    allowed: dict[Direction, int | None] = dataclasses.field(
+        default_factory=dict
+    )
+    holding: bool = False
 
     def abort(self) -> None:
         for writer in self.writers:
@@ -172,12 +229,26 @@
     chunks: asyncio.Queue,
     sink: asyncio.StreamWriter,
     direction: Direction,
+    released: asyncio.Event,
 ) -> None:
     passed = 0
     while True:
         due, data = await chunks.get()
         if due > time.monotonic():
             await asyncio.sleep(due - time.monotonic())
+        allowed = link.allowed.get(direction)
+        if allowed is not None:
+            head, data = data[:allowed], data[allowed:]
+            link.allowed[direction] = allowed - len(head)
+            if head:
+                passed += len(head)
+                direction.bytes_forwarded += len(head)
+                sink.write(head)
+            if not data and head:
+                continue
+            link.holding = True
+            await released.wait()
+            link.holding = False
         if direction.silent or direction in link.silent:
             link.silent.add(direction)
             direction.bytes_swallowed += len(data)
--- a/tests/fakes/test_tcp_proxy.py
+++ b/tests/fakes/test_tcp_proxy.py
@@ -193,3 +193,35 @@
         assert len(await asyncio.wait_for(reader.read(), 2)) == 1500
 
     _with_proxy(scenario)
+
+
+def test_held_bytes_pass_after_release():
+    """Tests place a request at a step by what has passed so far."""
+
+    async def scenario(proxy, connect, received):
+        kept = await connect()
+        assert await _echo(kept, b"warm") == b"warm"
+        proxy.hold(to_upstream=3)
+        kept[1].write(b"abcdef")
+        await asyncio.sleep(0.05)
+        assert b"".join(received) == b"warmabc"
+        assert proxy.holding == 1
+        proxy.release()
+        assert await asyncio.wait_for(kept[0].readexactly(6), 2) == b"abcdef"
+        assert proxy.holding == 0
+
+    _with_proxy(scenario)
+
+
+def test_new_connections_can_hang():
+    """A host that drops packets must not look like one that refuses."""
+
+    async def scenario(proxy, connect, received):
+        await proxy.hang_connects(True)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await connect()
+        await proxy.hang_connects(False)
+        assert await _echo(await connect(), b"again") == b"again"
+
+    _with_proxy(scenario)
