Keep 'may have run' over all attempts of a request

Cause: the outcome told to the caller was that of the last attempt only. A repeatable request whose first attempt ran and lost its connection was told 'not run' when its retry did not connect, waited in vain, was refused by the quarantine, or when the hedge beside it had run. Found by reading and by the cell crash-written of the fault matrix (quarantined, not-run, 2 runs).

Ruled out: a request that must not run twice is not concerned, since it is never sent again after an unknown outcome.

Before: three new tests in tests/test_execution.py fail with 'not-run' after one or two runs. After: all pass. Strikes of failed hedges now count as well; they were dropped, so a crash could reach a third target.

Conclusion: an attempt's doubt is now kept until the request ends.

--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -127,3 +127,20 @@
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
         self.status = status
+
+    def after(self, may_have_run: bool) -> "RequestError":
+        """Return the error of a request of which earlier attempts are known.
+
+        Args:
+            may_have_run: Whether any attempt may have run.
+        """
+        if not may_have_run or self.outcome is Outcome.UNKNOWN:
+            return self
+        return RequestError(
+            self.reason,
+            self.step,
+            self.peer,
+            outcome=Outcome.UNKNOWN,
+            retry_after_ms=self.retry_after_ms,
+            status=self.status,
+        )
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -81,6 +81,7 @@
         retries.add()
         hedges.add()
         excluded: set[str] = set()
+        may_have_run = False
         attempt = 1
         while True:
             run = Attempt(self, request, frozenset(excluded))
@@ -89,14 +90,16 @@
                     return await self._run_hedged(run, hedges)
                 return await self._run(run)
             except _AttemptError as failure:
-                self._note_failure(request, failure)
-                if failure.target_id:
-                    excluded.add(failure.target_id)
-                if not self._may_retry(request, failure, attempt, retries):
-                    if failure.answered is not None:
-                        return failure.answered
-                    raise failure.error from failure
+                may_have_run = may_have_run or failure.may_have_run
+                excluded |= failure.target_ids
+                error = self._reason_to_end(request, failure, attempt, retries)
+                if error is failure.error and failure.answered is not None:
+                    return failure.answered
                 failure.discard()
+                if error is not None:
+                    # An earlier attempt may have run although the last one
+                    # certainly did not.
+                    raise error.after(may_have_run) from failure
             attempt += 1
 
     def _budget(
@@ -124,39 +127,43 @@
                 retry_after_ms=int(remaining_ms),
             )
 
-    def _may_retry(
+    def _reason_to_end(
         self,
         request: requests.Request,
         failure: "_AttemptError",
         attempt: int,
         retries: budgets.RatioBudget,
-    ) -> bool:
+    ) -> errors.RequestError | None:
+        """Return the error to end with, None when there is a next attempt."""
         if failure.error.step is errors.Step.WAITING:
-            return False
-        not_run = failure.error.outcome is errors.Outcome.NOT_RUN
-        if not not_run and not request.rule.repeatable:
-            return False
+            return failure.error
+        if failure.may_have_run and not request.rule.repeatable:
+            return failure.error
         # An upstream hop that already sends again leaves it at that, so that
         # retries do not multiply with the depth of calls.
         if request.attempt > 0 or attempt >= _MAX_ATTEMPTS:
-            return False
+            return failure.error
         if self._clock.now_ms() >= request.deadline_ms:
-            return False
-        self._check_quarantine(request)
+            return failure.error
+        try:
+            self._check_quarantine(request)
+        except errors.RequestError as error:
+            return error
         if not retries.take():
-            return False
+            return failure.error
         self._counters.retried(failure.error.reason)
-        return True
+        return None
 
-    def _note_failure(
+    def _note_crash(
         self, request: requests.Request, failure: "_AttemptError"
     ) -> None:
         if not failure.crashed:
             return
         key = request.fingerprint
         now_ms = self._clock.now_ms()
-        self.quarantine.strike(key, failure.target_id, now_ms)
-        self._announce(messages.CrashStrike(key, failure.target_id))
+        for target_id in failure.target_ids:
+            self.quarantine.strike(key, target_id, now_ms)
+            self._announce(messages.CrashStrike(key, target_id))
 
     # One attempt.
 
@@ -167,6 +174,9 @@
         try:
             async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
                 return await run.execute()
+        except _AttemptError as failure:
+            self._note_crash(request, failure)
+            raise
         except TimeoutError as err:
             raise run.failed(
                 errors.Reason.DEADLINE, leases.Result.CANCELLED, status=504
@@ -190,6 +200,8 @@
                 hedge = Attempt(self, run.request, excluded)
                 tasks.append(asyncio.ensure_future(self._run(hedge)))
             kept = await _first_success(tasks)
+            if kept.exception() is not None:
+                _merge_failures(tasks)
             return await kept
         finally:
             for task in tasks:
@@ -211,6 +223,16 @@
     return tasks[0]
 
 
+def _merge_failures(tasks: list[asyncio.Task]) -> None:
+    """Let the failure of the first task speak for all of them."""
+    first, *others = (task.exception() for task in tasks)
+    if isinstance(first, _AttemptError):
+        for other in others:
+            if isinstance(other, _AttemptError):
+                first.may_have_run = first.may_have_run or other.may_have_run
+                first.target_ids |= other.target_ids
+
+
 def _drop_result(task: asyncio.Task) -> None:
     if task.cancelled():
         return
@@ -226,7 +248,8 @@
 
     Attributes:
         error: What the caller would get.
-        target_id: Target concerned, empty when there was none.
+        target_ids: Targets concerned.
+        may_have_run: Whether the attempt, or one beside it, may have run.
         crashed: Whether the target died while it ran the request.
         answered: Attempt to pass on when there is no further one.
     """
@@ -241,7 +264,8 @@
     ):
         super().__init__(str(error))
         self.error = error
-        self.target_id = target_id
+        self.target_ids = {target_id} if target_id else set()
+        self.may_have_run = error.outcome is not errors.Outcome.NOT_RUN
         self.crashed = crashed
         self.answered = answered
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -213,6 +213,51 @@
     asyncio.run(main())
 
 
+def test_crash_that_ran_is_not_told_as_not_run():
+    """Guards against "not run" by the quarantine for a request that ran."""
+
+    async def main():
+        async with _setup(count=4) as setup:
+            crash = [("X-Crash", "1")]
+            error = await _error(setup, setup.request(1, headers=crash))
+            assert setup.runs(1) == 2
+            assert error.reason is errors.Reason.QUARANTINED
+            assert error.outcome is errors.Outcome.UNKNOWN
+
+    asyncio.run(main())
+
+
+def test_failed_connect_after_a_run_is_unknown():
+    """Guards against "not run" when only the last attempt did not run."""
+
+    async def main():
+        async with _setup(count=3) as setup:
+            setup.proxies[0].to_client.cut_after_bytes = 10
+            await setup.proxies[1].refuse(True)
+            await setup.proxies[2].refuse(True)
+            error = await _error(setup, setup.request(1))
+            assert setup.runs(1) == 1
+            assert error.outcome is errors.Outcome.UNKNOWN
+
+    asyncio.run(main())
+
+
+def test_run_of_a_failed_hedge_is_unknown():
+    """Guards against "not run" when the attempt beside it may have run."""
+
+    async def scenario(setup):
+        # The first attempt is shed after its hedge has been cut.
+        setup.targets[0].shedding = True
+        setup.proxies[0].to_client.latency_ms = 100
+        setup.proxies[1].to_client.cut_after_bytes = 10
+        setup.executor.set_rules(models.FleetRules(retry_ratio=0))
+        error = await _error(setup, setup.request(1))
+        assert setup.runs(1) == 1
+        assert error.outcome is errors.Outcome.UNKNOWN
+
+    _run(scenario)
+
+
 def test_retries_stay_in_their_budget():
     """Guards against retries that multiply the load on failing targets."""
 
