Give requests on silent connections a second exchange in time

Cause: an entry whose hedge budget was spent left a repeatable request on a silent connection until its deadline, and a hedge or retry could be sent on another kept connection that was silent too. The budget was spent on requests that had only waited for a slot, because the hedge delay counted the wait.

Ruled out: the kernel's timeouts; the proxy acknowledges all bytes, as a middlebox does. Rotating the whole pool on suspicion: hedges are too common a sign. Ending the first exchange: it may just be slow.

After, in tests/test_execution .py: served within 600 ms without any hedge budget. Hedges, retries and the second exchange, which takes from the retry budget after 250 ms and four p95, use only new connections or ones that answered within 250 ms.

Conclusion: a silent connection costs 250 ms or four p95, as long as the retry budget lasts; without tokens the deadline still ends the request.

--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -49,6 +49,7 @@
     CALLER_GONE = "caller_gone"
     CONNECT_FAILED = "connect_failed"
     CONNECTION_LOST = "connection_lost"
+    CONNECTION_SILENT = "connection_silent"
     DEADLINE = "deadline"
     DUPLICATE_REQUEST_ID = "duplicate_request_id"
     EXPIRED_REQUEST_ID = "expired_request_id"
--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -199,14 +199,27 @@
         )
 
     async def send(
-        self, address: str, request: requests.Request, remaining_ms: float
+        self,
+        address: str,
+        request: requests.Request,
+        remaining_ms: float,
+        *,
+        fresh: bool = False,
     ) -> Answer:
         """Send a request and return its answer once the headers are there.
 
+        Args:
+            address: Host and port of the target.
+            request: The request.
+            remaining_ms: Time left until its deadline.
+            fresh: Use no connection that may have gone silent, also when the
+                request may run twice.
+
         Raises:
             ExchangeError: There was no answer, or a short one was cut.
         """
-        session = self._kept if request.rule.repeatable else self._fresh
+        may_be_silent = request.rule.repeatable and not fresh
+        session = self._kept if may_be_silent else self._fresh
         headers = [
             *request.headers,
             ("Slatechute-Request-Id", request.id),
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -22,6 +22,13 @@
 _CHART = statechart.load("request")
 _MAX_ATTEMPTS = 3
 _MIN_HEDGE_DELAY_MS = 5.0
+# Without a hedge a second exchange starts after this time, or these many p95,
+# at the cost of the retry budget: the connection may have gone silent, which
+# its kernel does not notice while a middlebox acknowledges the bytes.
+_MIN_SILENCE_MS = 250.0
+_SILENCE_FACTOR = 4.0
+# A lease that is older when its exchange would start may have passed on.
+_LEASE_START_MS = 250.0
 _RETRYABLE_STATUS = frozenset({500, 502, 503, 504})
 
 _STATE_BY_STEP = {
@@ -84,10 +91,12 @@
         may_have_run = False
         attempt = 1
         while True:
-            run = Attempt(self, request, frozenset(excluded))
+            run = Attempt(
+                self, request, frozenset(excluded), is_first=attempt == 1
+            )
             try:
                 if request.rule.repeatable and not request.rule.bulk:
-                    return await self._run_hedged(run, hedges)
+                    return await self._run_hedged(run, hedges, retries)
                 return await self._run(run)
             except _AttemptError as failure:
                 may_have_run = may_have_run or failure.may_have_run
@@ -183,21 +192,19 @@
             ) from err
 
     async def _run_hedged(
-        self, run: "Attempt", hedges: budgets.RatioBudget
+        self,
+        run: "Attempt",
+        hedges: budgets.RatioBudget,
+        retries: budgets.RatioBudget,
     ) -> "Attempt":
         """Run an attempt and, when it is slow, a second one beside it."""
         first = asyncio.ensure_future(self._run(run))
-        delay_ms = max(
-            _MIN_HEDGE_DELAY_MS, self._policy.p95_ms(run.request.service)
-        )
         tasks = [first]
         kept = None
         try:
-            await asyncio.wait(tasks, timeout=delay_ms / 1000)
-            if not first.done() and run.lease is not None and hedges.take():
-                self._counters.hedged()
+            if await self._is_hedge_due(run, first, hedges, retries):
                 excluded = run.excluded | {run.lease.target.id}
-                hedge = Attempt(self, run.request, excluded)
+                hedge = Attempt(self, run.request, excluded, is_first=False)
                 tasks.append(asyncio.ensure_future(self._run(hedge)))
             kept = await _first_success(tasks)
             if kept.exception() is not None:
@@ -209,6 +216,52 @@
                     task.cancel()
                     task.add_done_callback(_drop_result)
 
+    async def _is_hedge_due(
+        self,
+        run: "Attempt",
+        first: asyncio.Task,
+        hedges: budgets.RatioBudget,
+        retries: budgets.RatioBudget,
+    ) -> bool:
+        """Wait until the attempt is done or late; return whether it is late.
+
+        Time spent waiting for a slot does not count: a second exchange would
+        have to wait for one as well.
+        """
+        p95_ms = self._policy.p95_ms(run.request.service)
+        await _wait(first, max(_MIN_HEDGE_DELAY_MS, p95_ms))
+        if not first.done() and run.lease is None:
+            run.leased = asyncio.get_running_loop().create_future()
+            await asyncio.wait(
+                (first, run.leased), return_when=asyncio.FIRST_COMPLETED
+            )
+        if first.done():
+            return False
+        await self._wait_since_sent(run, first, _MIN_HEDGE_DELAY_MS, p95_ms)
+        if first.done():
+            return False
+        if hedges.take():
+            self._counters.hedged()
+            return True
+        silence_ms = _SILENCE_FACTOR * p95_ms
+        await self._wait_since_sent(run, first, _MIN_SILENCE_MS, silence_ms)
+        if first.done() or run.request.attempt > 0 or not retries.take():
+            return False
+        self._counters.retried(errors.Reason.CONNECTION_SILENT)
+        return True
+
+    async def _wait_since_sent(
+        self, run: "Attempt", first: asyncio.Task, *limits_ms: float
+    ) -> None:
+        sent_ms = run.lease.granted_ms
+        elapsed_ms = self._clock.now_ms() - sent_ms
+        await _wait(first, max(limits_ms) - elapsed_ms)
+
+
+async def _wait(task: asyncio.Task, limit_ms: float) -> None:
+    if limit_ms > 0 and not task.done():
+        await asyncio.wait((task,), timeout=limit_ms / 1000)
+
 
 async def _first_success(tasks: list[asyncio.Task]) -> asyncio.Task:
     """Return the task that has an answer first, else the first task."""
@@ -282,7 +335,10 @@
     Attributes:
         request: The request.
         excluded: Targets that must not get it.
+        is_first: Whether it is the first exchange of the request. Others only
+            use connections that are new or have answered a moment ago.
         lease: Slot that it uses until `finish`, None while it waits.
+        leased: Future to resolve when there is a lease, or None.
         answer: Answer of the target; its body may have to be streamed.
         service_ms: Time of the exchange once it has ended.
     """
@@ -292,9 +348,13 @@
         executor: Executor,
         request: requests.Request,
         excluded: frozenset[str],
+        *,
+        is_first: bool,
     ):
         self.request = request
         self.excluded = excluded
+        self.is_first = is_first
+        self.leased: asyncio.Future[None] | None = None
         self.lease: leases.Lease | None = None
         self.answer: exchange.Answer | None = None
         self.service_ms = 0.0
@@ -325,6 +385,7 @@
                 self.lease.target.address,
                 self.request,
                 self.request.deadline_ms - now_ms,
+                fresh=not self.is_first,
             )
         except exchange.ExchangeError as err:
             raise self._exchange_failed(err) from err
@@ -338,17 +399,27 @@
 
     async def _acquire(self) -> None:
         request = self.request
+        executor = self._executor
         self._fire("wait")
-        try:
-            self.lease = await self._executor._policy.acquire(
-                request.service,
-                request.deadline_ms,
-                bulk=request.rule.bulk,
-                excluded=self.excluded,
-            )
-        except errors.RequestError as error:
-            raise _AttemptError(error) from error
+        while self.lease is None:
+            try:
+                lease = await executor._policy.acquire(
+                    request.service,
+                    request.deadline_ms,
+                    bulk=request.rule.bulk,
+                    excluded=self.excluded,
+                )
+            except errors.RequestError as error:
+                raise _AttemptError(error) from error
+            if executor._clock.now_ms() - lease.granted_ms > _LEASE_START_MS:
+                # This process was paused since the grant.
+                executor._policy.release(lease, leases.Result.UNUSED, 0.0)
+                executor._counters.retried(errors.Reason.LEASE_STALE)
+            else:
+                self.lease = lease
         self._fire("grant")
+        if self.leased is not None and not self.leased.done():
+            self.leased.set_result(None)
 
     def _check_answer(self, answer: exchange.Answer) -> None:
         target_id = self.lease.target.id
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -10,6 +10,7 @@
 from slatechute import events
 from slatechute import exchange
 from slatechute import execution
+from slatechute import leases
 from slatechute import metrics
 from slatechute import requests
 from slatechute.configuration import instances
@@ -198,6 +199,79 @@
     _run(scenario)
 
 
+def test_silent_connections_cost_no_deadline():
+    """Guards against a wait until the deadline when no hedge is allowed.
+
+    All kept connections are silent, so a second exchange on another one of
+    them would wait as well.
+    """
+
+    async def scenario(setup):
+        setup.executor.set_rules(models.FleetRules(hedge_ratio=0))
+        client = setup.executor._client
+        for number, proxy in enumerate(setup.proxies):
+            request = setup.request(number)
+            await client.send(proxy.address, request, 1000)
+        # Older than what counts as a fresh connection.
+        await asyncio.sleep(0.3)
+        for proxy in setup.proxies:
+            assert proxy.connections
+            proxy.silence_present()
+        start_ms = setup.clock.now_ms()
+        attempt = await setup.executor.execute(setup.request(5))
+        assert attempt.answer.status == 200
+        assert setup.clock.now_ms() - start_ms < 600
+        count = setup.metrics.value("retries_total", reason="connection_silent")
+        assert count == 1
+
+    _run(scenario)
+
+
+def test_wait_for_a_slot_takes_no_hedge():
+    """Guards against hedges spent on a queue instead of slow exchanges."""
+
+    async def scenario(setup):
+        policy = setup.executor._policy
+        acquire = policy.acquire
+
+        async def late(*args, **kwargs):
+            await asyncio.sleep(0.1)
+            return await acquire(*args, **kwargs)
+
+        policy.acquire = late
+        await setup.executor.execute(setup.request())
+        assert setup.metrics.value("hedges_total") == 0
+
+    _run(scenario)
+
+
+def test_stale_lease_is_returned():
+    """Guards against a slot used although its dispatcher took it back."""
+
+    async def scenario(setup):
+        policy = setup.executor._policy
+        acquire, release = policy.acquire, policy.release
+        results = []
+
+        async def stale_once(*args, **kwargs):
+            lease = await acquire(*args, **kwargs)
+            if not results:
+                granted_ms = lease.granted_ms - 300
+                lease = dataclasses.replace(lease, granted_ms=granted_ms)
+            return lease
+
+        def record(lease, result, service_ms):
+            results.append(result)
+            release(lease, result, service_ms)
+
+        policy.acquire, policy.release = stale_once, record
+        await setup.executor.execute(setup.request())
+        assert results == [leases.Result.UNUSED, leases.Result.OK]
+        assert setup.runs() == 1
+
+    _run(scenario)
+
+
 def test_request_that_crashes_targets_is_stopped():
     """Guards against a request that takes down one target after another."""
 
