--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -49,6 +49,7 @@
     CALLER_GONE = "caller_gone"
     CONNECT_FAILED = "connect_failed"
     CONNECTION_LOST = "connection_lost"
+    CONNECTION_SILENT = "connection_silent"
     DEADLINE = "deadline"
     DUPLICATE_REQUEST_ID = "duplicate_request_id"
     EXPIRED_REQUEST_ID = "expired_request_id"
@@ -127,3 +128,20 @@
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
         self.status = status
+
+    def after(self, may_have_run: bool) -> "RequestError":
+        """Return the error of a request of which earlier attempts are known.
+
+        Args:
+            may_have_run: Whether any attempt may have run.
+        """
+        if not may_have_run or self.outcome is Outcome.UNKNOWN:
+            return self
+        return RequestError(
+            self.reason,
+            self.step,
+            self.peer,
+            outcome=Outcome.UNKNOWN,
+            retry_after_ms=self.retry_after_ms,
+            status=self.status,
+        )
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -22,6 +22,13 @@
 _CHART = statechart.load("request")
 _MAX_ATTEMPTS = 3
 _MIN_HEDGE_DELAY_MS = 5.0
+# Without a hedge a second exchange starts after this time, or these many p95,
+# at the cost of the retry budget: the connection may have gone silent, which
+# its kernel does not notice while a middlebox acknowledges the bytes.
+_MIN_SILENCE_MS = 250.0
+_SILENCE_FACTOR = 4.0
+# A lease that is older when its exchange would start may have passed on.
+_LEASE_START_MS = 250.0
 _RETRYABLE_STATUS = frozenset({500, 502, 503, 504})
 
 _STATE_BY_STEP = {
@@ -81,22 +88,27 @@
         retries.add()
         hedges.add()
         excluded: set[str] = set()
+        may_have_run = False
         attempt = 1
         while True:
-            run = Attempt(self, request, frozenset(excluded))
+            run = Attempt(
+                self, request, frozenset(excluded), is_first=attempt == 1
+            )
             try:
                 if request.rule.repeatable and not request.rule.bulk:
-                    return await self._run_hedged(run, hedges)
+                    return await self._run_hedged(run, hedges, retries)
                 return await self._run(run)
             except _AttemptError as failure:
-                self._note_failure(request, failure)
-                if failure.target_id:
-                    excluded.add(failure.target_id)
-                if not self._may_retry(request, failure, attempt, retries):
-                    if failure.answered is not None:
-                        return failure.answered
-                    raise failure.error from failure
+                may_have_run = may_have_run or failure.may_have_run
+                excluded |= failure.target_ids
+                error = self._reason_to_end(request, failure, attempt, retries)
+                if error is failure.error and failure.answered is not None:
+                    return failure.answered
                 failure.discard()
+                if error is not None:
+                    # An earlier attempt may have run although the last one
+                    # certainly did not.
+                    raise error.after(may_have_run) from failure
             attempt += 1
 
     def _budget(
@@ -124,39 +136,43 @@
                 retry_after_ms=int(remaining_ms),
             )
 
-    def _may_retry(
+    def _reason_to_end(
         self,
         request: requests.Request,
         failure: "_AttemptError",
         attempt: int,
         retries: budgets.RatioBudget,
-    ) -> bool:
+    ) -> errors.RequestError | None:
+        """Return the error to end with, None when there is a next attempt."""
         if failure.error.step is errors.Step.WAITING:
-            return False
-        not_run = failure.error.outcome is errors.Outcome.NOT_RUN
-        if not not_run and not request.rule.repeatable:
-            return False
+            return failure.error
+        if failure.may_have_run and not request.rule.repeatable:
+            return failure.error
         # An upstream hop that already sends again leaves it at that, so that
         # retries do not multiply with the depth of calls.
         if request.attempt > 0 or attempt >= _MAX_ATTEMPTS:
-            return False
+            return failure.error
         if self._clock.now_ms() >= request.deadline_ms:
-            return False
-        self._check_quarantine(request)
+            return failure.error
+        try:
+            self._check_quarantine(request)
+        except errors.RequestError as error:
+            return error
         if not retries.take():
-            return False
+            return failure.error
         self._counters.retried(failure.error.reason)
-        return True
+        return None
 
-    def _note_failure(
+    def _note_crash(
         self, request: requests.Request, failure: "_AttemptError"
     ) -> None:
         if not failure.crashed:
             return
         key = request.fingerprint
         now_ms = self._clock.now_ms()
-        self.quarantine.strike(key, failure.target_id, now_ms)
-        self._announce(messages.CrashStrike(key, failure.target_id))
+        for target_id in failure.target_ids:
+            self.quarantine.strike(key, target_id, now_ms)
+            self._announce(messages.CrashStrike(key, target_id))
 
     # One attempt.
 
@@ -167,29 +183,32 @@
         try:
             async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
                 return await run.execute()
+        except _AttemptError as failure:
+            self._note_crash(request, failure)
+            raise
         except TimeoutError as err:
             raise run.failed(
                 errors.Reason.DEADLINE, leases.Result.CANCELLED, status=504
             ) from err
 
     async def _run_hedged(
-        self, run: "Attempt", hedges: budgets.RatioBudget
+        self,
+        run: "Attempt",
+        hedges: budgets.RatioBudget,
+        retries: budgets.RatioBudget,
     ) -> "Attempt":
         """Run an attempt and, when it is slow, a second one beside it."""
         first = asyncio.ensure_future(self._run(run))
-        delay_ms = max(
-            _MIN_HEDGE_DELAY_MS, self._policy.p95_ms(run.request.service)
-        )
         tasks = [first]
         kept = None
         try:
-            await asyncio.wait(tasks, timeout=delay_ms / 1000)
-            if not first.done() and run.lease is not None and hedges.take():
-                self._counters.hedged()
+            if await self._is_hedge_due(run, first, hedges, retries):
                 excluded = run.excluded | {run.lease.target.id}
-                hedge = Attempt(self, run.request, excluded)
+                hedge = Attempt(self, run.request, excluded, is_first=False)
                 tasks.append(asyncio.ensure_future(self._run(hedge)))
             kept = await _first_success(tasks)
+            if kept.exception() is not None:
+                _merge_failures(tasks)
             return await kept
         finally:
             for task in tasks:
@@ -197,6 +216,52 @@
                     task.cancel()
                     task.add_done_callback(_drop_result)
 
+    async def _is_hedge_due(
+        self,
+        run: "Attempt",
+        first: asyncio.Task,
+        hedges: budgets.RatioBudget,
+        retries: budgets.RatioBudget,
+    ) -> bool:
+        """Wait until the attempt is done or late; return whether it is late.
+
+        Time spent waiting for a slot does not count: a second exchange would
+        have to wait for one as well.
+        """
+        p95_ms = self._policy.p95_ms(run.request.service)
+        await _wait(first, max(_MIN_HEDGE_DELAY_MS, p95_ms))
+        if not first.done() and run.lease is None:
+            run.leased = asyncio.get_running_loop().create_future()
+            await asyncio.wait(
+                (first, run.leased), return_when=asyncio.FIRST_COMPLETED
+            )
+        if first.done():
+            return False
+        await self._wait_since_sent(run, first, _MIN_HEDGE_DELAY_MS, p95_ms)
+        if first.done():
+            return False
+        if hedges.take():
+            self._counters.hedged()
+            return True
+        silence_ms = _SILENCE_FACTOR * p95_ms
+        await self._wait_since_sent(run, first, _MIN_SILENCE_MS, silence_ms)
+        if first.done() or run.request.attempt > 0 or not retries.take():
+            return False
+        self._counters.retried(errors.Reason.CONNECTION_SILENT)
+        return True
+
+    async def _wait_since_sent(
+        self, run: "Attempt", first: asyncio.Task, *limits_ms: float
+    ) -> None:
+        sent_ms = run.lease.granted_ms
+        elapsed_ms = self._clock.now_ms() - sent_ms
+        await _wait(first, max(limits_ms) - elapsed_ms)
+
+
+async def _wait(task: asyncio.Task, limit_ms: float) -> None:
+    if limit_ms > 0 and not task.done():
+        await asyncio.wait((task,), timeout=limit_ms / 1000)
+
 
 async def _first_success(tasks: list[asyncio.Task]) -> asyncio.Task:
     """Return the task that has an answer first, else the first task."""
@@ -211,6 +276,16 @@
     return tasks[0]
 
 
+def _merge_failures(tasks: list[asyncio.Task]) -> None:
+    """Let the failure of the first task speak for all of them."""
+    first, *others = (task.exception() for task in tasks)
+    if isinstance(first, _AttemptError):
+        for other in others:
+            if isinstance(other, _AttemptError):
+                first.may_have_run = first.may_have_run or other.may_have_run
+                first.target_ids |= other.target_ids
+
+
 def _drop_result(task: asyncio.Task) -> None:
     if task.cancelled():
         return
@@ -226,7 +301,8 @@
 
     Attributes:
         error: What the caller would get.
-        target_id: Target concerned, empty when there was none.
+        target_ids: Targets concerned.
+        may_have_run: Whether the attempt, or one beside it, may have run.
         crashed: Whether the target died while it ran the request.
         answered: Attempt to pass on when there is no further one.
     """
@@ -241,7 +317,8 @@
     ):
         super().__init__(str(error))
         self.error = error
-        self.target_id = target_id
+        self.target_ids = {target_id} if target_id else set()
+        self.may_have_run = error.outcome is not errors.Outcome.NOT_RUN
         self.crashed = crashed
         self.answered = answered
 
@@ -258,7 +335,10 @@
     Attributes:
         request: The request.
         excluded: Targets that must not get it.
+        is_first: Whether it is the first exchange of the request. Others only
+            use connections that are new or have answered a moment ago.
         lease: Slot that it uses until `finish`, None while it waits.
+        leased: Future to resolve when there is a lease, or None.
         answer: Answer of the target; its body may have to be streamed.
         service_ms: Time of the exchange once it has ended.
     """
@@ -268,9 +348,13 @@
         executor: Executor,
         request: requests.Request,
         excluded: frozenset[str],
+        *,
+        is_first: bool,
     ):
         self.request = request
         self.excluded = excluded
+        self.is_first = is_first
+        self.leased: asyncio.Future[None] | None = None
         self.lease: leases.Lease | None = None
         self.answer: exchange.Answer | None = None
         self.service_ms = 0.0
@@ -301,6 +385,7 @@
                 self.lease.target.address,
                 self.request,
                 self.request.deadline_ms - now_ms,
+                fresh=not self.is_first,
             )
         except exchange.ExchangeError as err:
             raise self._exchange_failed(err) from err
@@ -314,17 +399,27 @@
 
     async def _acquire(self) -> None:
         request = self.request
+        executor = self._executor
         self._fire("wait")
-        try:
-            self.lease = await self._executor._policy.acquire(
-                request.service,
-                request.deadline_ms,
-                bulk=request.rule.bulk,
-                excluded=self.excluded,
-            )
-        except errors.RequestError as error:
-            raise _AttemptError(error) from error
+        while self.lease is None:
+            try:
+                lease = await executor._policy.acquire(
+                    request.service,
+                    request.deadline_ms,
+                    bulk=request.rule.bulk,
+                    excluded=self.excluded,
+                )
+            except errors.RequestError as error:
+                raise _AttemptError(error) from error
+            if executor._clock.now_ms() - lease.granted_ms > _LEASE_START_MS:
+                # This process was paused since the grant.
+                executor._policy.release(lease, leases.Result.UNUSED, 0.0)
+                executor._counters.retried(errors.Reason.LEASE_STALE)
+            else:
+                self.lease = lease
         self._fire("grant")
+        if self.leased is not None and not self.leased.done():
+            self.leased.set_result(None)
 
     def _check_answer(self, answer: exchange.Answer) -> None:
         target_id = self.lease.target.id
