Hedge only while a fifth of the slots is free, with slots to spare

Cause: at load 0.85 the hedges of 5% of the requests took the slots that kept the queues short: p50 rose from 75 to 414 ms with hedges on. Giving hedges only slots that nothing at the same dispatcher waits for did not help alone, since no entry sees all queues. The load hints of the group now also have to show a fifth of the slots free.

--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -31,6 +31,8 @@
 # Bounds how long a holder keeps a slot on a stale view of its dispatcher.
 MAX_RENEWALS = 8
 LEASE_GRACE_MS = 1000.0
+# Part of a service's slots that has to be free for hedges.
+SPARE_SHARE = 0.2
 TAKE_OVER_WAIT_MS = 100.0
 _MAX_REMOTE_WAITING = 10_000
 
@@ -66,6 +68,7 @@
         deadline_ms: When the request gives up.
         bulk: Whether the answer is large.
         excluded: Targets that must not get it.
+        spare: Whether it only gets a slot that nothing else waits for.
         origin: Peer that asks, empty for this entry.
         asked: Dispatchers asked for it so far.
         widen_ms: When further dispatchers are asked.
@@ -77,6 +80,7 @@
     deadline_ms: float
     bulk: bool = False
     excluded: frozenset[str] = frozenset()
+    spare: bool = False
     origin: str = ""
     asked: list[str] = dataclasses.field(default_factory=list)
     widen_ms: float = 0.0
@@ -86,6 +90,11 @@
         """Key that is unique at this dispatcher."""
         return (self.origin, self.number)
 
+    @property
+    def counts_as_waiting(self) -> bool:
+        """Whether it is a request of this entry that nothing else answers."""
+        return not self.origin and not self.spare
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Assignment:
@@ -102,15 +111,15 @@
     cold: bool = False
 
 
-def _order(ticket: Ticket) -> float:
+def _order(ticket: Ticket) -> tuple[bool, float]:
     """Return the sort key of waiting requests.
 
     A slot that goes to a request of the same entry is in use at once, while
     the grant to a peer takes two hops during which the slot is idle.
     """
     if ticket.origin:
-        return ticket.arrived_ms + REMOTE_HANDICAP_MS
-    return ticket.arrived_ms
+        return ticket.spare, ticket.arrived_ms + REMOTE_HANDICAP_MS
+    return ticket.spare, ticket.arrived_ms
 
 
 class _ServiceState:
@@ -410,6 +419,24 @@
         state = self._services.get(service)
         return None if state is None else state.times
 
+    def has_spare(self, service: str, now_ms: float) -> bool:
+        """Return whether enough slots are free for hedges.
+
+        No entry sees all queues, so a slot that is spare at one dispatcher may
+        be wanted at another. Near saturation hedges would take the slots that
+        keep the queues short.
+        """
+        state = self._services.get(service)
+        if state is None or state.local_waiting:
+            return False
+        own = self._load(service, state, now_ms)
+        spare = own.free - own.queued
+        for peer_id in state.dispatchers:
+            hint = self._load_by_peer.get(peer_id, {}).get(service)
+            if hint is not None:
+                spare += hint.free - hint.queued
+        return spare >= SPARE_SHARE * state.total_slots
+
     def expected_wait_ms(self, service: str) -> float:
         """Return how long a new request would wait, roughly."""
         state = self._services.get(service)
@@ -445,6 +472,7 @@
                 ticket.deadline_ms - now_ms,
                 ticket.bulk,
                 sorted(ticket.excluded),
+                ticket.spare,
             )
             if self._port.send(peer_id, request):
                 ticket.asked.append(peer_id)
@@ -491,7 +519,8 @@
             now_ms + message.remaining_ms,
             message.bulk,
             frozenset(message.excluded),
-            origin=peer_id,
+            message.spare,
+            peer_id,
         )
         chosen = self._best_target(state, ticket, now_ms)
         if chosen is not None:
@@ -548,7 +577,11 @@
         if state is None or not state.local_waiting:
             return None
         for ticket in state.waiting:
-            usable = not ticket.bulk and target.id not in ticket.excluded
+            usable = (
+                not ticket.bulk
+                and not ticket.spare
+                and target.id not in ticket.excluded
+            )
             if not ticket.origin and usable:
                 return ticket
         return None
@@ -639,14 +672,18 @@
         for service, state in self._services.items():
             if not state.state_by_id:
                 continue
-            free = sum(
-                max(0, item.free(now_ms, state.share))
-                for item in state.state_by_id.values()
-            )
-            queued = len(state.waiting)
-            found.append(messages.ServiceLoad(service, free, queued))
+            found.append(self._load(service, state, now_ms))
         return found
 
+    def _load(
+        self, service: str, state: _ServiceState, now_ms: float
+    ) -> messages.ServiceLoad:
+        free = sum(
+            max(0, item.free(now_ms, state.share))
+            for item in state.state_by_id.values()
+        )
+        return messages.ServiceLoad(service, free, len(state.waiting))
+
     def counts(self) -> tuple[int, int]:
         """Return the leases held and the requests waiting at this entry."""
         waiting = sum(s.local_waiting for s in self._services.values())
@@ -742,7 +779,8 @@
             self._hold(ticket, lease)
             return
         waiting = self._services[ticket.service].waiting
-        age_ms = now_ms - waiting[0].arrived_ms if waiting else -1.0
+        has_next = bool(waiting) and not waiting[0].spare
+        age_ms = now_ms - waiting[0].arrived_ms if has_next else -1.0
         message = messages.SlotGrant(
             ticket.number, lease.id, chosen.target.id, age_ms
         )
@@ -769,7 +807,7 @@
     def _add_ticket(self, state: _ServiceState, ticket: Ticket) -> None:
         state.waiting.add(ticket)
         self._ticket_by_key[ticket.key] = ticket
-        state.local_waiting += not ticket.origin
+        state.local_waiting += ticket.counts_as_waiting
 
     def _remove_ticket(self, ticket: Ticket) -> None:
         if self._ticket_by_key.pop(ticket.key, None) is None:
@@ -777,4 +815,4 @@
         state = self._services.get(ticket.service)
         if state is not None:
             state.waiting.discard(ticket)
-            state.local_waiting -= not ticket.origin
+            state.local_waiting -= ticket.counts_as_waiting
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import enum
 
 from slatechute import budgets
 from slatechute import errors
@@ -202,9 +203,17 @@
         tasks = [first]
         kept = None
         try:
-            if await self._is_hedge_due(run, first, hedges, retries):
+            due = await self._second_due(run, first, hedges, retries)
+            if due is not _Second.NONE:
                 excluded = run.excluded | {run.lease.target.id}
-                hedge = Attempt(self, run.request, excluded, is_first=False)
+                # A hedge is not worth the slot of a request that waits.
+                hedge = Attempt(
+                    self,
+                    run.request,
+                    excluded,
+                    is_first=False,
+                    is_spare=due is _Second.HEDGE,
+                )
                 tasks.append(asyncio.ensure_future(self._run(hedge)))
             kept = await _first_success(tasks)
             if kept.exception() is not None:
@@ -216,14 +225,14 @@
                     task.cancel()
                     task.add_done_callback(_drop_result)
 
-    async def _is_hedge_due(
+    async def _second_due(
         self,
         run: "Attempt",
         first: asyncio.Task,
         hedges: budgets.RatioBudget,
         retries: budgets.RatioBudget,
-    ) -> bool:
-        """Wait until the attempt is done or late; return whether it is late.
+    ) -> "_Second":
+        """Wait until the attempt is done or late; return what to do then.
 
         Time spent waiting for a slot does not count: a second exchange would
         have to wait for one as well.
@@ -236,19 +245,19 @@
                 (first, run.leased), return_when=asyncio.FIRST_COMPLETED
             )
         if first.done():
-            return False
+            return _Second.NONE
         await self._wait_since_sent(run, first, _MIN_HEDGE_DELAY_MS, p95_ms)
         if first.done():
-            return False
-        if hedges.take():
+            return _Second.NONE
+        if self._policy.has_spare(run.request.service) and hedges.take():
             self._counters.hedged()
-            return True
+            return _Second.HEDGE
         silence_ms = _SILENCE_FACTOR * p95_ms
         await self._wait_since_sent(run, first, _MIN_SILENCE_MS, silence_ms)
         if first.done() or run.request.attempt > 0 or not retries.take():
-            return False
+            return _Second.NONE
         self._counters.retried(errors.Reason.CONNECTION_SILENT)
-        return True
+        return _Second.SILENT
 
     async def _wait_since_sent(
         self, run: "Attempt", first: asyncio.Task, *limits_ms: float
@@ -296,6 +305,14 @@
         failure.discard()
 
 
+class _Second(enum.Enum):
+    """Reason of a second exchange beside the first one."""
+
+    NONE = enum.auto()
+    HEDGE = enum.auto()
+    SILENT = enum.auto()
+
+
 class _AttemptError(Exception):
     """An attempt that gave no usable answer.
 
@@ -350,10 +367,12 @@
         excluded: frozenset[str],
         *,
         is_first: bool,
+        is_spare: bool = False,
     ):
         self.request = request
         self.excluded = excluded
         self.is_first = is_first
+        self.is_spare = is_spare
         self.leased: asyncio.Future[None] | None = None
         self.lease: leases.Lease | None = None
         self.answer: exchange.Answer | None = None
@@ -408,6 +427,7 @@
                     request.deadline_ms,
                     bulk=request.rule.bulk,
                     excluded=self.excluded,
+                    spare=self.is_spare,
                 )
             except errors.RequestError as error:
                 raise _AttemptError(error) from error
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -102,7 +102,10 @@
 
 @dataclasses.dataclass(slots=True)
 class SlotRequest(Message):
-    """Ask a dispatcher for a slot; `number` is unique at the sender."""
+    """Ask a dispatcher for a slot; `number` is unique at the sender.
+
+    A `spare` request gets a slot that nothing else waits for.
+    """
 
     TAG: ClassVar[int] = 4
     number: int
@@ -111,6 +114,7 @@
     remaining_ms: float
     bulk: bool = False
     excluded: list[str] = dataclasses.field(default_factory=list)
+    spare: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/slatechute/policies/base.py
+++ b/slatechute/policies/base.py
@@ -17,9 +17,17 @@
         *,
         bulk: bool = False,
         excluded: frozenset[str] = frozenset(),
+        spare: bool = False,
     ) -> leases.Lease:
         """Return a lease on a slot, waiting for one when none is free.
 
+        Args:
+            service: Service of the request.
+            deadline_ms: When the request gives up.
+            bulk: Whether the answer is large.
+            excluded: Targets that must not get it.
+            spare: Whether to take only a slot that nothing else waits for.
+
         Raises:
             errors.RequestError: No slot will be free in time.
         """
@@ -31,6 +39,10 @@
         """End a lease; `service_ms` is the time of the exchange."""
         ...
 
+    def has_spare(self, service: str) -> bool:
+        """Return whether enough slots are free for hedges."""
+        ...
+
     def median_ms(self, service: str) -> float:
         """Return the median service time of a service."""
         ...
--- a/slatechute/policies/baselines.py
+++ b/slatechute/policies/baselines.py
@@ -40,6 +40,7 @@
         *,
         bulk: bool = False,
         excluded: frozenset[str] = frozenset(),
+        spare: bool = False,
     ) -> leases.Lease:
         """Return a lease at once; the target queues what is too much.
 
@@ -67,6 +68,10 @@
         if result is leases.Result.OK and not lease.bulk:
             self._times(lease.target.service).add(service_ms)
 
+    def has_spare(self, service: str) -> bool:
+        """Return True: an entry that chooses alone cannot know."""
+        return True
+
     def _times(self, service: str) -> latencies.ServiceTimes:
         return self._times_by_service.setdefault(
             service, latencies.ServiceTimes()
--- a/slatechute/policies/owner.py
+++ b/slatechute/policies/owner.py
@@ -46,6 +46,7 @@
         *,
         bulk: bool = False,
         excluded: frozenset[str] = frozenset(),
+        spare: bool = False,
     ) -> leases.Lease:
         """Return a lease on a slot, waiting for one when none is free.
 
@@ -57,7 +58,7 @@
         self._future_by_number[number] = future
         now_ms = self._clock.now_ms()
         ticket = dispatchers.Ticket(
-            number, service, now_ms, deadline_ms, bulk, excluded
+            number, service, now_ms, deadline_ms, bulk, excluded, spare
         )
         try:
             self.dispatcher.submit(ticket, now_ms)
@@ -88,6 +89,10 @@
         now_ms = self._clock.now_ms()
         self.dispatcher.release(lease, result, service_ms, now_ms)
 
+    def has_spare(self, service: str) -> bool:
+        """Return whether enough slots are free for hedges."""
+        return self.dispatcher.has_spare(service, self._clock.now_ms())
+
     def median_ms(self, service: str) -> float:
         """Return the median service time of a service."""
         times = self.dispatcher.service_times(service)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -226,3 +226,29 @@
     monkeypatch.setattr(entry, "granted", return_if_gone)
     entry.finish(1)
     assert 3 in entry.lease_by_number
+
+
+def test_hedge_takes_no_slot_that_a_request_waits_for():
+    """Guards against hedges that slow other requests down under load."""
+    fleet = fleets.Fleet(entries=1, targets=1, slots=1)
+    entry = fleet.entry_by_id["e0"]
+    entry.submit(1)
+    entry.submit(2, spare=True)
+    fleet.clock.advance(1)
+    entry.submit(3)
+    entry.finish(1)
+    assert 3 in entry.lease_by_number
+    assert 2 not in entry.lease_by_number
+    entry.finish(3)
+    assert 2 in entry.lease_by_number
+
+
+def test_near_saturation_there_is_no_slot_to_spare():
+    """Guards against hedges that push a loaded service into overload."""
+    fleet = fleets.Fleet(entries=1, targets=5, slots=2)
+    entry = fleet.entry_by_id["e0"]
+    for number in range(8):
+        entry.submit(number)
+    assert entry.core.has_spare("plans", fleet.clock.now_ms())
+    entry.submit(8)
+    assert not entry.core.has_spare("plans", fleet.clock.now_ms())
