Run the first exchange in the task of its request

A repeatable request took a task for its first exchange and two asyncio.wait calls, although few requests ever get a second exchange. A timer now starts the second one when it is due and interrupts the first by cancellation when the second has an answer, as asyncio.timeout does. Budgets, delays, the rule for silent connections and the merging of failures are unchanged.

--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -198,92 +198,142 @@
         retries: budgets.RatioBudget,
     ) -> "Attempt":
         """Run an attempt and, when it is slow, a second one beside it."""
-        first = asyncio.ensure_future(self._run(run))
-        tasks = [first]
-        kept = None
+        race = _Race(self, run, hedges, retries)
         try:
-            if await self._is_hedge_due(run, first, hedges, retries):
-                excluded = run.excluded | {run.lease.target.id}
-                hedge = Attempt(self, run.request, excluded, is_first=False)
-                tasks.append(asyncio.ensure_future(self._run(hedge)))
-            kept = await _first_success(tasks)
-            if kept.exception() is not None:
-                _merge_failures(tasks)
-            return await kept
+            return await self._run(run)
+        except (asyncio.CancelledError, _AttemptError) as failure:
+            winner = await race.settle(failure)
+            if winner is None:
+                raise
+            return winner
         finally:
-            for task in tasks:
-                if task is not kept:
-                    task.cancel()
-                    task.add_done_callback(_drop_result)
+            race.close()
 
-    async def _is_hedge_due(
+
+class _Race:
+    """A second attempt that starts when the first one is late.
+
+    The first attempt runs in the task of the request and is interrupted by
+    cancellation, as by `asyncio.timeout`. A task for each attempt would cost
+    every request several turns of the loop, and few ever get a second one.
+    """
+
+    def __init__(
         self,
+        executor: Executor,
         run: "Attempt",
-        first: asyncio.Task,
         hedges: budgets.RatioBudget,
         retries: budgets.RatioBudget,
-    ) -> bool:
-        """Wait until the attempt is done or late; return whether it is late.
+    ):
+        self._executor = executor
+        self._run = run
+        self._hedges = hedges
+        self._retries = retries
+        self._task = asyncio.current_task()
+        self._cancelling = self._task.cancelling()
+        self._second: asyncio.Task[Attempt] | None = None
+        self._is_interrupted = False
+        self._is_over = False
+        self._p95_ms = executor._policy.p95_ms(run.request.service)
+        self._delay_ms = max(_MIN_HEDGE_DELAY_MS, self._p95_ms)
+        self._timer: asyncio.TimerHandle | None = None
+        self._call_later(self._delay_ms, self._hedge_if_late)
+
+    def _call_later(self, delay_ms: float, callback: Callable[[], None]):
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_ms / 1000, callback)
+
+    def _left_ms(self, limit_ms: float) -> float:
+        """Return what is left of a limit that counts from the grant."""
+        now_ms = self._executor._clock.now_ms()
+        return self._run.lease.granted_ms + limit_ms - now_ms
+
+    def _hedge_if_late(self) -> None:
+        """Start a hedge when the attempt is late and the budget allows it.
 
         Time spent waiting for a slot does not count: a second exchange would
         have to wait for one as well.
         """
-        p95_ms = self._policy.p95_ms(run.request.service)
-        await _wait(first, max(_MIN_HEDGE_DELAY_MS, p95_ms))
-        if not first.done() and run.lease is None:
-            run.leased = asyncio.get_running_loop().create_future()
-            await asyncio.wait(
-                (first, run.leased), return_when=asyncio.FIRST_COMPLETED
-            )
-        if first.done():
-            return False
-        await self._wait_since_sent(run, first, _MIN_HEDGE_DELAY_MS, p95_ms)
-        if first.done():
-            return False
-        if hedges.take():
-            self._counters.hedged()
-            return True
-        silence_ms = _SILENCE_FACTOR * p95_ms
-        await self._wait_since_sent(run, first, _MIN_SILENCE_MS, silence_ms)
-        if first.done() or run.request.attempt > 0 or not retries.take():
-            return False
-        self._counters.retried(errors.Reason.CONNECTION_SILENT)
-        return True
-
-    async def _wait_since_sent(
-        self, run: "Attempt", first: asyncio.Task, *limits_ms: float
-    ) -> None:
-        sent_ms = run.lease.granted_ms
-        elapsed_ms = self._clock.now_ms() - sent_ms
-        await _wait(first, max(limits_ms) - elapsed_ms)
-
-
-async def _wait(task: asyncio.Task, limit_ms: float) -> None:
-    if limit_ms > 0 and not task.done():
-        await asyncio.wait((task,), timeout=limit_ms / 1000)
+        if self._is_over:
+            return
+        if self._run.lease is None:
+            self._run.on_lease = self._hedge_if_late
+            return
+        left_ms = self._left_ms(self._delay_ms)
+        if left_ms > 0:
+            self._call_later(left_ms, self._hedge_if_late)
+        elif self._hedges.take():
+            self._executor._counters.hedged()
+            self._start_second()
+        else:
+            silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * self._p95_ms)
+            left_ms = max(0.0, self._left_ms(silence_ms))
+            self._call_later(left_ms, self._retry_if_silent)
+
+    def _retry_if_silent(self) -> None:
+        if self._run.request.attempt > 0 or not self._retries.take():
+            return
+        reason = errors.Reason.CONNECTION_SILENT
+        self._executor._counters.retried(reason)
+        self._start_second()
+
+    def _start_second(self) -> None:
+        run = self._run
+        excluded = run.excluded | {run.lease.target.id}
+        second = Attempt(self._executor, run.request, excluded, is_first=False)
+        self._second = asyncio.ensure_future(self._executor._run(second))
+        self._second.add_done_callback(self._second_ended)
+
+    def _second_ended(self, second: asyncio.Task) -> None:
+        # When the second attempt fails the first one decides.
+        if self._is_over or second.cancelled() or second.exception():
+            return
+        self._is_interrupted = True
+        self._task.cancel()
 
+    async def settle(self, failure: BaseException) -> "Attempt | None":
+        """Return the answer of the second attempt after the first has ended.
 
-async def _first_success(tasks: list[asyncio.Task]) -> asyncio.Task:
-    """Return the task that has an answer first, else the first task."""
-    pending = set(tasks)
-    while pending:
-        done, pending = await asyncio.wait(
-            pending, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            if task.exception() is None:
-                return task
-    return tasks[0]
+        Returns:
+            None when there is none, so that `failure` counts.
+        """
+        self._stop()
+        if self._is_interrupted:
+            # Whoever else cancelled the task goes first.
+            if self._task.uncancel() > self._cancelling:
+                return None
+        elif isinstance(failure, asyncio.CancelledError):
+            return None
+        if self._second is None:
+            return None
+        # Not `await self._second`: a cancellation of the request must not be
+        # taken for one of the second attempt.
+        await asyncio.wait([self._second])
+        if self._second.cancelled():
+            return None
+        error = self._second.exception()
+        if error is None:
+            if isinstance(failure, _AttemptError):
+                failure.discard()
+            second, self._second = self._second, None
+            return second.result()
+        if isinstance(failure, _AttemptError) and isinstance(
+            error, _AttemptError
+        ):
+            failure.merge(error)
+        return None
 
+    def close(self) -> None:
+        """End the second attempt unless it gave the answer."""
+        self._stop()
+        if self._second is not None:
+            self._second.cancel()
+            self._second.add_done_callback(_drop_result)
 
-def _merge_failures(tasks: list[asyncio.Task]) -> None:
-    """Let the failure of the first task speak for all of them."""
-    first, *others = (task.exception() for task in tasks)
-    if isinstance(first, _AttemptError):
-        for other in others:
-            if isinstance(other, _AttemptError):
-                first.may_have_run = first.may_have_run or other.may_have_run
-                first.target_ids |= other.target_ids
+    def _stop(self) -> None:
+        self._is_over = True
+        self._run.on_lease = None
+        self._timer.cancel()
 
 
 def _drop_result(task: asyncio.Task) -> None:
@@ -322,6 +372,11 @@
         self.crashed = crashed
         self.answered = answered
 
+    def merge(self, other: "_AttemptError") -> None:
+        """Let this failure speak for another attempt as well."""
+        self.may_have_run = self.may_have_run or other.may_have_run
+        self.target_ids |= other.target_ids
+
     def discard(self) -> None:
         """Give up the answer that came with the failure."""
         if self.answered is not None:
@@ -338,7 +393,7 @@
         is_first: Whether it is the first exchange of the request. Others only
             use connections that are new or have answered a moment ago.
         lease: Slot that it uses until `finish`, None while it waits.
-        leased: Future to resolve when there is a lease, or None.
+        on_lease: Called when there is a lease, or None.
         answer: Answer of the target; its body may have to be streamed.
         service_ms: Time of the exchange once it has ended.
     """
@@ -354,7 +409,7 @@
         self.request = request
         self.excluded = excluded
         self.is_first = is_first
-        self.leased: asyncio.Future[None] | None = None
+        self.on_lease: Callable[[], None] | None = None
         self.lease: leases.Lease | None = None
         self.answer: exchange.Answer | None = None
         self.service_ms = 0.0
@@ -418,8 +473,8 @@
             else:
                 self.lease = lease
         self._fire("grant")
-        if self.leased is not None and not self.leased.done():
-            self.leased.set_result(None)
+        if self.on_lease is not None:
+            self.on_lease()
 
     def _check_answer(self, answer: exchange.Answer) -> None:
         target_id = self.lease.target.id
