Ask again for slots whose messages were lost, and distrust slots on waking

When a link was replaced because only the peer had noticed its silence, the peer had dropped the wait and nobody asked again; the same held for a dispatcher that had refused just before it took the target over. - After a pause the bulk count of a target was kept while its leases were dropped, so its slots for large answers were lost for good. - Messages read before the first tick after a pause were still answered from the slots of before the pause.

Ruled out: emitting PeerLost and PeerReady for a replaced link; test_links requires that the same start stays ready, so there is an event of its own.

A waiting request asks again at growing intervals of at most 640 ms, and a dispatcher that is asked twice keeps one entry.

Conclusion: every wait is repeated until its deadline.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -90,6 +90,7 @@
         self._plan_due = False
         self._cold_ids: frozenset[str] = frozenset()
         self._last_tick_ms = self.clock.now_ms()
+        self._is_waking = False
         self._random = random.Random()
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
@@ -150,6 +151,7 @@
         bus.of(events.InstancesAdopted).subscribe(self._on_instances)
         bus.of(events.PeerReady).subscribe(self._on_peer_ready)
         bus.of(events.PeerLost).subscribe(self._on_peer_lost)
+        bus.of(events.LinkReplaced).subscribe(self._on_link_replaced)
         bus.of(events.TargetLeaving).subscribe(self._on_target_leaving)
 
     # Life cycle.
@@ -218,17 +220,28 @@
         while True:
             await asyncio.sleep(_TICK_MS / 1000)
             now_ms = self.clock.now_ms()
-            paused = now_ms - self._last_tick_ms > _PAUSE_MS
+            self._check_pause(now_ms)
+            self._is_waking = False
             self._last_tick_ms = now_ms
             if isinstance(self.policy, owner.OwnerPolicy):
-                if paused:
-                    reachable = self.membership.reachable()
-                    self.policy.dispatcher.resume(reachable, now_ms)
                 self.policy.dispatcher.tick(now_ms)
             settle_ms = self._settle_until_ms
             if self._state == "starting" and settle_ms is not None:
                 self._settle(now_ms, settle_ms)
 
+    def _check_pause(self, now_ms: float) -> None:
+        """Distrust all slots when this process was paused.
+
+        Messages that arrived meanwhile are read before the first tick.
+        """
+        if self._is_waking or now_ms - self._last_tick_ms <= _PAUSE_MS:
+            return
+        self._is_waking = True
+        _LOG.warning("entry_was_paused", ms=now_ms - self._last_tick_ms)
+        if isinstance(self.policy, owner.OwnerPolicy):
+            reachable = self.membership.reachable()
+            self.policy.dispatcher.resume(reachable, now_ms)
+
     def _settle(self, now_ms: float, until_ms: float) -> None:
         """Begin to dispatch once the peers are linked or did not answer."""
         if not self._configuration.services:
@@ -290,6 +303,11 @@
         _LOG.warning("peer_lost", peer=event.entry_id)
         self._peers_changed()
 
+    def _on_link_replaced(self, event: events.LinkReplaced) -> None:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            now_ms = self.clock.now_ms()
+            self.policy.dispatcher.link_replaced(event.entry_id, now_ms)
+
     def _peers_changed(self) -> None:
         linked = [
             _entry_of(peer)
@@ -360,6 +378,7 @@
 
     def _on_message(self, peer_id: str, message: messages.Message) -> None:
         now_ms = self.clock.now_ms()
+        self._check_pause(now_ms)
         if isinstance(
             message,
             (
@@ -408,7 +427,7 @@
             case messages.SlotRequest():
                 dispatcher.on_request(peer_id, message, now_ms)
             case messages.SlotGrant():
-                if now_ms - self._last_tick_ms > _PAUSE_MS:
+                if self._is_waking:
                     self._return_stale(peer_id, message)
                 else:
                     dispatcher.on_grant(peer_id, message, now_ms)
--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -30,6 +30,7 @@
 LEASE_GRACE_MS = 1000.0
 TAKE_OVER_WAIT_MS = 100.0
 _MAX_REMOTE_WAITING = 10_000
+_MAX_DOUBLINGS = 5
 
 
 class Port(Protocol):
@@ -64,8 +65,9 @@
         bulk: Whether the answer is large.
         excluded: Targets that must not get it.
         origin: Peer that asks, empty for this entry.
-        asked: Dispatchers asked for it so far.
+        asked: Dispatchers asked for it in this round.
         widen_ms: When further dispatchers are asked.
+        asks: Times that dispatchers were asked.
     """
 
     number: int
@@ -77,6 +79,7 @@
     origin: str = ""
     asked: list[str] = dataclasses.field(default_factory=list)
     widen_ms: float = 0.0
+    asks: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
@@ -310,7 +313,8 @@
         """Check all slots with the peers after this process was paused."""
         for state in self._services.values():
             for target_state in state.state_by_id.values():
-                target_state.leases_by_id.clear()
+                for lease_id in list(target_state.leases_by_id):
+                    target_state.drop(lease_id)
             self._take_over(state, list(state.state_by_id), reachable, now_ms)
 
     # Requests of this entry.
@@ -390,8 +394,9 @@
     def _ask(self, state: _ServiceState, ticket: Ticket, now_ms: float) -> None:
         """Ask the next dispatchers, those with free slots first."""
         # Longer each time: under overload more messages would not help.
-        rounds = 2 ** (len(ticket.asked) // self._fan_out)
+        rounds = 2 ** min(ticket.asks, _MAX_DOUBLINGS)
         ticket.widen_ms = now_ms + WIDEN_AFTER_MS * rounds
+        ticket.asks += 1
         asked = 0
         for peer_id in self._ask_order(state, ticket):
             request = messages.SlotRequest(
@@ -449,6 +454,9 @@
             frozenset(message.excluded),
             origin=peer_id,
         )
+        known = self._ticket_by_key.get(ticket.key)
+        if known is not None:
+            self._remove_ticket(known)
         chosen = self._best_target(state, ticket, now_ms)
         if chosen is not None:
             self._grant(ticket, chosen, now_ms)
@@ -556,7 +564,15 @@
         for ticket in list(self._ticket_by_key.values()):
             if ticket.origin == peer_id:
                 self._remove_ticket(ticket)
-            elif peer_id in ticket.asked:
+        self._ask_again(peer_id, now_ms)
+
+    def link_replaced(self, peer_id: str, now_ms: float) -> None:
+        """Ask a peer again for what may be lost with the older link."""
+        self._ask_again(peer_id, now_ms)
+
+    def _ask_again(self, peer_id: str, now_ms: float) -> None:
+        for ticket in list(self._ticket_by_key.values()):
+            if peer_id in ticket.asked:
                 ticket.asked.remove(peer_id)
                 self._ask(self._services[ticket.service], ticket, now_ms)
 
@@ -626,6 +642,10 @@
             if not ticket.origin and ticket.widen_ms <= now_ms
         ]
         for ticket in late:
+            if not set(state.dispatchers).difference(ticket.asked):
+                # The message or its answer may be lost with a link, and a
+                # target may have passed to a dispatcher that refused before.
+                ticket.asked.clear()
             self._ask(state, ticket, now_ms)
 
     # Slots.
--- a/slatechute/events.py
+++ b/slatechute/events.py
@@ -14,6 +14,7 @@
     "Draining",
     "EventBus",
     "InstancesAdopted",
+    "LinkReplaced",
     "PeerLost",
     "PeerReady",
     "TargetLeaving",
@@ -45,6 +46,17 @@
     entry_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkReplaced:
+    """A peer opened a new link before the older one was given up here.
+
+    Frames on the older one may be lost, and the peer has dropped what this
+    entry waits for if it gave that link up.
+    """
+
+    entry_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerLost:
     """The link to a peer is closed or silent."""
--- a/slatechute/peers/links.py
+++ b/slatechute/peers/links.py
@@ -509,6 +509,8 @@
             self.failed(older, _Fault.REPLACED, f"{hello.entry_id} reconnected")
             if is_new:
                 self._emit_lost(peer, _Fault.REPLACED)
+            else:
+                self._bus.emit(events.LinkReplaced(peer.entry_id))
         peer.state = PeerState.READY
         peer.boot_id = hello.boot_id
         peer.data_centre = hello.data_centre
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -40,7 +40,7 @@
         self.entry_id = entry_id
         self.received: list[tuple[str, messages.Message]] = []
         self.events: list[object] = []
-        bus = events.EventBus()
+        self.bus = bus = events.EventBus()
         for event_type in (events.PeerReady, events.PeerLost):
             bus.of(event_type).subscribe(self.events.append)
         self.links = links.PeerLinks(
@@ -653,3 +653,21 @@
         delay_s = dialer.backoff_s(failures)
         limit_s = min(dialer.BACKOFF_MAX_S, 0.05 * 2**failures)
         assert limit_s / 2 <= delay_s <= limit_s
+
+
+def test_replaced_link_is_reported():
+    """Guards against waits for what was lost with the older link."""
+
+    async def run():
+        node = _Node("e9")
+        replaced = []
+        node.bus.of(events.LinkReplaced).subscribe(replaced.append)
+        async with _started(node):
+            await _RawPeer("e2").authenticate(node)
+            await _until(lambda: node.reaches("e2"))
+            new = await _RawPeer("e2", boot=1).authenticate(node)
+            await _until(lambda: replaced)
+            assert replaced == [events.LinkReplaced("e2")]
+            await new.close()
+
+    asyncio.run(run())
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -204,3 +204,49 @@
         ]
         used = _used_by_target(fleet, running)
         assert all(count <= fleet.slots for count in used.values())
+
+
+def test_lost_grant_is_asked_for_again():
+    """Guards against a request that waits for a dispatcher that forgot it.
+
+    All dispatchers were asked once, and all messages were lost.
+    """
+    fleet = fleets.Fleet(entries=2, targets=2, fan_out=1)
+    asking, other = fleet.entry_by_id.values()
+    own = list(asking.core._services["plans"].state_by_id.values())
+    for state in own:
+        state.limit = 0.0
+    asking.submit(1)
+    fleet.outbox.clear()
+    for _ in range(6):
+        fleet.advance(20)
+        fleet.deliver()
+    assert 1 in asking.lease_by_number
+
+
+def test_request_asked_twice_is_granted_once():
+    """Guards against two slots for a request that is asked for again."""
+    fleet = fleets.Fleet(entries=2, targets=2, fan_out=1)
+    asking, other = fleet.entry_by_id.values()
+    for state in fleet.target_states():
+        state.limit = 0.0
+    asking.submit(1)
+    fleet.deliver()
+    asking.core.link_replaced(other.id, fleet.clock.now_ms())
+    fleet.deliver()
+    fleet.warm_up()
+    fleet.advance(1)
+    fleet.deliver()
+    held = [s.leases_by_id for s in fleet.target_states()]
+    assert sum(len(leases_by_id) for leases_by_id in held) == 1
+
+
+def test_pause_gives_back_the_share_of_bulk():
+    """Guards against slots for large answers that are lost by a pause."""
+    fleet = fleets.Fleet(entries=1, targets=1)
+    (entry,) = fleet.entry_by_id.values()
+    entry.submit(1, bulk=True)
+    entry.core.resume(frozenset(), fleet.clock.now_ms())
+    entry.finish(1)
+    entry.submit(2, bulk=True)
+    assert 2 in entry.lease_by_number
