Start a third exchange when the hedge is silent as well

The third exchange takes from the retry budget; with few targets it may go to the first target again on a new connection.

Ruled out: a longer hedge delay, which only moves the moment.

--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -198,14 +198,19 @@
         retries: budgets.RatioBudget,
     ) -> "Attempt":
         """Run an attempt and, when it is slow, a second one beside it."""
-        first = asyncio.ensure_future(self._run(run))
-        tasks = [first]
+        tasks = [asyncio.ensure_future(self._run(run))]
         kept = None
         try:
-            if await self._is_hedge_due(run, first, hedges, retries):
+            while len(tasks) < _MAX_ATTEMPTS and await self._is_late(
+                run, tasks, hedges, retries
+            ):
                 excluded = run.excluded | {run.lease.target.id}
-                hedge = Attempt(self, run.request, excluded, is_first=False)
-                tasks.append(asyncio.ensure_future(self._run(hedge)))
+                if len(tasks) > 1:
+                    # With few targets a new connection to the first one is
+                    # better than none.
+                    excluded = frozenset({run.lease.target.id})
+                run = Attempt(self, run.request, excluded, is_first=False)
+                tasks.append(asyncio.ensure_future(self._run(run)))
             kept = await _first_success(tasks)
             if kept.exception() is not None:
                 _merge_failures(tasks)
@@ -216,51 +221,78 @@
                     task.cancel()
                     task.add_done_callback(_drop_result)
 
-    async def _is_hedge_due(
+    async def _is_late(
         self,
         run: "Attempt",
-        first: asyncio.Task,
+        tasks: list[asyncio.Task],
         hedges: budgets.RatioBudget,
         retries: budgets.RatioBudget,
     ) -> bool:
-        """Wait until the attempt is done or late; return whether it is late.
+        """Wait until there is a result or the last attempt is late.
 
-        Time spent waiting for a slot does not count: a second exchange would
+        Time spent waiting for a slot does not count: one more exchange would
         have to wait for one as well.
         """
         p95_ms = self._policy.p95_ms(run.request.service)
-        await _wait(first, max(_MIN_HEDGE_DELAY_MS, p95_ms))
-        if not first.done() and run.lease is None:
-            run.leased = asyncio.get_running_loop().create_future()
-            await asyncio.wait(
-                (first, run.leased), return_when=asyncio.FIRST_COMPLETED
-            )
-        if first.done():
+        delay_ms = max(_MIN_HEDGE_DELAY_MS, p95_ms)
+        if await _is_settled(tasks, delay_ms):
             return False
-        await self._wait_since_sent(run, first, _MIN_HEDGE_DELAY_MS, p95_ms)
-        if first.done():
+        if run.lease is None:
+            run.leased = asyncio.get_running_loop().create_future()
+            if await _is_settled(tasks, None, run.leased):
+                return False
+        if len(tasks) == 1:
+            if await _is_settled(tasks, delay_ms - self._sent_for_ms(run)):
+                return False
+            if hedges.take():
+                self._counters.hedged()
+                return True
+        silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * p95_ms)
+        if await _is_settled(tasks, silence_ms - self._sent_for_ms(run)):
             return False
-        if hedges.take():
-            self._counters.hedged()
-            return True
-        silence_ms = _SILENCE_FACTOR * p95_ms
-        await self._wait_since_sent(run, first, _MIN_SILENCE_MS, silence_ms)
-        if first.done() or run.request.attempt > 0 or not retries.take():
+        if run.request.attempt > 0 or not retries.take():
             return False
         self._counters.retried(errors.Reason.CONNECTION_SILENT)
         return True
 
-    async def _wait_since_sent(
-        self, run: "Attempt", first: asyncio.Task, *limits_ms: float
-    ) -> None:
-        sent_ms = run.lease.granted_ms
-        elapsed_ms = self._clock.now_ms() - sent_ms
-        await _wait(first, max(limits_ms) - elapsed_ms)
+    def _sent_for_ms(self, run: "Attempt") -> float:
+        return self._clock.now_ms() - run.lease.granted_ms
+
 
+async def _is_settled(
+    tasks: list[asyncio.Task],
+    limit_ms: float | None,
+    until: asyncio.Future[None] | None = None,
+) -> bool:
+    """Wait for a result or the end of all attempts; return whether it came.
 
-async def _wait(task: asyncio.Task, limit_ms: float) -> None:
-    if limit_ms > 0 and not task.done():
-        await asyncio.wait((task,), timeout=limit_ms / 1000)
+    Args:
+        tasks: Attempts.
+        limit_ms: How long to wait, None without limit.
+        until: Stops the wait when it is done.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = None if limit_ms is None else loop.time() + limit_ms / 1000
+    while True:
+        pending = [task for task in tasks if not task.done()]
+        if (
+            not pending
+            or len(pending) < len(tasks)
+            and any(task.exception() is None for task in tasks if task.done())
+        ):
+            return True
+        if until is not None:
+            if until.done():
+                return False
+            pending.append(until)
+        remaining_s = None if end_s is None else end_s - loop.time()
+        if remaining_s is not None and remaining_s <= 0:
+            return False
+        await asyncio.wait(
+            pending,
+            timeout=remaining_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
 
 
 async def _first_success(tasks: list[asyncio.Task]) -> asyncio.Task:
