--- /dev/null
+++ b/tests/faults/test_targets.py
@@ -0,0 +1,134 @@
+"""Faults of targets that need no request at a certain step."""
+
+import asyncio
+import contextlib
+import time
+
+import aiohttp
+
+from slatechute.fakes import caller as callers
+from slatechute.fakes import deployments
+from slatechute.fakes import local_fleet
+
+
+def _caller(fleet, service, method, path, **kwargs):
+    return callers.FakeCaller(
+        callers.CallerSettings(
+            fleet.entry_addresses, service, method, path, **kwargs
+        )
+    )
+
+
+@contextlib.asynccontextmanager
+async def _kits(**kwargs):
+    fleet = local_fleet.LocalFleet(
+        deployments.DEPLOYMENTS["kits"], instances=4, **kwargs
+    )
+    async with fleet:
+        yield fleet
+
+
+def test_lying_load_draws_no_work():
+    """Guards against a report of no load that draws requests to a target.
+
+    The reports lag by 10 s here, so a busy target shows its idle time.
+    """
+
+    async def scenario():
+        async with _kits(work_ms=5.0) as fleet:
+            async with _caller(fleet, "plans", "GET", "/plans/1") as caller:
+                result = await caller.run(300, 300)
+            assert result.served == 300
+            assert all(t.probes.requests == 0 for t in fleet.all_targets)
+
+    asyncio.run(scenario())
+
+
+def test_leaving_target_gets_no_work_and_loses_none():
+    """Guards against new work on a leaving target, and against cut work.
+
+    The target says so in its answers only; the list never learns of it.
+    """
+
+    async def scenario():
+        async with _kits(work_ms=5.0) as fleet:
+            # The list is never published again.
+            fleet._is_news = lambda part, listed: False
+            group = fleet.targets_by_service["kit"]
+            async with _caller(
+                fleet,
+                "kit",
+                "POST",
+                "/reservations",
+                headers={"X-Work-Ms": "100"},
+            ) as caller:
+                load = asyncio.create_task(caller.run(40, 130))
+                await asyncio.sleep(0.5)
+                target = next(target for target in group if target.running)
+                target.leave()
+                running = list(target._instance.runs)
+                result = await load
+            assert result.served == 130
+            assert all(run.status == "done" for run in running)
+            late = [
+                at
+                for at in target.arrivals_while_leaving
+                if at > target.left + 2
+            ]
+            assert time.monotonic() > target.left + 2.5
+            assert not late
+
+    asyncio.run(scenario())
+
+
+def test_listed_stop_cuts_nothing():
+    """Guards against work cut when the list drops a target that finishes."""
+
+    async def scenario():
+        async with _kits(work_ms=5.0) as fleet:
+            group = fleet.targets_by_service["kit"]
+            async with _caller(
+                fleet,
+                "kit",
+                "POST",
+                "/reservations",
+                headers={"X-Work-Ms": "400"},
+            ) as caller:
+                load = asyncio.create_task(caller.run(1000, 6))
+                await asyncio.sleep(0.2)
+                busy = next(target for target in group if target.running)
+                busy.leave()
+                await asyncio.sleep(0.1)
+                group.remove(busy)
+                result = await load
+                assert result.served == 6
+                await busy.stop()
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_disconnects_frees_its_slot():
+    """Guards against slots held by requests that nobody waits for."""
+
+    async def scenario():
+        async with _kits(work_ms=5.0) as fleet:
+            url = f"http://{fleet.entry_addresses[0]}/reservations"
+            headers = {"Slatechute-Service": "kit", "X-Work-Ms": "3000"}
+            timeout = aiohttp.ClientTimeout(total=0.2)
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+
+                async def give_up():
+                    with contextlib.suppress(TimeoutError):
+                        await session.post(url, headers=headers)
+
+                # Twice as many as all slots: half of them wait.
+                await asyncio.gather(*(give_up() for _ in range(16)))
+            await asyncio.sleep(0.1)
+            assert all(t.running == 0 for t in fleet.all_targets)
+            async with _caller(fleet, "kit", "POST", "/reservations") as caller:
+                result = await caller.run(100, 50)
+            assert result.served == 50
+            counts = [a.policy.dispatcher.counts() for a in fleet.applications]
+            assert counts == [(0, 0)] * len(counts)
+
+    asyncio.run(scenario())
