--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -197,7 +197,7 @@
         hedges: budgets.RatioBudget,
         retries: budgets.RatioBudget,
     ) -> "Attempt":
-        """Run an attempt and, when it is slow, a second one beside it."""
+        """Run an attempt and, while it is late, further ones beside it."""
         race = _Race(self, run, hedges, retries)
         try:
             return await self._run(run)
@@ -211,139 +211,166 @@
 
 
 class _Race:
-    """A second attempt that starts when the first one is late.
+    """Further attempts that start while the first one is late.
 
     The first attempt runs in the task of the request and is interrupted by
     cancellation, as by `asyncio.timeout`. A task for each attempt would cost
     every request several turns of the loop, and few ever get a second one.
+
+    A hedge only uses a slot to spare. An exchange that lasts much longer still
+    is taken for one on a silent connection, and the next attempt waits for its
+    slot like any request.
     """
 
     def __init__(
         self,
         executor: Executor,
-        run: "Attempt",
+        first: "Attempt",
         hedges: budgets.RatioBudget,
         retries: budgets.RatioBudget,
     ):
         self._executor = executor
-        self._run = run
+        self._request = first.request
+        self._attempts = [first]
         self._hedges = hedges
         self._retries = retries
         self._task = asyncio.current_task()
         self._cancelling = self._task.cancelling()
-        self._second: asyncio.Task[Attempt] | None = None
-        self._is_interrupted = False
+        self._others: list[asyncio.Task[Attempt]] = []
+        self._winner: asyncio.Task[Attempt] | None = None
         self._is_over = False
-        self._p95_ms = executor._policy.p95_ms(run.request.service)
-        self._delay_ms = max(_MIN_HEDGE_DELAY_MS, self._p95_ms)
+        p95_ms = executor._policy.p95_ms(self._request.service)
+        self._hedge_ms = max(_MIN_HEDGE_DELAY_MS, p95_ms)
+        self._silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * p95_ms)
         self._timer: asyncio.TimerHandle | None = None
-        self._call_later(self._delay_ms, self._hedge_if_late)
+        self._check_later(self._hedge_ms)
 
-    def _call_later(self, delay_ms: float, callback: Callable[[], None]):
+    def _check_later(self, delay_ms: float) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_ms / 1000, callback)
-
-    def _left_ms(self, limit_ms: float) -> float:
-        """Return what is left of a limit that counts from the grant."""
-        now_ms = self._executor._clock.now_ms()
-        return self._run.lease.granted_ms + limit_ms - now_ms
+        self._timer = loop.call_later(delay_ms / 1000, self._check)
 
-    def _hedge_if_late(self) -> None:
-        """Start a hedge when the attempt is late and the budget allows it.
-
-        Time spent waiting for a slot does not count: a second exchange would
-        have to wait for one as well.
-        """
-        if self._is_over:
+    def _check(self) -> None:
+        """Start another attempt when the last one is late."""
+        if self._is_over or len(self._attempts) >= _MAX_ATTEMPTS:
             return
-        if self._run.lease is None:
-            self._run.on_lease = self._hedge_if_late
+        latest = self._attempts[-1]
+        if latest.lease is None and not latest.is_spare:
+            # Time spent waiting for a slot does not count: one more exchange
+            # would have to wait for one as well.
+            latest.on_lease = self._check
             return
-        left_ms = self._left_ms(self._delay_ms)
-        if left_ms > 0:
-            self._call_later(left_ms, self._hedge_if_late)
-        elif self._has_spare() and self._hedges.take():
-            self._executor._counters.hedged()
-            # A hedge is not worth the slot of a request that waits.
-            self._start_second(is_spare=True)
+        sent = latest if latest.lease is not None else self._attempts[-2]
+        elapsed_ms = self._executor._clock.now_ms() - sent.lease.granted_ms
+        if latest is sent and len(self._attempts) == 1:
+            if elapsed_ms < self._hedge_ms:
+                self._check_later(self._hedge_ms - elapsed_ms)
+                return
+            if self._has_spare() and self._hedges.take():
+                self._executor._counters.hedged()
+                self._start(sent, is_spare=True)
+                return
+        if elapsed_ms < self._silence_ms:
+            self._check_later(self._silence_ms - elapsed_ms)
         else:
-            silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * self._p95_ms)
-            left_ms = max(0.0, self._left_ms(silence_ms))
-            self._call_later(left_ms, self._retry_if_silent)
+            self._retry_if_allowed(sent)
 
-    def _retry_if_silent(self) -> None:
-        if self._run.request.attempt > 0 or not self._retries.take():
+    def _has_spare(self) -> bool:
+        return self._executor._policy.has_spare(self._request.service)
+
+    def _retry_if_allowed(self, silent: "Attempt") -> None:
+        if self._request.attempt > 0 or not self._retries.take():
             return
+        if self._attempts[-1] is not silent:
+            # The hedge has found no slot to spare.
+            self._attempts.pop()
+            self._drop(self._others.pop())
         reason = errors.Reason.CONNECTION_SILENT
         self._executor._counters.retried(reason)
-        self._start_second(is_spare=False)
-
-    def _has_spare(self) -> bool:
-        service = self._run.request.service
-        return self._executor._policy.has_spare(service)
-
-    def _start_second(self, *, is_spare: bool) -> None:
-        run = self._run
-        excluded = run.excluded | {run.lease.target.id}
-        second = Attempt(
+        self._start(silent, is_spare=False)
+
+    def _start(self, late: "Attempt", *, is_spare: bool) -> None:
+        excluded = late.excluded | {late.lease.target.id}
+        if len(self._attempts) > 1:
+            # With few targets a new connection to the first one is better than
+            # none.
+            excluded = frozenset({late.lease.target.id})
+        attempt = Attempt(
             self._executor,
-            run.request,
+            self._request,
             excluded,
             is_first=False,
             is_spare=is_spare,
         )
-        self._second = asyncio.ensure_future(self._executor._run(second))
-        self._second.add_done_callback(self._second_ended)
-
-    def _second_ended(self, second: asyncio.Task) -> None:
-        # When the second attempt fails the first one decides.
-        if self._is_over or second.cancelled() or second.exception():
+        self._attempts.append(attempt)
+        task = asyncio.ensure_future(self._executor._run(attempt))
+        task.add_done_callback(self._ended)
+        self._others.append(task)
+        self._check_later(self._hedge_ms)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        # When a further attempt fails the other ones decide.
+        if self._is_over or task.cancelled() or task.exception():
             return
-        self._is_interrupted = True
-        self._task.cancel()
+        if self._winner is None:
+            self._winner = task
+            self._task.cancel()
 
     async def settle(self, failure: BaseException) -> "Attempt | None":
-        """Return the answer of the second attempt after the first has ended.
+        """Return the answer of a further attempt after the first has ended.
 
         Returns:
             None when there is none, so that `failure` counts.
         """
         self._stop()
-        if self._is_interrupted:
+        if self._winner is not None:
             # Whoever else cancelled the task goes first.
             if self._task.uncancel() > self._cancelling:
+                self._winner = None
                 return None
-        elif isinstance(failure, asyncio.CancelledError):
+            return self._take_winner(failure)
+        if isinstance(failure, asyncio.CancelledError):
             return None
-        if self._second is None:
-            return None
-        # Not `await self._second`: a cancellation of the request must not be
-        # taken for one of the second attempt.
-        await asyncio.wait([self._second])
-        if self._second.cancelled():
-            return None
-        error = self._second.exception()
+        pending = set(self._others)
+        while pending and self._winner is None:
+            # Not `await task`: a cancellation of the request must not be taken
+            # for one of the attempt.
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                self._note_end(task, failure)
+        return self._take_winner(failure)
+
+    def _note_end(self, task: asyncio.Task, failure: "_AttemptError") -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
         if error is None:
-            if isinstance(failure, _AttemptError):
-                failure.discard()
-            second, self._second = self._second, None
-            return second.result()
-        if isinstance(failure, _AttemptError) and isinstance(
-            error, _AttemptError
-        ):
+            self._winner = self._winner or task
+        elif isinstance(error, _AttemptError):
             failure.merge(error)
-        return None
+
+    def _take_winner(self, failure: BaseException) -> "Attempt | None":
+        if self._winner is None:
+            return None
+        if isinstance(failure, _AttemptError):
+            failure.discard()
+        return self._winner.result()
 
     def close(self) -> None:
-        """End the second attempt unless it gave the answer."""
+        """End all further attempts but the one that gave the answer."""
         self._stop()
-        if self._second is not None:
-            self._second.cancel()
-            self._second.add_done_callback(_drop_result)
+        for task in self._others:
+            if task is not self._winner:
+                self._drop(task)
+
+    def _drop(self, task: asyncio.Task) -> None:
+        task.cancel()
+        task.add_done_callback(_drop_result)
 
     def _stop(self) -> None:
         self._is_over = True
-        self._run.on_lease = None
+        self._attempts[-1].on_lease = None
         self._timer.cancel()
 
 
@@ -403,6 +430,7 @@
         excluded: Targets that must not get it.
         is_first: Whether it is the first exchange of the request. Others only
             use connections that are new or have answered a moment ago.
+        is_spare: Whether it only gets a slot that nothing else waits for.
         lease: Slot that it uses until `finish`, None while it waits.
         on_lease: Called when there is a lease, or None.
         answer: Answer of the target; its body may have to be streamed.
@@ -421,6 +449,7 @@
         self.request = request
         self.excluded = excluded
         self.is_first = is_first
+        self.is_spare = is_spare
         self.on_lease: Callable[[], None] | None = None
         self.lease: leases.Lease | None = None
         self.answer: exchange.Answer | None = None
