Log the fields of configuration events

Cause: the store used the logger of the library, which drops keyword arguments, so that document_adopted and document_refused named no document, revision or problem.

--- a/slatechute/configuration/store.py
+++ b/slatechute/configuration/store.py
@@ -10,10 +10,9 @@
 import dataclasses
 import enum
 
-import logbook
-
 from slatechute import errors
 from slatechute import events
+from slatechute import logs
 from slatechute.configuration import folder
 from slatechute.configuration import instances
 from slatechute.configuration import models
@@ -41,7 +40,7 @@
 MAX_REFUSALS = 8
 MAX_PROBLEMS_KEPT = 50
 
-_LOGGER = logbook.Logger(__name__)
+_LOGGER = logs.get_logger(__name__)
 
 _Content = models.Configuration | instances.Instances
 
