Catch up with the peers before deciding after a pause or a start

It now asks all linked peers at once, and new requests wait until they have announced their documents and these have arrived, at most 500 ms. A starting entry waits for the same within the 500 ms that it waits for links anyway. - Peers close their links with a frozen entry, so that a wait for linked peers alone ended at once. Those linked before the pause are waited for. - A document asked for over a link that was lost stayed a fetch of that peer. Its announcement over the next link caused no request, so the document came after the fetch timeout and a further digest, up to 3 s later. - A new link exchanged digests only with peers that were no neighbours before. - Neighbours were chosen from the list whether they could be reached or not.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -19,6 +19,7 @@
 from slatechute import metrics
 from slatechute import requests
 from slatechute import settings as entry_settings
+from slatechute.configuration import catch_up
 from slatechute.configuration import instances
 from slatechute.configuration import models
 from slatechute.configuration import spread
@@ -42,6 +43,12 @@
 # A new entry waits this long for links to its peers before it dispatches,
 # since without them it would take every target for its own.
 _SETTLE_MS = 500.0
+# After a pause, new requests wait at most this long for the documents of the
+# peers, which may have to link again first.
+_CATCH_UP_MS = 500.0
+# A peer without a link for this long is no longer a neighbour for documents.
+_UNREACHABLE_MS = 1000.0
+_REVIEW_MS = 500.0
 _MAX_ADDRESSES = 4
 _LOAD_POLL_S = 0.5
 
@@ -86,8 +93,15 @@
         self._adopted_ms = 0.0
         self._state = "starting"
         self.ready = asyncio.Event()
-        self._settle_until_ms: float | None = None
+        self._has_list = False
+        self._pause_after_ms = -1.0
+        self._paused_peers: frozenset[str] = frozenset()
         self._plan_due = False
+        self._catch_up = catch_up.CatchUp()
+        self._current = asyncio.Event()
+        self._neighbours: frozenset[str] = frozenset()
+        self._unlinked_since_ms: dict[str, float] = {}
+        self._review_due_ms = 0.0
         self._cold_ids: frozenset[str] = frozenset()
         self._last_tick_ms = self.clock.now_ms()
         self._random = random.Random()
@@ -218,28 +232,67 @@
         while True:
             await asyncio.sleep(_TICK_MS / 1000)
             now_ms = self.clock.now_ms()
-            paused = now_ms - self._last_tick_ms > _PAUSE_MS
+            self._check_pause(now_ms)
             self._last_tick_ms = now_ms
             if isinstance(self.policy, owner.OwnerPolicy):
-                if paused:
-                    reachable = self.membership.reachable()
-                    self.policy.dispatcher.resume(reachable, now_ms)
                 self.policy.dispatcher.tick(now_ms)
-            settle_ms = self._settle_until_ms
-            if self._state == "starting" and settle_ms is not None:
-                self._settle(now_ms, settle_ms)
-
-    def _settle(self, now_ms: float, until_ms: float) -> None:
-        """Begin to dispatch once the peers are linked or did not answer."""
+            if self._state == "starting":
+                self._settle(now_ms)
+            elif self._catch_up.poll(
+                self._paused_peers,
+                is_fetching=self._spread.is_fetching,
+                now_ms=now_ms,
+            ):
+                self._current.set()
+                _LOG.info("entry_resumed", revision=self._revision)
+            if now_ms >= self._review_due_ms:
+                self._review_neighbours()
+
+    def _check_pause(self, now_ms: float) -> None:
+        """Doubt leases and documents when this process was paused."""
+        last_ms = self._last_tick_ms
+        if now_ms - last_ms <= _PAUSE_MS or last_ms == self._pause_after_ms:
+            return
+        self._pause_after_ms = last_ms
+        reachable = self.membership.reachable()
+        # Before the take-over: peers then announce newer documents before they
+        # report, which is what dispatch waits for.
+        self._spread.ask(reachable)
+        if isinstance(self.policy, owner.OwnerPolicy):
+            self.policy.dispatcher.resume(reachable, now_ms)
+        if self._state != "starting":
+            self._current.clear()
+            self._paused_peers = reachable
+            self._catch_up.forget()
+            self._catch_up.begin(now_ms, _CATCH_UP_MS)
+
+    def _settle(self, now_ms: float) -> None:
+        """Begin to dispatch once the peers have told what is in force."""
         if not self._configuration.services:
             return
-        listed = self.membership.peer_addresses(self._configuration.services)
-        linked = self.membership.reachable()
-        if now_ms >= until_ms or linked.issuperset(listed):
+        if self._catch_up.poll(
+            self._wanted_peers(),
+            is_fetching=self._spread.is_fetching,
+            now_ms=now_ms,
+        ):
             self._state = "ready"
+            self._current.set()
+            _LOG.info("entry_ready", revision=self._revision)
             self.ready.set()
             self._replan()
 
+    # callers.Directory
+
+    def is_current(self) -> bool:
+        """Return whether requests may be accepted by the rules in force."""
+        # The requests that arrived during a pause are read before the tick.
+        self._check_pause(self.clock.now_ms())
+        return self._state == "starting" or self._current.is_set()
+
+    async def wait_current(self) -> None:
+        """Wait until the peers have told what is in force, or were silent."""
+        await self._current.wait()
+
     # Documents and membership.
 
     def _on_configuration(self, event: events.ConfigurationAdopted) -> None:
@@ -268,26 +321,70 @@
         for target in known.targets_by_id.values():
             if target.state == membership.LEAVING:
                 self.bus.emit(events.TargetLeaving(target.id, "list"))
-        if self._settle_until_ms is None:
-            self._settle_until_ms = self.clock.now_ms() + _SETTLE_MS
+        self._review_neighbours()
         self._set_peers()
+        if not self._has_list:
+            self._has_list = True
+            self._catch_up.begin(self.clock.now_ms(), _SETTLE_MS)
         self._replan()
 
+    def _wanted_peers(self) -> dict[str, str]:
+        return self.membership.peer_addresses(
+            self._configuration.services, self._neighbours
+        )
+
     def _set_peers(self) -> None:
-        wanted = self.membership.peer_addresses(self._configuration.services)
-        self._links.set_peers(wanted)
+        self._links.set_peers(self._wanted_peers())
+
+    def _review_neighbours(self) -> None:
+        """Choose the neighbours for documents among reachable entries.
+
+        Entries that this one has no link with are believed to be reachable.
+        One that turned out not to be stays wanted, or it would be believed in
+        again.
+        """
+        now_ms = self.clock.now_ms()
+        self._review_due_ms = now_ms + _REVIEW_MS
+        unlinked = {
+            peer.entry_id
+            for peer in self._links.peers().values()
+            if peer.listed and not peer.reachable
+        }
+        self._unlinked_since_ms = {
+            key: self._unlinked_since_ms.get(key, now_ms) for key in unlinked
+        }
+        unreachable = {
+            key
+            for key, since_ms in self._unlinked_since_ms.items()
+            if now_ms - since_ms >= _UNREACHABLE_MS
+        }
+        self._spread.on_peers_changed(
+            entry
+            for entry in self.membership.entries().values()
+            if entry.id not in unreachable
+        )
+        neighbours = frozenset(self._spread.neighbours)
+        neighbours |= self._neighbours & unreachable
+        if neighbours != self._neighbours:
+            self._neighbours = neighbours
+            self._set_peers()
 
     def _on_peer_ready(self, event: events.PeerReady) -> None:
         if isinstance(self.policy, owner.OwnerPolicy):
             self.policy.dispatcher.peer_ready(event.entry_id)
         _LOG.info("peer_ready", peer=event.entry_id)
         self._peers_changed()
+        self._spread.on_peer_linked(event.entry_id)
 
     def _on_peer_lost(self, event: events.PeerLost) -> None:
+        now_ms = self.clock.now_ms()
+        # Peers close their links with an entry that is paused; their documents
+        # are waited for nevertheless.
+        self._check_pause(now_ms)
         if isinstance(self.policy, owner.OwnerPolicy):
-            now_ms = self.clock.now_ms()
             self.policy.dispatcher.peer_lost(event.entry_id, now_ms)
         _LOG.warning("peer_lost", peer=event.entry_id)
+        self._spread.on_peer_lost(event.entry_id)
         self._peers_changed()
 
     def _peers_changed(self) -> None:
@@ -297,7 +394,7 @@
             if peer.reachable
         ]
         self.membership.set_linked(linked)
-        self._spread.on_peers_changed(self.membership.entries().values())
+        self._review_neighbours()
         self._replan()
 
     def _on_target_leaving(self, event: events.TargetLeaving) -> None:
@@ -369,6 +466,11 @@
             ),
         ):
             self._spread.on_message(peer_id, message)
+            if (
+                isinstance(message, messages.DocumentDigest)
+                and message.name == platforms.CONFIGURATION
+            ):
+                self._catch_up.heard(peer_id)
         elif isinstance(message, messages.Heartbeat):
             self._on_heartbeat(peer_id, message)
         elif isinstance(message, messages.TargetReport):
@@ -381,6 +483,9 @@
             self._on_slot_message(peer_id, message, now_ms)
 
     def _on_heartbeat(self, peer_id: str, message: messages.Heartbeat) -> None:
+        if not message.revision:
+            # A peer that has no document announces none.
+            self._catch_up.heard(peer_id)
         if isinstance(self.policy, owner.OwnerPolicy):
             self.policy.dispatcher.on_load(peer_id, message.loads)
         known = self.membership.entries().get(peer_id)
@@ -431,8 +536,6 @@
         )
         self._links.send(peer_id, unused)
 
-    # callers.Directory
-
     def configuration(self) -> models.Configuration:
         """Return the configuration in force."""
         return self._configuration
--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -40,6 +40,14 @@
 class Directory(Protocol):
     """What the server needs to know of fleet and configuration."""
 
+    def is_current(self) -> bool:
+        """Return whether requests may be accepted by the rules in force."""
+        ...
+
+    async def wait_current(self) -> None:
+        """Wait until they may."""
+        ...
+
     def configuration(self) -> models.Configuration:
         """Return the configuration in force."""
         ...
@@ -144,6 +152,8 @@
         self, http: web.BaseRequest, service: str
     ) -> requests.Request:
         now_ms = self._clock.now_ms()
+        if not self._directory.is_current():
+            await self._directory.wait_current()
         rules = self._directory.configuration().services.get(service)
         if rules is None:
             raise errors.RequestError(
--- a/slatechute/configuration/spread.py
+++ b/slatechute/configuration/spread.py
@@ -12,9 +12,9 @@
 import random
 import re
 
-import logbook
 import xxhash
 
+from slatechute import logs
 from slatechute import messages
 from slatechute import ownership
 from slatechute import settings as settings_module
@@ -63,7 +63,7 @@
 _FRAME_OVERHEAD_BYTES = 128
 
 _DIGEST = re.compile(r"[0-9a-f]{32}")
-_LOGGER = logbook.Logger(__name__)
+_LOGGER = logs.get_logger(__name__)
 
 Outbox = list[tuple[str, messages.Message]]
 
@@ -309,6 +309,11 @@
         """Whether this entry watches the platform."""
         return self._is_reader
 
+    @property
+    def is_fetching(self) -> bool:
+        """Whether announced documents are on their way from peers."""
+        return bool(self._fetches)
+
     def status(self) -> SpreadStatus:
         """Return the state for operators."""
         return SpreadStatus(
@@ -358,6 +363,35 @@
         new = [peer for peer in self._neighbours if peer not in known]
         return self._announce(store.NAMES, new)
 
+    def on_peer_linked(self, peer_id: str, now_ms: float) -> Outbox:
+        """Exchange digests over a new link, whether to a neighbour or not.
+
+        A replaced entry and a healed partition then need not wait for the next
+        resent digest.
+        """
+        del now_ms
+        return self._announce(store.NAMES, [peer_id])
+
+    def on_peer_lost(self, peer_id: str, now_ms: float) -> Outbox:
+        """Fetch from others what a lost peer was asked for.
+
+        The request or its answer was lost with the link, so that the peer has
+        to announce the document again before it is asked again.
+        """
+        outbox: Outbox = []
+        for fetch in list(self._fetches):
+            outbox += self._drop_source(fetch, peer_id, now_ms)
+        return outbox
+
+    def ask(self, peers: Iterable[str], now_ms: float) -> Outbox:
+        """Ask peers for their digests."""
+        del now_ms
+        return [
+            (peer, messages.DocumentRequest(name, 0, []))
+            for peer in peers
+            for name in store.NAMES
+        ]
+
     def on_message(
         self, peer_id: str, message: messages.Message, now_ms: float
     ) -> Outbox:
@@ -534,11 +568,7 @@
         outbox: Outbox = []
         if now_ms - self._ticked_ms > PAUSE_MS:
             # What this entry believes may be outdated, so it asks at once.
-            outbox += [
-                (peer, messages.DocumentRequest(name, 0, []))
-                for peer in self._neighbours
-                for name in store.NAMES
-            ]
+            outbox += self.ask(self._neighbours, now_ms)
         self._ticked_ms = now_ms
         for fetch in list(self._fetches):
             if now_ms >= fetch.deadline_ms:
@@ -640,6 +670,11 @@
         """Entries that documents are announced to, for keeping links."""
         return self._core.neighbours
 
+    @property
+    def is_fetching(self) -> bool:
+        """Whether announced documents are on their way from peers."""
+        return self._core.is_fetching
+
     def status(self) -> SpreadStatus:
         """Return the state for operators."""
         return self._core.status()
@@ -666,6 +701,18 @@
         """Take the entries that are believed to be alive."""
         self._run(self._core.on_peers_changed, entries)
 
+    def on_peer_linked(self, peer_id: str) -> None:
+        """Exchange digests over a new link."""
+        self._run(self._core.on_peer_linked, peer_id)
+
+    def on_peer_lost(self, peer_id: str) -> None:
+        """Fetch from others what a lost peer was asked for."""
+        self._run(self._core.on_peer_lost, peer_id)
+
+    def ask(self, peers: Iterable[str]) -> None:
+        """Ask peers for their digests."""
+        self._run(self._core.ask, peers)
+
     def _run(self, method: Callable[..., Outbox], *args: object) -> None:
         # A fault in a subscriber of an adopted document must end neither the
         # watch of the platform nor the link that delivered the document.
--- a/slatechute/membership.py
+++ b/slatechute/membership.py
@@ -110,9 +110,17 @@
         known = self._targets_by_service.get(service, {})
         return [t for t in known.values() if t.id not in self._leaving]
 
-    def peer_addresses(self, services: Iterable[str]) -> dict[str, str]:
-        """Return the entries to be linked with, by id."""
-        wanted: set[str] = set()
+    def peer_addresses(
+        self, services: Iterable[str], neighbours: Iterable[str] = ()
+    ) -> dict[str, str]:
+        """Return the entries to be linked with, by id.
+
+        Args:
+            services: Configured services.
+            neighbours: Entries that documents are exchanged with, also beyond
+                the groups of the services.
+        """
+        wanted = set(neighbours)
         for service in services:
             group = self._group(service)
             if self._own.id in group:
--- /dev/null
+++ b/tests/configuration/test_catch_up.py
@@ -0,0 +1,34 @@
+"""Tests of the wait for the documents of peers."""
+
+from slatechute.configuration import catch_up
+
+
+def test_wait_ends_when_all_peers_told_and_documents_are_here():
+    """Guards against decisions by rules that a peer has already replaced."""
+    wait = catch_up.CatchUp()
+    wait.heard("e2")
+    wait.forget()
+    wait.begin(100, 500)
+    assert not wait.poll(["e2", "e3"], is_fetching=False, now_ms=200)
+    wait.heard("e2")
+    wait.heard("e3")
+    assert not wait.poll(["e2", "e3"], is_fetching=True, now_ms=210)
+    assert wait.poll(["e2", "e3"], is_fetching=False, now_ms=220)
+    assert not wait.poll(["e2", "e3"], is_fetching=False, now_ms=230)
+
+
+def test_what_was_read_in_the_turn_of_the_wake_up_is_not_enough():
+    """Guards against an announcement sent before the pause."""
+    wait = catch_up.CatchUp()
+    wait.begin(100, 500)
+    wait.heard("e2")
+    assert not wait.poll(["e2"], is_fetching=False, now_ms=100)
+    assert wait.poll(["e2"], is_fetching=False, now_ms=110)
+
+
+def test_silent_peers_do_not_stop_the_entry():
+    """Guards against an entry that waits for ever for a dead peer."""
+    wait = catch_up.CatchUp()
+    wait.begin(100, 500)
+    assert not wait.poll(["e2"], is_fetching=True, now_ms=599)
+    assert wait.poll(["e2"], is_fetching=True, now_ms=600)
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -233,6 +233,30 @@
     assert network.callers == readers
 
 
+def test_new_link_exchanges_digests_at_once():
+    # Guards against a healed partition or a replaced peer that waits for the
+    # next resent digest because it is no neighbour or was one before.
+    core, documents = _core()
+    assert core.on_peer_linked("e9", 0) == [
+        ("e9", messages.DocumentRequest(name, 0, [])) for name in store.NAMES
+    ]
+    documents.offer(_document(4), store.PLATFORM)
+    assert ("e9", _digest(_document(4))) in core.on_peer_linked("e9", 0)
+    asked = core.ask(["e9"], 0)
+    assert ("e9", messages.DocumentRequest(_NAME, 0, [])) in asked
+
+
+def test_request_lost_with_its_link_is_sent_again():
+    # Guards against a fetch that waits for its timeout because the same peer
+    # announces the document again over a new link.
+    core, documents = _core()
+    [(_, request)] = core.on_message("e2", _digest(_document(4)), 0)
+    assert core.on_peer_lost("e2", 5) == []
+    assert core.on_message("e2", _digest(_document(4)), 10) == [("e2", request)]
+    core.on_message("e3", _digest(_document(4)), 10)
+    assert core.on_peer_lost("e2", 20) == [("e3", request)]
+
+
 def test_replaced_entry_gets_documents_from_peers_before_the_platform():
     # Guards against a start that depends on the platform.
     core, documents = _core()
