Add the command bench reverts

200 changes with kills, freezes, partitions and platform faults; no entry may go back, become ready or go on after a freeze with older rules than a peer that it reaches, or stay behind.

--- a/slatechute/benches/processes.py
+++ b/slatechute/benches/processes.py
@@ -157,6 +157,11 @@
         """Send the process a signal."""
         self._process.send_signal(number)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
     @property
     def pid(self) -> int:
         """Process id."""
--- /dev/null
+++ b/slatechute/commands/bench_reverts.py
@@ -0,0 +1,61 @@
+"""Command `slatechute bench reverts`."""
+
+import asyncio
+import json
+from typing import ClassVar
+
+from cleo import helpers
+from cleo.io.inputs import option
+
+from slatechute import errors
+from slatechute.benches import reverts
+from slatechute.commands import base
+
+__all__ = ["BenchRevertsCommand"]
+
+
+class BenchRevertsCommand(base.Command):
+    """Looks for entries that go back to an older configuration."""
+
+    name = "bench reverts"
+    description = "Change the configuration under faults and look for reverts."
+    help = """\
+Publishes changes while entry processes are killed, frozen and cut off and the
+platform is stale or down. No entry may go back to an older revision, become
+ready with an older one than a peer that it reaches, or stay behind after the
+faults. Prints progress on standard error and the result as JSON.
+
+Exit status: 0 when nothing was found; 1 when something was; 2 when an option
+cannot be used."""
+    options: ClassVar[list[option.Option]] = [
+        helpers.option("changes", None, "Changes.", flag=False, default="200"),
+        helpers.option(
+            "entries", None, "Entry processes.", flag=False, default="9"
+        ),
+        helpers.option("seed", None, "Seed.", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Run the bench.
+
+        Raises:
+            errors.SettingsError: An option cannot be used.
+        """
+        try:
+            plan = reverts.Plan(
+                int(self.option("changes")),
+                int(self.option("entries")),
+                int(self.option("seed")),
+            )
+        except ValueError as error:
+            raise errors.SettingsError(str(error)) from None
+        if not 2 <= plan.entries <= 32 or not 1 <= plan.changes <= 2000:
+            raise errors.SettingsError("entries or changes out of range")
+        result = asyncio.run(reverts.RevertsBench(plan, self._report).run())
+        self.print_json(result)
+        if result["clean"]:
+            return base.ExitStatus.OK
+        return base.ExitStatus.NEGATIVE
+
+    def _report(self, progress: dict) -> None:
+        self.line_error(json.dumps(progress))
