Keep the HTTP client from repeating failed platform calls

Cause: aiohttp sends an idempotent request again at once when its connection was closed, past the backoff, the rate limit and the count of calls. A middleware of the request turns the failure into a PlatformError, which the library does not repeat.

--- a/slatechute/platforms/http.py
+++ b/slatechute/platforms/http.py
@@ -73,7 +73,11 @@
         url = f"{self._base_url}/v1/documents/{name}"
         try:
             async with self._session.get(
-                url, params=params, timeout=timeout, allow_redirects=False
+                url,
+                params=params,
+                timeout=timeout,
+                allow_redirects=False,
+                middlewares=(_send_once,),
             ) as response:
                 if response.status == 204:
                     return None
@@ -94,6 +98,19 @@
         return base.Document(name, answer.revision, answer.parts)
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client from repeating a call whose connection was closed.
+
+    It would do so at once, past the backoff and the count of calls.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as err:
+        raise errors.PlatformError(f"{request.url.path}: {err!r}") from err
+
+
 async def _read_limited(content: aiohttp.StreamReader) -> bytes:
     body = bytearray()
     async for chunk in content.iter_any():
--- a/tests/platforms/test_http.py
+++ b/tests/platforms/test_http.py
@@ -52,6 +52,21 @@
     asyncio.run(run())
 
 
+def test_closed_connection_is_not_called_again_at_once():
+    """Guards against a client that doubles the calls on a failing platform."""
+
+    async def run():
+        async with _connected() as (fake, reader):
+            fake.publish("configuration", {})
+            await reader.read("configuration")
+            fake.down = True
+            with pytest.raises(errors.PlatformError):
+                await reader.read("configuration")
+            assert fake.calls == 2
+
+    asyncio.run(run())
+
+
 def test_watch_wakes_on_publication_and_counts_one_call():
     """Guards against watches that poll or miss a revision."""
 
