Show operators the spread of documents

Platform calls, faults of the spread and the gauges are counted; /status has the list of hosts, refusals with their source, verdicts on offers and the state of the spread. The servers start after the spread is built, which /status needs.

An unconfirmed document no longer confirms the same one at a peer: when all hosts start at once with a stale platform, each confirmed the others' within milliseconds and the mark was gone.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -90,7 +90,7 @@
         self._configuration = models.Configuration()
         self._revision = 0
         self._digest = ""
-        self._adopted_ms = 0.0
+        self._adopted_ms_by_name: dict[str, float] = {}
         self._state = "starting"
         self.ready = asyncio.Event()
         self._has_list = False
@@ -142,6 +142,11 @@
             self.metrics,
         )
         self._store = store.DocumentStore(self.bus)
+        self.metrics.bind_gauges(
+            in_flight=lambda: self._callers.inflight,
+            waiting=self._count_waiting,
+            links=lambda: len(self.membership.reachable()),
+        )
         self._admin = admin.AdminServer(
             settings, self.metrics, self.readiness, self.status
         )
@@ -158,6 +163,12 @@
         }[self.settings.policy]
         return baseline(self.clock, self.membership.targets_of)
 
+    def _count_waiting(self) -> int:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            _, waiting = self.policy.dispatcher.counts()
+            return waiting
+        return 0
+
     def _wire(self) -> None:
         bus = self.bus
         bus.of(events.ConfigurationAdopted).subscribe(self._on_configuration)
@@ -175,9 +186,6 @@
             OSError: An address cannot be used.
         """
         await self._client.start()
-        await self._admin.start()
-        await self._callers.start()
-        await self._links.start()
         self._session = aiohttp.ClientSession()
         if self._platform is None:
             self._platform = http_platform.HttpPlatform(
@@ -189,7 +197,11 @@
             self._store,
             self._links.send,
             self.clock,
+            counters=self.metrics,
         )
+        await self._admin.start()
+        await self._callers.start()
+        await self._links.start()
         await self._spread.start()
         self._tasks.append(asyncio.create_task(self._tick()))
         if isinstance(self.policy, baselines.TwoChoices):
@@ -302,7 +314,8 @@
         self._configuration = event.configuration
         self._revision = event.revision
         self._digest = event.digest
-        self._adopted_ms = self.clock.now_ms()
+        now_ms = self.clock.now_ms()
+        self._adopted_ms_by_name[platforms.CONFIGURATION] = now_ms
         self.metrics.configuration_adopted(event.revision)
         self._executor.set_rules(event.configuration.fleet)
         if isinstance(self.policy, owner.OwnerPolicy):
@@ -313,6 +326,8 @@
         self._replan()
 
     def _on_instances(self, event: events.InstancesAdopted) -> None:
+        now_ms = self.clock.now_ms()
+        self._adopted_ms_by_name[platforms.INSTANCES] = now_ms
         known = self._store.instances
         fresh = self.membership.set_list(
             known.entries_by_id.values(), known.targets_by_id.values()
@@ -594,22 +609,44 @@
             "boot_id": self.boot_id,
             "data_centre": self.settings.data_centre,
             "state": self._state,
-            "configuration": self._configuration_status(),
+            "configuration": self._document_status(platforms.CONFIGURATION),
+            "instances": self._document_status(platforms.INSTANCES),
+            "spread": self._spread_status(),
             "peers": peers,
         }
 
-    def _configuration_status(self) -> dict:
-        status = self._store.status()[platforms.CONFIGURATION]
+    def _document_status(self, name: str) -> dict:
+        status = self._store.status()[name]
+        adopted_ms = self._adopted_ms_by_name.get(name)
+        age_s = None
+        if adopted_ms is not None:
+            age_s = round((self.clock.now_ms() - adopted_ms) / 1000, 3)
         return {
             "revision": status.revision or 0,
             "digest": status.digest,
             "newest_seen": status.highest_revision or 0,
-            "age_s": round((self.clock.now_ms() - self._adopted_ms) / 1000, 3),
+            "age_s": age_s,
             "unconfirmed": status.unconfirmed,
+            "source": status.source,
             "refused": [
-                {"revision": item.revision, "problems": list(item.problems)}
+                {
+                    "revision": item.revision,
+                    "source": item.source,
+                    "problems": list(item.problems),
+                }
                 for item in status.refusals
             ],
+            "offers": dict(status.count_by_verdict),
+        }
+
+    def _spread_status(self) -> dict:
+        status = self._spread.status()
+        return {
+            "is_reader": status.is_reader,
+            "neighbours": list(status.neighbours),
+            "platform_failures": status.failures_by_name,
+            "fetches": status.fetches,
+            "faults": status.count_by_fault,
         }
 
     # Baselines.
--- a/slatechute/benches/reverts.py
+++ b/slatechute/benches/reverts.py
@@ -46,11 +46,13 @@
         changes: Published changes.
         entries: Entry processes.
         seed: Seed of faults and gaps.
+        log: File for the log lines of all entries, empty for none.
     """
 
     changes: int = 200
     entries: int = 9
     seed: int = 1
+    log: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -277,8 +279,25 @@
             await asyncio.sleep(2 * _POLL_S)
             poller.cancel()
             final = await self._final()
+        if plan.log:
+            self._write_log()
         return self._result(revision, is_converged, converged_s, final)
 
+    def _write_log(self) -> None:
+        lines = sorted(self._fleet.lines, key=lambda line: line.at_s)
+        with open(self._plan.log, "w", encoding="utf-8") as file:
+            for line in lines:
+                content = {
+                    "entry": line.entry_id,
+                    "start": line.start,
+                    **line.fields,
+                }
+                file.write(json.dumps(content) + "\n")
+            for item in self._hidden:
+                ids = sorted(item.entry_ids)
+                content = {**dataclasses.asdict(item), "entry_ids": ids}
+                file.write(json.dumps(content) + "\n")
+
     def _result(
         self,
         revision: int,
--- a/slatechute/commands/bench_reverts.py
+++ b/slatechute/commands/bench_reverts.py
@@ -33,6 +33,9 @@
             "entries", None, "Entry processes.", flag=False, default="9"
         ),
         helpers.option("seed", None, "Seed.", flag=False, default="1"),
+        helpers.option(
+            "log", None, "File for the log lines.", flag=False, default=""
+        ),
     ]
 
     def handle(self) -> int:
@@ -46,6 +49,7 @@
                 int(self.option("changes")),
                 int(self.option("entries")),
                 int(self.option("seed")),
+                str(self.option("log")),
             )
         except ValueError as error:
             raise errors.SettingsError(str(error)) from None
--- a/slatechute/configuration/spread.py
+++ b/slatechute/configuration/spread.py
@@ -11,6 +11,7 @@
 import enum
 import random
 import re
+from typing import Protocol
 
 import xxhash
 
@@ -30,6 +31,7 @@
     "PlatformCallKind",
     "Spread",
     "SpreadCore",
+    "SpreadMetrics",
     "SpreadStatus",
     "neighbours",
     "readers",
@@ -68,6 +70,18 @@
 Outbox = list[tuple[str, messages.Message]]
 
 
+class SpreadMetrics(Protocol):
+    """Receiver of what the distribution counts."""
+
+    def platform_called(self) -> None:
+        """Count a call to the platform."""
+        ...
+
+    def spread_failed(self, kind: str) -> None:
+        """Count a fault of a peer or the platform."""
+        ...
+
+
 class PlatformCallKind(enum.StrEnum):
     """What to do next with the platform."""
 
@@ -203,6 +217,7 @@
     Attributes:
         sources: Peers that announced exactly this content; the first one was
             asked for the missing parts.
+        unconfirmed: Whether it is unconfirmed at all of them.
     """
 
     name: str
@@ -211,6 +226,7 @@
     text_by_part: dict[str, str]
     sources: list[str]
     deadline_ms: float
+    unconfirmed: bool = False
     size: int = 0
 
     def matches(self, message: messages.DocumentDigest) -> bool:
@@ -274,6 +290,7 @@
         documents: Documents in force.
         rng: Source of jitter.
         now_ms: Time of the start.
+        counters: Receiver of the counts, None when there is none.
     """
 
     def __init__(
@@ -282,6 +299,7 @@
         documents: store.DocumentStore,
         rng: random.Random,
         now_ms: float,
+        counters: SpreadMetrics | None = None,
     ):
         self._settings = settings
         self._documents = documents
@@ -296,9 +314,15 @@
         }
         self._fetches: list[_Fetch] = []
         self._count_by_fault: collections.Counter[str] = collections.Counter()
+        self._counters = counters
         self._neighbours: list[str] = []
         self._is_reader = True
 
+    def _count(self, fault: str) -> None:
+        self._count_by_fault[fault] += 1
+        if self._counters is not None:
+            self._counters.spread_failed(fault)
+
     @property
     def neighbours(self) -> list[str]:
         """Entries that documents are announced to."""
@@ -404,7 +428,7 @@
         if not isinstance(message, kinds):
             return []
         if message.name not in store.NAMES:
-            self._count_by_fault["unknown_name"] += 1
+            self._count("unknown_name")
             return []
         if isinstance(message, messages.DocumentDigest):
             return self._on_digest(peer_id, message, now_ms)
@@ -418,7 +442,12 @@
             # A request for no part asks for the digest.
             return messages.DocumentRequest(name, 0, [])
         digest_by_part = dict(self._documents.digest_by_part(name))
-        return messages.DocumentDigest(name, document.revision, digest_by_part)
+        return messages.DocumentDigest(
+            name,
+            document.revision,
+            digest_by_part,
+            self._documents.is_unconfirmed(name),
+        )
 
     def _announce(self, names: Iterable[str], peers: Iterable[str]) -> Outbox:
         found = [self._announcement(name) for name in names]
@@ -428,11 +457,15 @@
         self, peer_id: str, message: messages.DocumentDigest, now_ms: float
     ) -> Outbox:
         if not _is_announcement(message):
-            self._count_by_fault["malformed_digest"] += 1
+            self._count("malformed_digest")
             return []
         outbox = self._leave_fetches(peer_id, message, now_ms)
         verdict = self._documents.assess(
-            message.name, message.revision, message.digest_by_part, peer_id
+            message.name,
+            message.revision,
+            message.digest_by_part,
+            peer_id,
+            unconfirmed=message.unconfirmed,
         )
         if verdict is store.Verdict.OLDER:
             return outbox + self._announce([message.name], [peer_id])
@@ -442,6 +475,7 @@
             if fetch.matches(message):
                 if peer_id not in fetch.sources:
                     fetch.sources.append(peer_id)
+                fetch.unconfirmed &= message.unconfirmed
                 return outbox
         fetch = _Fetch(
             name=message.name,
@@ -450,6 +484,7 @@
             text_by_part=self._known_texts(message),
             sources=[peer_id],
             deadline_ms=now_ms + FETCH_TIMEOUT_MS,
+            unconfirmed=message.unconfirmed,
         )
         self._fetches.append(fetch)
         if len(fetch.text_by_part) == len(fetch.digest_by_part):
@@ -505,7 +540,7 @@
             frames = _frames(document, message.parts)
             return [(peer_id, frame) for frame in frames]
         if message.parts and message.revision > document.revision:
-            self._count_by_fault["unknown_revision"] += 1
+            self._count("unknown_revision")
             return []
         return self._announce([message.name], [peer_id])
 
@@ -521,7 +556,7 @@
                 break
         else:
             # Late parts of a document that came from another peer.
-            self._count_by_fault["unexpected_parts"] += 1
+            self._count("unexpected_parts")
             return []
         for part, text in message.text_by_part.items():
             if part in fetch.text_by_part:
@@ -529,11 +564,11 @@
             raw = text.encode(errors="replace")
             digest = xxhash.xxh3_128_hexdigest(raw)
             if fetch.digest_by_part.get(part) != digest:
-                self._count_by_fault["digest_mismatch"] += 1
+                self._count("digest_mismatch")
                 return self._drop_source(fetch, peer_id, now_ms)
             fetch.size += len(raw)
             if fetch.size > folder.MAX_DOCUMENT_BYTES:
-                self._count_by_fault["document_too_large"] += 1
+                self._count("document_too_large")
                 self._fetches.remove(fetch)
                 return []
             fetch.text_by_part[part] = text
@@ -549,10 +584,14 @@
         document = base.Document(
             fetch.name, fetch.revision, dict(sorted(fetch.text_by_part.items()))
         )
-        return self._offer(document, peer_id)
+        return self._offer(document, peer_id, unconfirmed=fetch.unconfirmed)
 
-    def _offer(self, document: base.Document, source: str) -> Outbox:
-        decision = self._documents.offer(document, source)
+    def _offer(
+        self, document: base.Document, source: str, *, unconfirmed: bool = False
+    ) -> Outbox:
+        decision = self._documents.offer(
+            document, source, unconfirmed=unconfirmed
+        )
         if decision.verdict is not store.Verdict.ADOPTED:
             return []
         self._fetches = [
@@ -572,7 +611,7 @@
         self._ticked_ms = now_ms
         for fetch in list(self._fetches):
             if now_ms >= fetch.deadline_ms:
-                self._count_by_fault["fetch_timeout"] += 1
+                self._count("fetch_timeout")
                 outbox += self._drop_source(fetch, fetch.sources[0], now_ms)
         if now_ms >= self._digest_due_ms:
             self._digest_due_ms = now_ms + DIGEST_MS
@@ -610,7 +649,7 @@
 
     def on_platform_failure(self, name: str, now_ms: float) -> None:
         """Back off after a failed call, with full jitter."""
-        self._count_by_fault["platform_failure"] += 1
+        self._count("platform_failure")
         follower = self._follower_by_name[name]
         longest_ms = min(
             BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** min(follower.failures, 10)
@@ -646,6 +685,7 @@
         send: Sends a message to a linked peer; drops it when there is no link.
         clock: Source of time.
         rng: Source of jitter; a seeded one makes a run repeatable.
+        counters: Receiver of the counts, None when there is none.
     """
 
     def __init__(
@@ -656,12 +696,18 @@
         send: Callable[[str, messages.Message], None],
         clock: clock_module.Clock,
         rng: random.Random | None = None,
+        counters: SpreadMetrics | None = None,
     ):
         self._platform = platform
         self._send = send
         self._clock = clock
+        self._counters = counters
         self._core = SpreadCore(
-            settings, documents, rng or random.Random(), clock.now_ms()
+            settings,
+            documents,
+            rng or random.Random(),
+            clock.now_ms(),
+            counters,
         )
         self._tasks: list[asyncio.Task] = []
 
@@ -734,6 +780,8 @@
             if call.kind is PlatformCallKind.WAIT:
                 await asyncio.sleep(min(call.delay_ms, POLL_MS) / 1000)
                 continue
+            if self._counters is not None:
+                self._counters.platform_called()
             try:
                 async with asyncio.timeout(CALL_TIMEOUT_S):
                     if call.kind is PlatformCallKind.READ:
--- a/slatechute/configuration/store.py
+++ b/slatechute/configuration/store.py
@@ -90,8 +90,8 @@
         digest: Digest of the document in force.
         source: Peer that it came from, or `PLATFORM`.
         unconfirmed: Whether it may be stale: it came from the platform when
-            this entry had none, and neither a peer nor a newer revision has
-            confirmed it.
+            this entry had none, and neither a newer revision nor a peer whose
+            own document is confirmed has confirmed it.
         highest_revision: Highest revision offered, valid or not.
         refusals: Newer documents that are invalid here, by rising revision.
         count_by_verdict: Offers and announcements by verdict.
@@ -188,6 +188,8 @@
         revision: int,
         digest_by_part: dict[str, str] | None,
         source: str,
+        *,
+        unconfirmed: bool = False,
     ) -> Verdict | None:
         """Judge a document by revision and digests, as far as possible.
 
@@ -196,6 +198,7 @@
             revision: A valid revision.
             digest_by_part: Digests of its parts, None when they have none.
             source: Peer that announced it, or `PLATFORM`.
+            unconfirmed: Whether it is unconfirmed at that peer.
 
         Returns:
             The verdict, or None when the content is needed to decide.
@@ -207,7 +210,7 @@
         elif slot.document is not None and revision == slot.document.revision:
             if digest_by_part == slot.digest_by_part:
                 verdict = Verdict.SAME
-                slot.unconfirmed &= source == PLATFORM
+                slot.unconfirmed &= source == PLATFORM or unconfirmed
             else:
                 verdict = Verdict.CONFLICTING
         elif slot.refusal(revision, digest_by_part) is not None:
@@ -216,12 +219,23 @@
             slot.count_by_verdict[verdict] += 1
         return verdict
 
-    def offer(self, document: base.Document, source: str) -> Decision:
+    def is_unconfirmed(self, name: str) -> bool:
+        """Return whether the document in force may be stale."""
+        return self._slot_by_name[name].unconfirmed
+
+    def offer(
+        self,
+        document: base.Document,
+        source: str,
+        *,
+        unconfirmed: bool = False,
+    ) -> Decision:
         """Adopt a document or say why not.
 
         Args:
             document: Document with all its parts.
             source: Peer that offers it, or `PLATFORM`.
+            unconfirmed: Whether it is unconfirmed at that peer.
         """
         slot = self._slot_by_name.get(document.name)
         if slot is None:
@@ -236,7 +250,11 @@
         problems = folder.part_problems(document.text_by_part)
         digest_by_part = None if problems else document.digest_by_part
         verdict = self.assess(
-            document.name, document.revision, digest_by_part, source
+            document.name,
+            document.revision,
+            digest_by_part,
+            source,
+            unconfirmed=unconfirmed,
         )
         if verdict is Verdict.INVALID:
             refusal = slot.refusal(document.revision, digest_by_part)
@@ -265,7 +283,8 @@
                 digest_by_part,
             )
             return self._refuse(document.name, refusal)
-        self._adopt(document, digest_by_part, content, source)
+        unconfirmed |= source == PLATFORM
+        self._adopt(document, digest_by_part, content, source, unconfirmed)
         return Decision(Verdict.ADOPTED)
 
     def _refuse(self, name: str, refusal: Refusal) -> Decision:
@@ -289,9 +308,10 @@
         digest_by_part: dict[str, str],
         content: _Content,
         source: str,
+        unconfirmed: bool,
     ) -> None:
         slot = self._slot_by_name[document.name]
-        slot.unconfirmed = slot.document is None and source == PLATFORM
+        slot.unconfirmed = slot.document is None and unconfirmed
         slot.document = document
         slot.content = content
         slot.digest = document.digest
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -189,12 +189,17 @@
 
 @dataclasses.dataclass(slots=True)
 class DocumentDigest(Message):
-    """Announce a document by revision and digest of each part."""
+    """Announce a document by revision and digest of each part.
+
+    Attributes:
+        unconfirmed: Whether the sender cannot tell that it is not stale.
+    """
 
     TAG: ClassVar[int] = 13
     name: str
     revision: int
     digest_by_part: dict[str, str]
+    unconfirmed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -24,6 +24,7 @@
 OTHER = "other"
 
 _MAX_FRAME_ERROR_KINDS = 16
+_MAX_SPREAD_FAULT_KINDS = 16
 
 # These services are named by callers alone, so they must not use up the cap.
 _UNVERIFIED_REASONS = frozenset(
@@ -90,6 +91,11 @@
         self._probe_bytes = self._counter(
             "probe_bytes", "Bytes of probes and of their responses."
         )
+        self._spread_faults = self._counter(
+            "spread_faults",
+            "Faults of peers and the platform in spreading documents.",
+            "kind",
+        )
         self._platform_calls = self._counter(
             "platform_calls", "Calls to the platform service."
         )
@@ -122,6 +128,7 @@
         self._age.set_function(lambda: time.monotonic() - self._adopted_s)
         self._services = _CappedLabel(MAX_SERVICES)
         self._frame_error_kinds = _CappedLabel(_MAX_FRAME_ERROR_KINDS)
+        self._spread_fault_kinds = _CappedLabel(_MAX_SPREAD_FAULT_KINDS)
         self._refusal_by_labels: dict[tuple[str, str, str], _Increment] = {}
         self._frame_error_by_kind: dict[str, _Increment] = {}
         # A counter that first appears with its first event hides that event
@@ -200,6 +207,10 @@
         """Count a call to the platform service."""
         self._platform_calls.inc()
 
+    def spread_failed(self, kind: str) -> None:
+        """Count a fault in spreading documents."""
+        self._spread_faults.labels(self._spread_fault_kinds.cap(kind)).inc()
+
     # peers.counters.LinkMetrics
 
     def received(self, frames: int, size: int) -> None:
--- a/tests/commands/test_status.py
+++ b/tests/commands/test_status.py
@@ -1,6 +1,8 @@
-"""Tests of `slatechute status` against admin servers in this process."""
+"""Tests of `slatechute status` against stand-ins and real entries."""
 
 import asyncio
+import json
+import re
 import socket
 import threading
 
@@ -8,6 +10,8 @@
 import pytest
 
 from slatechute import __main__ as program
+from slatechute.benches import spread_fleet
+from slatechute.platforms import base
 
 
 @pytest.fixture
@@ -131,6 +135,68 @@
     assert "no answer" in output
 
 
+def _status(fleets) -> int:
+    addresses = [f.entries[0].admin_address for f in fleets]
+    return program.main(["status", *addresses])
+
+
+async def _page_with(fleet, path, text) -> str:
+    for _ in range(500):
+        page = await fleet.entries[0].get(fleet.session, path)
+        if text in page:
+            return page
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"{path} does not show {text}")
+
+
+def test_real_entries_agree_and_disagree(capsys):
+    """A status that the command does not understand hides a rollout."""
+
+    async def run():
+        async with (
+            spread_fleet.SpreadFleet(1) as one,
+            spread_fleet.SpreadFleet(1) as two,
+        ):
+            await asyncio.gather(one.start_all(), two.start_all())
+            statuses = [await asyncio.to_thread(_status, (one, two))]
+            revision, _ = one.publish()
+            assert await one.wait_in_force(revision, 10)
+            statuses.append(await asyncio.to_thread(_status, (one, two)))
+            two.publish()
+            assert await two.wait_in_force(revision, 10)
+            statuses.append(await asyncio.to_thread(_status, (one, two)))
+            assert statuses == [0, 1, 0]
+            # The bad file is refused by name, and the host is marked.
+            bad = two.platform.publish(base.CONFIGURATION, {"b.toml": "x = 1"})
+            text = await _page_with(two, "/status", '"problems"')
+            status = json.loads(text)
+            (refused,) = status["configuration"]["refused"]
+            assert refused["revision"] == bad
+            assert refused["problems"] == ["b.toml: x: unknown key"]
+            assert status["configuration"]["offers"]["invalid"] == 1
+            assert status["configuration"]["source"] == "@platform"
+            assert status["instances"]["revision"] == 1
+            # No peer and no change has confirmed the list of hosts.
+            assert status["instances"]["unconfirmed"]
+            assert not status["configuration"]["unconfirmed"]
+            assert status["spread"]["is_reader"]
+            assert status["spread"]["neighbours"] == []
+            assert await asyncio.to_thread(_status, (one, two)) == 1
+            two.set_down(True)
+            fault = 'spread_faults_total{kind="platform_failure"}'
+            text = await _page_with(two, "/metrics", fault)
+            calls = re.search(r"platform_calls_total ([\d.]+)", text)
+            assert float(calls[1]) >= 4
+            for gauge in ("peer_links", "requests_waiting"):
+                assert f"\nslatechute_{gauge} 0.0" in text
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+    output = capsys.readouterr().out
+    assert "in force: 1, 2; newest seen: 2" in output
+    assert "unconfirmed" in output
+    assert "refuses revision 3: b.toml: x: unknown key" in output
+
+
 def test_host_that_is_down(capsys):
     """A refused connection must be reported as such."""
     with socket.create_server(("127.0.0.1", 0)) as free:
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -40,9 +40,9 @@
     return base.Document(_NAME, revision, text_by_part)
 
 
-def _digest(document):
+def _digest(document, unconfirmed=False):
     return messages.DocumentDigest(
-        document.name, document.revision, document.digest_by_part
+        document.name, document.revision, document.digest_by_part, unconfirmed
     )
 
 
@@ -241,11 +241,36 @@
         ("e9", messages.DocumentRequest(name, 0, [])) for name in store.NAMES
     ]
     documents.offer(_document(4), store.PLATFORM)
-    assert ("e9", _digest(_document(4))) in core.on_peer_linked("e9", 0)
+    announcement = _digest(_document(4), unconfirmed=True)
+    assert ("e9", announcement) in core.on_peer_linked("e9", 0)
     asked = core.ask(["e9"], 0)
     assert ("e9", messages.DocumentRequest(_NAME, 0, [])) in asked
 
 
+def test_unconfirmed_peers_do_not_confirm_each_other():
+    # Guards against a mark that is lost when all hosts start at once with a
+    # stale platform and agree on the stale document.
+    document = _document(4)
+    parts = messages.DocumentParts(_NAME, 4, document.text_by_part)
+    core, documents = _core()
+    documents.offer(document, store.PLATFORM)
+    core.on_message("e2", _digest(document, unconfirmed=True), 0)
+    assert documents.status()[_NAME].unconfirmed
+    core.on_message("e3", _digest(document), 0)
+    assert not documents.status()[_NAME].unconfirmed
+    # The mark goes with the document to an entry that had none.
+    core, documents = _core()
+    core.on_message("e2", _digest(document, unconfirmed=True), 0)
+    core.on_message("e2", parts, 0)
+    assert documents.status()[_NAME].unconfirmed
+    # One announcer that knows better is enough.
+    core, documents = _core()
+    core.on_message("e2", _digest(document, unconfirmed=True), 0)
+    core.on_message("e3", _digest(document), 0)
+    core.on_message("e2", parts, 0)
+    assert not documents.status()[_NAME].unconfirmed
+
+
 def test_request_lost_with_its_link_is_sent_again():
     # Guards against a fetch that waits for its timeout because the same peer
     # announces the document again over a new link.
@@ -289,7 +314,7 @@
     core, documents = _core()
     documents.offer(_document(2), store.PLATFORM)
     outbox = core.on_message("e2", _digest(_document(1)), 0)
-    assert outbox == [("e2", _digest(_document(2)))]
+    assert outbox == [("e2", _digest(_document(2), unconfirmed=True))]
 
 
 def test_silent_or_wrong_peer_is_replaced_by_the_next_announcer():
@@ -339,7 +364,7 @@
     assert core.on_message("e3", _digest(refused), 0) == []
     outbox = core.tick(spread.DIGEST_MS / 2) + core.tick(spread.DIGEST_MS)
     announced = [message for _, message in outbox if message.name == _NAME]
-    assert announced == [_digest(_document(6))] * 2
+    assert announced == [_digest(_document(6), unconfirmed=True)] * 2
     # A wrong revision of a peer must not keep the watch above the platform's.
     core.on_platform_document(_NAME, _document(6), 2000)
     assert core.next_platform_call(_NAME, 2000).after == 6
