--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -19,6 +19,7 @@
 from slatechute import metrics
 from slatechute import requests
 from slatechute import settings as entry_settings
+from slatechute.configuration import catch_up
 from slatechute.configuration import instances
 from slatechute.configuration import models
 from slatechute.configuration import spread
@@ -48,6 +49,12 @@
 _LOADS_MS = 500.0
 # Covers the drift between the clocks of two hosts over the life of a link.
 _CLOCK_MARGIN_MS = 100.0
+# After a pause, new requests wait at most this long for the documents of the
+# peers, which may have to link again first.
+_CATCH_UP_MS = 500.0
+# A peer without a link for this long is no longer a neighbour for documents.
+_UNREACHABLE_MS = 1000.0
+_REVIEW_MS = 500.0
 _LOAD_POLL_S = 0.5
 
 
@@ -88,16 +95,22 @@
         self._configuration = models.Configuration()
         self._revision = 0
         self._digest = ""
-        self._adopted_ms = 0.0
         self._loads: list[messages.ServiceLoad] = []
         self._loads_due_ms = 0.0
+        self._adopted_ms_by_name: dict[str, float] = {}
         self._state = "starting"
         self.ready = asyncio.Event()
-        self._settle_until_ms: float | None = None
+        self._has_list = False
+        self._pause_after_ms = -1.0
+        self._paused_peers: frozenset[str] = frozenset()
         self._plan_due = False
+        self._catch_up = catch_up.CatchUp()
+        self._current = asyncio.Event()
+        self._neighbours: frozenset[str] = frozenset()
+        self._unlinked_since_ms: dict[str, float] = {}
+        self._review_due_ms = 0.0
         self._cold_ids: frozenset[str] = frozenset()
         self._last_tick_ms = self.clock.now_ms()
-        self._is_waking = False
         self._random = random.Random()
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
@@ -136,6 +149,11 @@
             self.metrics,
         )
         self._store = store.DocumentStore(self.bus)
+        self.metrics.bind_gauges(
+            in_flight=lambda: self._callers.inflight,
+            waiting=self._count_waiting,
+            links=lambda: len(self.membership.reachable()),
+        )
         self._admin = admin.AdminServer(
             settings, self.metrics, self.readiness, self.status
         )
@@ -152,6 +170,12 @@
         }[self.settings.policy]
         return baseline(self.clock, self.membership.targets_of)
 
+    def _count_waiting(self) -> int:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            _, waiting = self.policy.dispatcher.counts()
+            return waiting
+        return 0
+
     def _wire(self) -> None:
         bus = self.bus
         bus.of(events.ConfigurationAdopted).subscribe(self._on_configuration)
@@ -170,9 +194,6 @@
             OSError: An address cannot be used.
         """
         await self._client.start()
-        await self._admin.start()
-        await self._callers.start()
-        await self._links.start()
         self._session = aiohttp.ClientSession()
         if self._platform is None:
             self._platform = http_platform.HttpPlatform(
@@ -184,7 +205,11 @@
             self._store,
             self._links.send,
             self.clock,
+            counters=self.metrics,
         )
+        await self._admin.start()
+        await self._callers.start()
+        await self._links.start()
         await self._spread.start()
         self._tasks.append(asyncio.create_task(self._tick()))
         if isinstance(self.policy, baselines.TwoChoices):
@@ -228,38 +253,70 @@
             await asyncio.sleep(_TICK_MS / 1000)
             now_ms = self.clock.now_ms()
             self._check_pause(now_ms)
-            self._is_waking = False
             self._last_tick_ms = now_ms
             if isinstance(self.policy, owner.OwnerPolicy):
                 self.policy.dispatcher.tick(now_ms)
-            settle_ms = self._settle_until_ms
-            if self._state == "starting" and settle_ms is not None:
-                self._settle(now_ms, settle_ms)
+            if self._state == "starting":
+                self._settle(now_ms)
+            elif self._catch_up.poll(
+                self._paused_peers,
+                is_fetching=self._spread.is_fetching,
+                now_ms=now_ms,
+            ):
+                self._current.set()
+                _LOG.info("entry_resumed", revision=self._revision)
+            if now_ms >= self._review_due_ms:
+                self._review_neighbours()
 
     def _check_pause(self, now_ms: float) -> None:
-        """Distrust all slots when this process was paused.
+        """Doubt leases and documents when this process was paused.
 
         Messages that arrived meanwhile are read before the first tick.
         """
-        if self._is_waking or now_ms - self._last_tick_ms <= _PAUSE_MS:
+        last_ms = self._last_tick_ms
+        if now_ms - last_ms <= _PAUSE_MS or last_ms == self._pause_after_ms:
             return
-        self._is_waking = True
-        _LOG.warning("entry_was_paused", ms=now_ms - self._last_tick_ms)
+        self._pause_after_ms = last_ms
+        _LOG.warning("entry_was_paused", ms=now_ms - last_ms)
+        reachable = self.membership.reachable()
+        # Before the take-over: peers then announce newer documents before they
+        # report, which is what dispatch waits for.
+        self._spread.ask(reachable)
         if isinstance(self.policy, owner.OwnerPolicy):
-            reachable = self.membership.reachable()
             self.policy.dispatcher.resume(reachable, now_ms)
-
-    def _settle(self, now_ms: float, until_ms: float) -> None:
-        """Begin to dispatch once the peers are linked or did not answer."""
+        if self._state != "starting":
+            self._current.clear()
+            self._paused_peers = reachable
+            self._catch_up.forget()
+            self._catch_up.begin(now_ms, _CATCH_UP_MS)
+
+    def _settle(self, now_ms: float) -> None:
+        """Begin to dispatch once the peers have told what is in force."""
         if not self._configuration.services:
             return
-        listed = self.membership.peer_addresses(self._configuration.services)
-        linked = self.membership.reachable()
-        if now_ms >= until_ms or linked.issuperset(listed):
+        if self._catch_up.poll(
+            self._wanted_peers(),
+            is_fetching=self._spread.is_fetching,
+            now_ms=now_ms,
+        ):
             self._state = "ready"
+            self._current.set()
+            _LOG.info("entry_ready", revision=self._revision)
             self.ready.set()
             self._replan()
 
+    # callers.Directory
+
+    def is_current(self) -> bool:
+        """Return whether requests may be accepted by the rules in force."""
+        # The requests that arrived during a pause are read before the tick.
+        self._check_pause(self.clock.now_ms())
+        return self._state == "starting" or self._current.is_set()
+
+    async def wait_current(self) -> None:
+        """Wait until the peers have told what is in force, or were silent."""
+        await self._current.wait()
+
     # Documents and membership.
 
     def _on_configuration(self, event: events.ConfigurationAdopted) -> None:
@@ -269,7 +326,8 @@
         self._configuration = event.configuration
         self._revision = event.revision
         self._digest = event.digest
-        self._adopted_ms = self.clock.now_ms()
+        now_ms = self.clock.now_ms()
+        self._adopted_ms_by_name[platforms.CONFIGURATION] = now_ms
         self.metrics.configuration_adopted(event.revision)
         self._executor.set_rules(event.configuration.fleet)
         if isinstance(self.policy, owner.OwnerPolicy):
@@ -280,6 +338,8 @@
         self._replan()
 
     def _on_instances(self, event: events.InstancesAdopted) -> None:
+        now_ms = self.clock.now_ms()
+        self._adopted_ms_by_name[platforms.INSTANCES] = now_ms
         known = self._store.instances
         fresh = self.membership.set_list(
             known.entries_by_id.values(), known.targets_by_id.values()
@@ -288,26 +348,70 @@
         for target in known.targets_by_id.values():
             if target.state == membership.LEAVING:
                 self.bus.emit(events.TargetLeaving(target.id, "list"))
-        if self._settle_until_ms is None:
-            self._settle_until_ms = self.clock.now_ms() + _SETTLE_MS
+        self._review_neighbours()
         self._set_peers()
+        if not self._has_list:
+            self._has_list = True
+            self._catch_up.begin(self.clock.now_ms(), _SETTLE_MS)
         self._replan()
 
+    def _wanted_peers(self) -> dict[str, str]:
+        return self.membership.peer_addresses(
+            self._configuration.services, self._neighbours
+        )
+
     def _set_peers(self) -> None:
-        wanted = self.membership.peer_addresses(self._configuration.services)
-        self._links.set_peers(wanted)
+        self._links.set_peers(self._wanted_peers())
+
+    def _review_neighbours(self) -> None:
+        """Choose the neighbours for documents among reachable entries.
+
+        Entries that this one has no link with are believed to be reachable.
+        One that turned out not to be stays wanted, or it would be believed in
+        again.
+        """
+        now_ms = self.clock.now_ms()
+        self._review_due_ms = now_ms + _REVIEW_MS
+        unlinked = {
+            peer.entry_id
+            for peer in self._links.peers().values()
+            if peer.listed and not peer.reachable
+        }
+        self._unlinked_since_ms = {
+            key: self._unlinked_since_ms.get(key, now_ms) for key in unlinked
+        }
+        unreachable = {
+            key
+            for key, since_ms in self._unlinked_since_ms.items()
+            if now_ms - since_ms >= _UNREACHABLE_MS
+        }
+        self._spread.on_peers_changed(
+            entry
+            for entry in self.membership.entries().values()
+            if entry.id not in unreachable
+        )
+        neighbours = frozenset(self._spread.neighbours)
+        neighbours |= self._neighbours & unreachable
+        if neighbours != self._neighbours:
+            self._neighbours = neighbours
+            self._set_peers()
 
     def _on_peer_ready(self, event: events.PeerReady) -> None:
         if isinstance(self.policy, owner.OwnerPolicy):
             self.policy.dispatcher.peer_ready(event.entry_id)
         _LOG.info("peer_ready", peer=event.entry_id)
         self._peers_changed()
+        self._spread.on_peer_linked(event.entry_id)
 
     def _on_peer_lost(self, event: events.PeerLost) -> None:
+        now_ms = self.clock.now_ms()
+        # Peers close their links with an entry that is paused; their documents
+        # are waited for nevertheless.
+        self._check_pause(now_ms)
         if isinstance(self.policy, owner.OwnerPolicy):
-            now_ms = self.clock.now_ms()
             self.policy.dispatcher.peer_lost(event.entry_id, now_ms)
         _LOG.warning("peer_lost", peer=event.entry_id)
+        self._spread.on_peer_lost(event.entry_id)
         self._peers_changed()
 
     def _on_link_replaced(self, event: events.LinkReplaced) -> None:
@@ -322,7 +426,7 @@
             if peer.reachable
         ]
         self.membership.set_linked(linked)
-        self._spread.on_peers_changed(self.membership.entries().values())
+        self._review_neighbours()
         self._replan()
 
     def _on_target_leaving(self, event: events.TargetLeaving) -> None:
@@ -395,6 +499,11 @@
             ),
         ):
             self._spread.on_message(peer_id, message)
+            if (
+                isinstance(message, messages.DocumentDigest)
+                and message.name == platforms.CONFIGURATION
+            ):
+                self._catch_up.heard(peer_id)
         elif isinstance(message, messages.Heartbeat):
             self._on_heartbeat(peer_id, message)
         elif isinstance(message, messages.TargetReport):
@@ -407,6 +516,9 @@
             self._on_slot_message(peer_id, message, now_ms)
 
     def _on_heartbeat(self, peer_id: str, message: messages.Heartbeat) -> None:
+        if not message.revision:
+            # A peer that has no document announces none.
+            self._catch_up.heard(peer_id)
         if isinstance(self.policy, owner.OwnerPolicy):
             self.policy.dispatcher.on_load(peer_id, message.loads)
         known = self.membership.entries().get(peer_id)
@@ -434,7 +546,8 @@
             case messages.SlotRequest():
                 dispatcher.on_request(peer_id, message, now_ms)
             case messages.SlotGrant():
-                if self._is_waking:
+                # Before the first tick after a pause.
+                if self._last_tick_ms == self._pause_after_ms:
                     self._return_stale(peer_id, message)
                 else:
                     dispatcher.on_grant(peer_id, message, now_ms)
@@ -457,8 +570,6 @@
         )
         self._links.send(peer_id, unused)
 
-    # callers.Directory
-
     def configuration(self) -> models.Configuration:
         """Return the configuration in force."""
         return self._configuration
@@ -520,22 +631,44 @@
             "boot_id": self.boot_id,
             "data_centre": self.settings.data_centre,
             "state": self._state,
-            "configuration": self._configuration_status(),
+            "configuration": self._document_status(platforms.CONFIGURATION),
+            "instances": self._document_status(platforms.INSTANCES),
+            "spread": self._spread_status(),
             "peers": peers,
         }
 
-    def _configuration_status(self) -> dict:
-        status = self._store.status()[platforms.CONFIGURATION]
+    def _document_status(self, name: str) -> dict:
+        status = self._store.status()[name]
+        adopted_ms = self._adopted_ms_by_name.get(name)
+        age_s = None
+        if adopted_ms is not None:
+            age_s = round((self.clock.now_ms() - adopted_ms) / 1000, 3)
         return {
             "revision": status.revision or 0,
             "digest": status.digest,
             "newest_seen": status.highest_revision or 0,
-            "age_s": round((self.clock.now_ms() - self._adopted_ms) / 1000, 3),
+            "age_s": age_s,
             "unconfirmed": status.unconfirmed,
+            "source": status.source,
             "refused": [
-                {"revision": item.revision, "problems": list(item.problems)}
+                {
+                    "revision": item.revision,
+                    "source": item.source,
+                    "problems": list(item.problems),
+                }
                 for item in status.refusals
             ],
+            "offers": dict(status.count_by_verdict),
+        }
+
+    def _spread_status(self) -> dict:
+        status = self._spread.status()
+        return {
+            "is_reader": status.is_reader,
+            "neighbours": list(status.neighbours),
+            "platform_failures": status.failures_by_name,
+            "fetches": status.fetches,
+            "faults": status.count_by_fault,
         }
 
     # Baselines.
--- a/slatechute/configuration/spread.py
+++ b/slatechute/configuration/spread.py
@@ -11,10 +11,11 @@
 import enum
 import random
 import re
+from typing import Protocol
 
-import logbook
 import xxhash
 
+from slatechute import logs
 from slatechute import messages
 from slatechute import ownership
 from slatechute import settings as settings_module
@@ -30,6 +31,7 @@
     "PlatformCallKind",
     "Spread",
     "SpreadCore",
+    "SpreadMetrics",
     "SpreadStatus",
     "neighbours",
     "readers",
@@ -63,11 +65,23 @@
 _FRAME_OVERHEAD_BYTES = 128
 
 _DIGEST = re.compile(r"[0-9a-f]{32}")
-_LOGGER = logbook.Logger(__name__)
+_LOGGER = logs.get_logger(__name__)
 
 Outbox = list[tuple[str, messages.Message]]
 
 
+class SpreadMetrics(Protocol):
+    """Receiver of what the distribution counts."""
+
+    def platform_called(self) -> None:
+        """Count a call to the platform."""
+        ...
+
+    def spread_failed(self, kind: str) -> None:
+        """Count a fault of a peer or the platform."""
+        ...
+
+
 class PlatformCallKind(enum.StrEnum):
     """What to do next with the platform."""
 
@@ -203,6 +217,7 @@
     Attributes:
         sources: Peers that announced exactly this content; the first one was
             asked for the missing parts.
+        unconfirmed: Whether it is unconfirmed at all of them.
     """
 
     name: str
@@ -211,6 +226,7 @@
     text_by_part: dict[str, str]
     sources: list[str]
     deadline_ms: float
+    unconfirmed: bool = False
     size: int = 0
 
     def matches(self, message: messages.DocumentDigest) -> bool:
@@ -274,6 +290,7 @@
         documents: Documents in force.
         rng: Source of jitter.
         now_ms: Time of the start.
+        counters: Receiver of the counts, None when there is none.
     """
 
     def __init__(
@@ -282,6 +299,7 @@
         documents: store.DocumentStore,
         rng: random.Random,
         now_ms: float,
+        counters: SpreadMetrics | None = None,
     ):
         self._settings = settings
         self._documents = documents
@@ -296,9 +314,15 @@
         }
         self._fetches: list[_Fetch] = []
         self._count_by_fault: collections.Counter[str] = collections.Counter()
+        self._counters = counters
         self._neighbours: list[str] = []
         self._is_reader = True
 
+    def _count(self, fault: str) -> None:
+        self._count_by_fault[fault] += 1
+        if self._counters is not None:
+            self._counters.spread_failed(fault)
+
     @property
     def neighbours(self) -> list[str]:
         """Entries that documents are announced to."""
@@ -309,6 +333,11 @@
         """Whether this entry watches the platform."""
         return self._is_reader
 
+    @property
+    def is_fetching(self) -> bool:
+        """Whether announced documents are on their way from peers."""
+        return bool(self._fetches)
+
     def status(self) -> SpreadStatus:
         """Return the state for operators."""
         return SpreadStatus(
@@ -358,6 +387,35 @@
         new = [peer for peer in self._neighbours if peer not in known]
         return self._announce(store.NAMES, new)
 
+    def on_peer_linked(self, peer_id: str, now_ms: float) -> Outbox:
+        """Exchange digests over a new link, whether to a neighbour or not.
+
+        A replaced entry and a healed partition then need not wait for the next
+        resent digest.
+        """
+        del now_ms
+        return self._announce(store.NAMES, [peer_id])
+
+    def on_peer_lost(self, peer_id: str, now_ms: float) -> Outbox:
+        """Fetch from others what a lost peer was asked for.
+
+        The request or its answer was lost with the link, so that the peer has
+        to announce the document again before it is asked again.
+        """
+        outbox: Outbox = []
+        for fetch in list(self._fetches):
+            outbox += self._drop_source(fetch, peer_id, now_ms)
+        return outbox
+
+    def ask(self, peers: Iterable[str], now_ms: float) -> Outbox:
+        """Ask peers for their digests."""
+        del now_ms
+        return [
+            (peer, messages.DocumentRequest(name, 0, []))
+            for peer in peers
+            for name in store.NAMES
+        ]
+
     def on_message(
         self, peer_id: str, message: messages.Message, now_ms: float
     ) -> Outbox:
@@ -370,7 +428,7 @@
         if not isinstance(message, kinds):
             return []
         if message.name not in store.NAMES:
-            self._count_by_fault["unknown_name"] += 1
+            self._count("unknown_name")
             return []
         if isinstance(message, messages.DocumentDigest):
             return self._on_digest(peer_id, message, now_ms)
@@ -384,7 +442,12 @@
             # A request for no part asks for the digest.
             return messages.DocumentRequest(name, 0, [])
         digest_by_part = dict(self._documents.digest_by_part(name))
-        return messages.DocumentDigest(name, document.revision, digest_by_part)
+        return messages.DocumentDigest(
+            name,
+            document.revision,
+            digest_by_part,
+            self._documents.is_unconfirmed(name),
+        )
 
     def _announce(self, names: Iterable[str], peers: Iterable[str]) -> Outbox:
         found = [self._announcement(name) for name in names]
@@ -394,11 +457,15 @@
         self, peer_id: str, message: messages.DocumentDigest, now_ms: float
     ) -> Outbox:
         if not _is_announcement(message):
-            self._count_by_fault["malformed_digest"] += 1
+            self._count("malformed_digest")
             return []
         outbox = self._leave_fetches(peer_id, message, now_ms)
         verdict = self._documents.assess(
-            message.name, message.revision, message.digest_by_part, peer_id
+            message.name,
+            message.revision,
+            message.digest_by_part,
+            peer_id,
+            unconfirmed=message.unconfirmed,
         )
         if verdict is store.Verdict.OLDER:
             return outbox + self._announce([message.name], [peer_id])
@@ -408,6 +475,7 @@
             if fetch.matches(message):
                 if peer_id not in fetch.sources:
                     fetch.sources.append(peer_id)
+                fetch.unconfirmed &= message.unconfirmed
                 return outbox
         fetch = _Fetch(
             name=message.name,
@@ -416,6 +484,7 @@
             text_by_part=self._known_texts(message),
             sources=[peer_id],
             deadline_ms=now_ms + FETCH_TIMEOUT_MS,
+            unconfirmed=message.unconfirmed,
         )
         self._fetches.append(fetch)
         if len(fetch.text_by_part) == len(fetch.digest_by_part):
@@ -471,7 +540,7 @@
             frames = _frames(document, message.parts)
             return [(peer_id, frame) for frame in frames]
         if message.parts and message.revision > document.revision:
-            self._count_by_fault["unknown_revision"] += 1
+            self._count("unknown_revision")
             return []
         return self._announce([message.name], [peer_id])
 
@@ -487,7 +556,7 @@
                 break
         else:
             # Late parts of a document that came from another peer.
-            self._count_by_fault["unexpected_parts"] += 1
+            self._count("unexpected_parts")
             return []
         for part, text in message.text_by_part.items():
             if part in fetch.text_by_part:
@@ -495,11 +564,11 @@
             raw = text.encode(errors="replace")
             digest = xxhash.xxh3_128_hexdigest(raw)
             if fetch.digest_by_part.get(part) != digest:
-                self._count_by_fault["digest_mismatch"] += 1
+                self._count("digest_mismatch")
                 return self._drop_source(fetch, peer_id, now_ms)
             fetch.size += len(raw)
             if fetch.size > folder.MAX_DOCUMENT_BYTES:
-                self._count_by_fault["document_too_large"] += 1
+                self._count("document_too_large")
                 self._fetches.remove(fetch)
                 return []
             fetch.text_by_part[part] = text
@@ -515,10 +584,14 @@
         document = base.Document(
             fetch.name, fetch.revision, dict(sorted(fetch.text_by_part.items()))
         )
-        return self._offer(document, peer_id)
+        return self._offer(document, peer_id, unconfirmed=fetch.unconfirmed)
 
-    def _offer(self, document: base.Document, source: str) -> Outbox:
-        decision = self._documents.offer(document, source)
+    def _offer(
+        self, document: base.Document, source: str, *, unconfirmed: bool = False
+    ) -> Outbox:
+        decision = self._documents.offer(
+            document, source, unconfirmed=unconfirmed
+        )
         if decision.verdict is not store.Verdict.ADOPTED:
             return []
         self._fetches = [
@@ -534,15 +607,11 @@
         outbox: Outbox = []
         if now_ms - self._ticked_ms > PAUSE_MS:
             # What this entry believes may be outdated, so it asks at once.
-            outbox += [
-                (peer, messages.DocumentRequest(name, 0, []))
-                for peer in self._neighbours
-                for name in store.NAMES
-            ]
+            outbox += self.ask(self._neighbours, now_ms)
         self._ticked_ms = now_ms
         for fetch in list(self._fetches):
             if now_ms >= fetch.deadline_ms:
-                self._count_by_fault["fetch_timeout"] += 1
+                self._count("fetch_timeout")
                 outbox += self._drop_source(fetch, fetch.sources[0], now_ms)
         if now_ms >= self._digest_due_ms:
             self._digest_due_ms = now_ms + DIGEST_MS
@@ -580,7 +649,7 @@
 
     def on_platform_failure(self, name: str, now_ms: float) -> None:
         """Back off after a failed call, with full jitter."""
-        self._count_by_fault["platform_failure"] += 1
+        self._count("platform_failure")
         follower = self._follower_by_name[name]
         longest_ms = min(
             BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** min(follower.failures, 10)
@@ -616,6 +685,7 @@
         send: Sends a message to a linked peer; drops it when there is no link.
         clock: Source of time.
         rng: Source of jitter; a seeded one makes a run repeatable.
+        counters: Receiver of the counts, None when there is none.
     """
 
     def __init__(
@@ -626,12 +696,18 @@
         send: Callable[[str, messages.Message], None],
         clock: clock_module.Clock,
         rng: random.Random | None = None,
+        counters: SpreadMetrics | None = None,
     ):
         self._platform = platform
         self._send = send
         self._clock = clock
+        self._counters = counters
         self._core = SpreadCore(
-            settings, documents, rng or random.Random(), clock.now_ms()
+            settings,
+            documents,
+            rng or random.Random(),
+            clock.now_ms(),
+            counters,
         )
         self._tasks: list[asyncio.Task] = []
 
@@ -640,6 +716,11 @@
         """Entries that documents are announced to, for keeping links."""
         return self._core.neighbours
 
+    @property
+    def is_fetching(self) -> bool:
+        """Whether announced documents are on their way from peers."""
+        return self._core.is_fetching
+
     def status(self) -> SpreadStatus:
         """Return the state for operators."""
         return self._core.status()
@@ -666,6 +747,18 @@
         """Take the entries that are believed to be alive."""
         self._run(self._core.on_peers_changed, entries)
 
+    def on_peer_linked(self, peer_id: str) -> None:
+        """Exchange digests over a new link."""
+        self._run(self._core.on_peer_linked, peer_id)
+
+    def on_peer_lost(self, peer_id: str) -> None:
+        """Fetch from others what a lost peer was asked for."""
+        self._run(self._core.on_peer_lost, peer_id)
+
+    def ask(self, peers: Iterable[str]) -> None:
+        """Ask peers for their digests."""
+        self._run(self._core.ask, peers)
+
     def _run(self, method: Callable[..., Outbox], *args: object) -> None:
         # A fault in a subscriber of an adopted document must end neither the
         # watch of the platform nor the link that delivered the document.
@@ -687,6 +780,8 @@
             if call.kind is PlatformCallKind.WAIT:
                 await asyncio.sleep(min(call.delay_ms, POLL_MS) / 1000)
                 continue
+            if self._counters is not None:
+                self._counters.platform_called()
             try:
                 async with asyncio.timeout(CALL_TIMEOUT_S):
                     if call.kind is PlatformCallKind.READ:
