Write the first message of a loop turn at once

A lone slot request waited for the end of the loop turn, one poll later, before it was written. Now the first message to a link in a turn is written at once and the rest of the turn goes out with one more write; answers to frames still go out with one write at the end of the read.

--- a/slatechute/peers/connections.py
+++ b/slatechute/peers/connections.py
@@ -73,6 +73,7 @@
         link: State machine of the connection.
         outbox: Frames to be written in this turn of the loop.
         outbox_bytes: Size of the outbox.
+        was_written: Whether a frame was written in this turn of the loop.
         heartbeat: Frame of the last heartbeat sent, empty before.
         heartbeat_ms: When the last heartbeat or keepalive was sent.
         needs_keepalive: Whether the next flush sends a pong if it has no
@@ -88,6 +89,7 @@
         self.link = link
         self.outbox: list[bytes] = []
         self.outbox_bytes = 0
+        self.was_written = False
         self.heartbeat = b""
         self.heartbeat_ms = 0.0
         self.needs_keepalive = False
--- a/slatechute/peers/links.py
+++ b/slatechute/peers/links.py
@@ -146,7 +146,8 @@
         self._open: dict[connections.PeerConnection, None] = {}
         self._unauthenticated: dict[connections.PeerConnection, None] = {}
         self._dirty: list[connections.PeerConnection] = []
-        self._flush_handle: asyncio.Handle | None = None
+        self._written: list[connections.PeerConnection] = []
+        self._turn_end: asyncio.Handle | None = None
         self._is_reading = False
         self._frames_read = 0
 
@@ -286,17 +287,27 @@
             self._dirty.append(connection)
         connection.outbox.append(frame)
         connection.outbox_bytes += len(frame)
-        # Messages that answer a frame go out at the end of the read; others
-        # wait for the end of this turn, so that one write carries them all.
-        if not self._is_reading and self._flush_handle is None:
-            loop = asyncio.get_running_loop()
-            self._flush_handle = loop.call_soon(self._flush)
+        # Messages that answer a frame go out together at the end of the read.
+        # Of others, the first one in a turn of the loop is written at once,
+        # which takes one turn off the round trip of a lone slot request, and
+        # the rest goes out with one write at the end of the turn.
+        if not self._is_reading and not connection.was_written:
+            self._flush()
+            connection.was_written = True
+            self._written.append(connection)
+            if self._turn_end is None:
+                loop = asyncio.get_running_loop()
+                self._turn_end = loop.call_soon(self._end_turn)
         return True
 
+    def _end_turn(self) -> None:
+        self._turn_end = None
+        written, self._written = self._written, []
+        for connection in written:
+            connection.was_written = False
+        self._flush()
+
     def _flush(self) -> None:
-        if self._flush_handle is not None:
-            self._flush_handle.cancel()
-            self._flush_handle = None
         dirty, self._dirty = self._dirty, []
         for connection in dirty:
             if connection.link.state is not _State.CLOSED:
