--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -25,6 +25,7 @@
 from slatechute.configuration import spread
 from slatechute.configuration import store
 from slatechute.peers import links
+from slatechute.peers import peer as peers
 from slatechute.platforms import base as platforms
 from slatechute.platforms import http as http_platform
 from slatechute.policies import base as policies
@@ -693,7 +694,7 @@
         self.policy.load_by_target[target.id] = float(report["load"])
 
 
-def _entry_of(peer: links.Peer) -> instances.Entry:
+def _entry_of(peer: peers.Peer) -> instances.Entry:
     leaving = peer.heartbeat is not None and peer.heartbeat.leaving
     return instances.Entry(
         peer.entry_id,
