Build no default route and join the dropped headers once

Service.rule_for built a pydantic model for every request without a route (about 25 us under a profiler), and each header was lowered twice and looked up in two sets.

--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -23,15 +23,13 @@
 _ID_HEADER = "Slatechute-Request-Id"
 _DEADLINE_HEADER = "Slatechute-Deadline-Ms"
 _ATTEMPT_HEADER = "Slatechute-Attempt"
-_OWN_HEADERS = frozenset(
-    {
-        _SERVICE_HEADER.lower(),
-        _ID_HEADER.lower(),
-        _DEADLINE_HEADER.lower(),
-        _ATTEMPT_HEADER.lower(),
-        "content-length",
-    }
-)
+_DROPPED_HEADERS = exchange.HOP_BY_HOP | {
+    _SERVICE_HEADER.lower(),
+    _ID_HEADER.lower(),
+    _DEADLINE_HEADER.lower(),
+    _ATTEMPT_HEADER.lower(),
+    "content-length",
+}
 _MAX_HEADER_BYTES = 16 * 1024
 _KEEPALIVE_S = 75.0
 _MAX_DEADLINE_MS = 600_000
@@ -250,14 +248,14 @@
 def _end_to_end(
     headers: multidict.CIMultiDictProxy[str],
 ) -> list[tuple[str, str]]:
-    dropped = exchange.HOP_BY_HOP
+    dropped = _DROPPED_HEADERS
     named = headers.get("Connection")
     if named:
         dropped = dropped | {key.strip().lower() for key in named.split(",")}
     return [
         (key, value)
         for key, value in headers.items()
-        if key.lower() not in dropped and key.lower() not in _OWN_HEADERS
+        if key.lower() not in dropped
     ]
 
 
--- a/slatechute/configuration/models.py
+++ b/slatechute/configuration/models.py
@@ -78,6 +78,10 @@
         return min([end for end in ends if end >= 0], default=len(self.path))
 
 
+# Building a model takes longer than the rest of `Service.rule_for`.
+_NO_ROUTE = Route()
+
+
 class Service(_Model):
     """One service and its targets.
 
@@ -108,7 +112,7 @@
                 best is None or route.literal_length > best.literal_length
             ):
                 best = route
-        route = best or Route()
+        route = best or _NO_ROUTE
         repeatable = route.repeatable
         if repeatable is None:
             repeatable = method in _IDEMPOTENT_METHODS
