--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -43,6 +43,11 @@
 # since without them it would take every target for its own.
 _SETTLE_MS = 500.0
 _MAX_ADDRESSES = 8
+# Load hints only order whom to ask for a slot. In each heartbeat they would
+# cost more than all other control together: 41 KB/s with 24 entries.
+_LOADS_MS = 500.0
+# Covers the drift between the clocks of two hosts over the life of a link.
+_CLOCK_MARGIN_MS = 100.0
 _LOAD_POLL_S = 0.5
 
 
@@ -84,12 +89,15 @@
         self._revision = 0
         self._digest = ""
         self._adopted_ms = 0.0
+        self._loads: list[messages.ServiceLoad] = []
+        self._loads_due_ms = 0.0
         self._state = "starting"
         self.ready = asyncio.Event()
         self._settle_until_ms: float | None = None
         self._plan_due = False
         self._cold_ids: frozenset[str] = frozenset()
         self._last_tick_ms = self.clock.now_ms()
+        self._is_waking = False
         self._random = random.Random()
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
@@ -150,6 +158,7 @@
         bus.of(events.InstancesAdopted).subscribe(self._on_instances)
         bus.of(events.PeerReady).subscribe(self._on_peer_ready)
         bus.of(events.PeerLost).subscribe(self._on_peer_lost)
+        bus.of(events.LinkReplaced).subscribe(self._on_link_replaced)
         bus.of(events.TargetLeaving).subscribe(self._on_target_leaving)
 
     # Life cycle.
@@ -218,17 +227,28 @@
         while True:
             await asyncio.sleep(_TICK_MS / 1000)
             now_ms = self.clock.now_ms()
-            paused = now_ms - self._last_tick_ms > _PAUSE_MS
+            self._check_pause(now_ms)
+            self._is_waking = False
             self._last_tick_ms = now_ms
             if isinstance(self.policy, owner.OwnerPolicy):
-                if paused:
-                    reachable = self.membership.reachable()
-                    self.policy.dispatcher.resume(reachable, now_ms)
                 self.policy.dispatcher.tick(now_ms)
             settle_ms = self._settle_until_ms
             if self._state == "starting" and settle_ms is not None:
                 self._settle(now_ms, settle_ms)
 
+    def _check_pause(self, now_ms: float) -> None:
+        """Distrust all slots when this process was paused.
+
+        Messages that arrived meanwhile are read before the first tick.
+        """
+        if self._is_waking or now_ms - self._last_tick_ms <= _PAUSE_MS:
+            return
+        self._is_waking = True
+        _LOG.warning("entry_was_paused", ms=now_ms - self._last_tick_ms)
+        if isinstance(self.policy, owner.OwnerPolicy):
+            reachable = self.membership.reachable()
+            self.policy.dispatcher.resume(reachable, now_ms)
+
     def _settle(self, now_ms: float, until_ms: float) -> None:
         """Begin to dispatch once the peers are linked or did not answer."""
         if not self._configuration.services:
@@ -290,6 +310,11 @@
         _LOG.warning("peer_lost", peer=event.entry_id)
         self._peers_changed()
 
+    def _on_link_replaced(self, event: events.LinkReplaced) -> None:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            now_ms = self.clock.now_ms()
+            self.policy.dispatcher.link_replaced(event.entry_id, now_ms)
+
     def _peers_changed(self) -> None:
         linked = [
             _entry_of(peer)
@@ -347,19 +372,20 @@
 
     def _heartbeat(self) -> messages.Heartbeat:
         now_ms = self.clock.now_ms()
-        loads = []
-        if isinstance(self.policy, owner.OwnerPolicy):
-            loads = self.policy.dispatcher.loads(now_ms)
+        if now_ms >= self._loads_due_ms:
+            self._loads_due_ms = now_ms + _LOADS_MS
+            if isinstance(self.policy, owner.OwnerPolicy):
+                self._loads = self.policy.dispatcher.loads(now_ms)
         return messages.Heartbeat(
             self._state == "draining",
-            loads,
+            self._loads,
             self._revision,
             self._digest,
-            now_ms,
         )
 
     def _on_message(self, peer_id: str, message: messages.Message) -> None:
         now_ms = self.clock.now_ms()
+        self._check_pause(now_ms)
         if isinstance(
             message,
             (
@@ -408,7 +434,7 @@
             case messages.SlotRequest():
                 dispatcher.on_request(peer_id, message, now_ms)
             case messages.SlotGrant():
-                if now_ms - self._last_tick_ms > _PAUSE_MS:
+                if self._is_waking:
                     self._return_stale(peer_id, message)
                 else:
                     dispatcher.on_grant(peer_id, message, now_ms)
@@ -462,11 +488,14 @@
             prefix = identifiers.issue_prefix(self.boot_id, self.clock.now_ms())
             return {"address": self.settings.address, "id_prefix": prefix}
         peer = self._links.peers().get(entry_id)
-        if peer is None or peer.heartbeat is None:
+        if peer is None or not peer.reachable:
             return None
-        # The peer's clock as of its last heartbeat: a little behind, so the
-        # prefix expires a little early and never late.
-        prefix = identifiers.issue_prefix(peer.boot_id, peer.heartbeat.clock_ms)
+        # A prefix from the future would be refused, one that is a little old
+        # only expires a little early.
+        issued_ms = (
+            self.clock.now_ms() + peer.clock_offset_ms - _CLOCK_MARGIN_MS
+        )
+        prefix = identifiers.issue_prefix(peer.boot_id, max(0.0, issued_ms))
         return {"address": peer.address, "id_prefix": prefix}
 
     # Operators.
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -40,7 +40,7 @@
         self.entry_id = entry_id
         self.received: list[tuple[str, messages.Message]] = []
         self.events: list[object] = []
-        bus = events.EventBus()
+        self.bus = bus = events.EventBus()
         for event_type in (events.PeerReady, events.PeerLost):
             bus.of(event_type).subscribe(self.events.append)
         self.links = links.PeerLinks(
@@ -219,6 +219,48 @@
     asyncio.run(run())
 
 
+def test_unchanged_heartbeat_is_a_keepalive():
+    """Guards against control traffic that idle entries cannot afford.
+
+    An empty heartbeat frame has 6 bytes and more of framing; a pong has 2 or 6
+    bytes in all.
+    """
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        heartbeats = []
+        one.links._on_message = lambda peer_id, message: heartbeats.append(
+            message.revision
+        )
+        revision = 1
+        two.links._heartbeat = lambda: messages.Heartbeat(revision=revision)
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            metrics = two.links.metrics
+            frames, size = metrics.frames_sent, metrics.bytes_sent
+            await asyncio.sleep(1.0)
+            assert one.events == [events.PeerReady("e2")]
+            assert heartbeats == [1]
+            assert metrics.frames_sent == frames
+            # At most 20 beats of at most 6 bytes.
+            assert 0 < metrics.bytes_sent - size <= 120
+            revision = 2
+            await _until(lambda: heartbeats == [1, 2], 1.0)
+            assert one.links.peers()["e2"].heartbeat.revision == 2
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("wall_s", [0.0, 12.3, 1e9 + 0.0999, 1.7e9 + 0.05])
+def test_beats_follow_the_wall_clock(wall_s):
+    """Guards against beats that come too late, too often or unaligned."""
+    delay_s = links._delay_to_beat_s(wall_s)
+    assert 0.05 <= delay_s <= 0.15
+    beat = (wall_s + delay_s) / 0.1
+    assert abs(beat - round(beat)) < 1e-4
+
+
 def test_wrong_key_gets_no_link():
     """Guards against peers that do not know the fleet key."""
 
@@ -653,3 +695,21 @@
         delay_s = dialer.backoff_s(failures)
         limit_s = min(dialer.BACKOFF_MAX_S, 0.05 * 2**failures)
         assert limit_s / 2 <= delay_s <= limit_s
+
+
+def test_replaced_link_is_reported():
+    """Guards against waits for what was lost with the older link."""
+
+    async def run():
+        node = _Node("e9")
+        replaced = []
+        node.bus.of(events.LinkReplaced).subscribe(replaced.append)
+        async with _started(node):
+            await _RawPeer("e2").authenticate(node)
+            await _until(lambda: node.reaches("e2"))
+            new = await _RawPeer("e2", boot=1).authenticate(node)
+            await _until(lambda: replaced)
+            assert replaced == [events.LinkReplaced("e2")]
+            await new.close()
+
+    asyncio.run(run())
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -226,3 +226,75 @@
     monkeypatch.setattr(entry, "granted", return_if_gone)
     entry.finish(1)
     assert 3 in entry.lease_by_number
+
+
+def test_hedge_takes_no_slot_that_a_request_waits_for():
+    """Guards against hedges that slow other requests down under load."""
+    fleet = fleets.Fleet(entries=1, targets=1, slots=1)
+    entry = fleet.entry_by_id["e0"]
+    entry.submit(1)
+    entry.submit(2, spare=True)
+    fleet.clock.advance(1)
+    entry.submit(3)
+    entry.finish(1)
+    assert 3 in entry.lease_by_number
+    assert 2 not in entry.lease_by_number
+    entry.finish(3)
+    assert 2 in entry.lease_by_number
+
+
+def test_near_saturation_there_is_no_slot_to_spare():
+    """Guards against hedges that push a loaded service into overload."""
+    fleet = fleets.Fleet(entries=1, targets=5, slots=2)
+    entry = fleet.entry_by_id["e0"]
+    for number in range(8):
+        entry.submit(number)
+    assert entry.core.has_spare("plans", fleet.clock.now_ms())
+    entry.submit(8)
+    assert not entry.core.has_spare("plans", fleet.clock.now_ms())
+
+
+def test_lost_grant_is_asked_for_again():
+    """Guards against a request that waits for a dispatcher that forgot it.
+
+    All dispatchers were asked once, and all messages were lost.
+    """
+    fleet = fleets.Fleet(entries=2, targets=2, fan_out=1)
+    asking, other = fleet.entry_by_id.values()
+    own = list(asking.core._services["plans"].state_by_id.values())
+    for state in own:
+        state.limit = 0.0
+    asking.submit(1)
+    fleet.outbox.clear()
+    for _ in range(6):
+        fleet.advance(20)
+        fleet.deliver()
+    assert 1 in asking.lease_by_number
+
+
+def test_request_asked_twice_is_granted_once():
+    """Guards against two slots for a request that is asked for again."""
+    fleet = fleets.Fleet(entries=2, targets=2, fan_out=1)
+    asking, other = fleet.entry_by_id.values()
+    for state in fleet.target_states():
+        state.limit = 0.0
+    asking.submit(1)
+    fleet.deliver()
+    asking.core.link_replaced(other.id, fleet.clock.now_ms())
+    fleet.deliver()
+    fleet.warm_up()
+    fleet.advance(1)
+    fleet.deliver()
+    held = [s.leases_by_id for s in fleet.target_states()]
+    assert sum(len(leases_by_id) for leases_by_id in held) == 1
+
+
+def test_pause_gives_back_the_share_of_bulk():
+    """Guards against slots for large answers that are lost by a pause."""
+    fleet = fleets.Fleet(entries=1, targets=1)
+    (entry,) = fleet.entry_by_id.values()
+    entry.submit(1, bulk=True)
+    entry.core.resume(frozenset(), fleet.clock.now_ms())
+    entry.finish(1)
+    entry.submit(2, bulk=True)
+    assert 2 in entry.lease_by_number
