Follow up heartbeats that show a newer configuration

Cause: documents are announced to neighbours only. Ruled out by the log of all entries: loss of an announcement, and the wait at the start, which had heard from all linked peers 470 ms before. An entry now asks a peer whose heartbeat shows a newer revision, at most once in 200 ms.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -501,6 +501,7 @@
         if not message.revision:
             # A peer that has no document announces none.
             self._catch_up.heard(peer_id)
+        self._spread.on_heartbeat(peer_id, message.revision)
         if isinstance(self.policy, owner.OwnerPolicy):
             self.policy.dispatcher.on_load(peer_id, message.loads)
         known = self.membership.entries().get(peer_id)
--- a/slatechute/configuration/spread.py
+++ b/slatechute/configuration/spread.py
@@ -55,6 +55,9 @@
 PLATFORM_BURST = 4.0
 DIGEST_MS = 2000
 FETCH_TIMEOUT_MS = 1000
+# A change reaches all entries through neighbours within tens of milliseconds;
+# one that does not is asked for when heartbeats show it.
+ASK_MS = 200
 # Ticks further apart than this mean that the process was paused.
 PAUSE_MS = 1000
 TICK_MS = 100
@@ -316,6 +319,7 @@
         self._count_by_fault: collections.Counter[str] = collections.Counter()
         self._counters = counters
         self._neighbours: list[str] = []
+        self._asked_ms = now_ms - ASK_MS
         self._is_reader = True
 
     def _count(self, fault: str) -> None:
@@ -396,6 +400,26 @@
         del now_ms
         return self._announce(store.NAMES, [peer_id])
 
+    def on_heartbeat(
+        self, peer_id: str, revision: int, now_ms: float
+    ) -> Outbox:
+        """Ask a peer whose configuration is newer for its digest.
+
+        Announcements go to neighbours only; in a partition an entry may have
+        links to peers that know more than all of its neighbours.
+        """
+        name = base.CONFIGURATION
+        if now_ms - self._asked_ms < ASK_MS or not revision:
+            return []
+        if not self._documents.is_wanted(name, revision):
+            return []
+        if any(
+            f.name == name and f.revision >= revision for f in self._fetches
+        ):
+            return []
+        self._asked_ms = now_ms
+        return [(peer_id, messages.DocumentRequest(name, 0, []))]
+
     def on_peer_lost(self, peer_id: str, now_ms: float) -> Outbox:
         """Fetch from others what a lost peer was asked for.
 
@@ -751,6 +775,10 @@
         """Exchange digests over a new link."""
         self._run(self._core.on_peer_linked, peer_id)
 
+    def on_heartbeat(self, peer_id: str, revision: int) -> None:
+        """Take the revision of the configuration of a peer."""
+        self._run(self._core.on_heartbeat, peer_id, revision)
+
     def on_peer_lost(self, peer_id: str) -> None:
         """Fetch from others what a lost peer was asked for."""
         self._run(self._core.on_peer_lost, peer_id)
--- a/slatechute/configuration/store.py
+++ b/slatechute/configuration/store.py
@@ -219,6 +219,13 @@
             slot.count_by_verdict[verdict] += 1
         return verdict
 
+    def is_wanted(self, name: str, revision: int) -> bool:
+        """Return whether a revision is newer and was not refused here."""
+        slot = self._slot_by_name[name]
+        if slot.document is not None and revision <= slot.document.revision:
+            return False
+        return all(refusal.revision != revision for refusal in slot.refusals)
+
     def is_unconfirmed(self, name: str) -> bool:
         """Return whether the document in force may be stale."""
         return self._slot_by_name[name].unconfirmed
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -271,6 +271,23 @@
     assert not documents.status()[_NAME].unconfirmed
 
 
+def test_heartbeat_of_a_newer_revision_is_followed_up():
+    # Guards against an entry that is cut off from all of its neighbours and
+    # stays behind peers that it has links with.
+    core, documents = _core()
+    documents.offer(_document(4), store.PLATFORM)
+    asked = [("e9", messages.DocumentRequest(_NAME, 0, []))]
+    assert core.on_heartbeat("e9", 4, 0) == []
+    assert core.on_heartbeat("e9", 6, 0) == asked
+    # Not for each heartbeat of each peer while the answer is on its way.
+    assert core.on_heartbeat("e8", 6, spread.ASK_MS - 1) == []
+    core.on_message("e9", _digest(_document(6)), 300)
+    assert core.on_heartbeat("e8", 6, 600) == []
+    # Nor for a revision that is refused here.
+    documents.offer(_document(7, valid=False), "e9")
+    assert core.on_heartbeat("e9", 7, 900) == []
+
+
 def test_request_lost_with_its_link_is_sent_again():
     # Guards against a fetch that waits for its timeout because the same peer
     # announces the document again over a new link.
