End bodies, streams and retries that nothing would end

Causes, found by reading and shown by tests/faults/test_callers.py: - A caller that stopped in the middle of a body, a silent target in the middle of a streamed answer and a caller that did not read kept their request, and the slot, without limit: the deadline covered only the time up to the answer's headers. - A retry on a service whose targets had all been tried waited for a slot until the deadline; with one target that refuses connections 5,003 ms. - The refusal of a duplicate did not name the status of the first run.

Ruled out: TCP_USER_TIMEOUT for the stream; a proxy or middlebox acknowledges the bytes. Before: the test file did not finish in 100 s. After: 8 tests pass.

Conclusion: the deadline now ends every step, a cut stream is counted as a refusal, and a request without a target left to try ends at once with the reason of its last attempt. first_status is in the JSON of a duplicate.

--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -1,5 +1,6 @@
 """HTTP server towards callers: addresses to use, and requests."""
 
+import asyncio
 import json
 import math
 from typing import Protocol
@@ -153,7 +154,8 @@
         headers = http.headers
         deadline_ms = _number(headers, _DEADLINE_HEADER, rule.deadline_ms)
         attempt = _number(headers, _ATTEMPT_HEADER, 0)
-        body = await self._body(http)
+        total_ms = min(deadline_ms, _MAX_DEADLINE_MS)
+        body = await self._body_until(http, total_ms)
         text = headers.get(_ID_HEADER, "")
         request_id = self._table.admit(text, rule.repeatable, now_ms)
         return requests.Request(
@@ -165,14 +167,26 @@
             body,
             rule,
             now_ms,
-            now_ms + min(deadline_ms, _MAX_DEADLINE_MS),
+            now_ms + total_ms,
             attempt,
         )
 
-    async def _body(self, http: web.BaseRequest) -> bytes:
-        limit = self._settings.max_body_bytes
+    async def _body_until(
+        self, http: web.BaseRequest, limit_ms: float
+    ) -> bytes:
+        """Read the body; a caller that stops sending must not stay for ever."""
         if not http.body_exists:
             return b""
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                return await self._body(http)
+        except TimeoutError as err:
+            raise errors.RequestError(
+                errors.Reason.DEADLINE, errors.Step.ACCEPTED, status=504
+            ) from err
+
+    async def _body(self, http: web.BaseRequest) -> bytes:
+        limit = self._settings.max_body_bytes
         too_large = errors.RequestError(
             errors.Reason.BODY_TOO_LARGE, errors.Step.ACCEPTED, status=413
         )
@@ -203,17 +217,20 @@
             )
         response = web.StreamResponse(status=answer.status, headers=headers)
         result = leases.Result.CANCELLED
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
         try:
-            await response.prepare(http)
-            async for chunk in answer.chunks():
-                await response.write(chunk)
-            await response.write_eof()
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
+                await response.prepare(http)
+                async for chunk in answer.chunks():
+                    await response.write(chunk)
+                await response.write_eof()
             result = leases.Result.OK
         except exchange.ExchangeError:
-            # The caller must not take a cut answer for a whole one.
             result = leases.Result.FAILED
-            if http.transport is not None:
-                http.transport.abort()
+            self._cut(http, request, errors.Reason.CONNECTION_LOST)
+        except TimeoutError:
+            # The target is silent, or the caller does not read.
+            self._cut(http, request, errors.Reason.DEADLINE)
         finally:
             answer.close()
             run.finish(result)
@@ -221,6 +238,21 @@
             self._count_served(request, run)
         return response
 
+    def _cut(
+        self,
+        http: web.BaseRequest,
+        request: requests.Request,
+        reason: errors.Reason,
+    ) -> None:
+        """Close the caller's connection in the middle of an answer.
+
+        The caller must not take a cut answer for a whole one.
+        """
+        outcome = errors.Outcome.UNKNOWN
+        self._counters.refused(reason, outcome, request.service)
+        if http.transport is not None:
+            http.transport.abort()
+
     def _count_served(
         self, request: requests.Request, run: execution.Attempt
     ) -> None:
@@ -269,6 +301,8 @@
         "peer": error.peer,
         "retry_after_ms": error.retry_after_ms,
     }
+    if error.first_status is not None:
+        content["first_status"] = error.first_status
     headers = {
         exchange.OUTCOME_HEADER: error.outcome,
         "Slatechute-Reason": error.reason,
--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -122,6 +122,7 @@
         self.times = latencies.ServiceTimes()
         self.dispatchers: list[str] = []
         self.total_slots = 0
+        self.target_ids: frozenset[str] = frozenset()
         self.target_count = 0
         self.share = 1.0
         self.queue_length = 256
@@ -183,6 +184,7 @@
         owners = dict.fromkeys(dispatcher_by_target.values())
         state.dispatchers = [name for name in owners if name != self._entry_id]
         state.total_slots = slots * len(targets_by_id)
+        state.target_ids = frozenset(targets_by_id)
         state.target_count = len(targets_by_id)
         state.share = share
         state.queue_length = queue_length
@@ -365,6 +367,11 @@
         else:
             self._port.send(owner, message)
 
+    def has_target(self, service: str, excluded: frozenset[str]) -> bool:
+        """Return whether a service has a target that is not excluded."""
+        state = self._services.get(service)
+        return state is not None and not state.target_ids <= excluded
+
     def service_times(self, service: str) -> latencies.ServiceTimes | None:
         """Return the recent service times of a service at this entry."""
         state = self._services.get(service)
--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -109,6 +109,8 @@
         outcome: Whether the request certainly did not run.
         retry_after_ms: When the caller may come back.
         status: HTTP status towards the caller.
+        first_status: Status that the first run of a duplicate ended with,
+            None while it runs and for all other errors.
     """
 
     def __init__(
@@ -120,6 +122,7 @@
         outcome: Outcome = Outcome.NOT_RUN,
         retry_after_ms: int = 1000,
         status: int = 503,
+        first_status: int | None = None,
     ):
         super().__init__(f"{reason} at {step} ({peer or 'no peer'}): {outcome}")
         self.reason = reason
@@ -128,6 +131,7 @@
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
         self.status = status
+        self.first_status = first_status
 
     def after(self, may_have_run: bool) -> "RequestError":
         """Return the error of a request of which earlier attempts are known.
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -101,7 +101,12 @@
             except _AttemptError as failure:
                 may_have_run = may_have_run or failure.may_have_run
                 excluded |= failure.target_ids
-                error = self._reason_to_end(request, failure, attempt, retries)
+                error = failure.error
+                # A retry without another target would wait until its deadline.
+                if self._policy.has_target(request.service, excluded):
+                    error = self._reason_to_end(
+                        request, failure, attempt, retries
+                    )
                 if error is failure.error and failure.answered is not None:
                     return failure.answered
                 failure.discard()
@@ -204,11 +209,7 @@
             while len(tasks) < _MAX_ATTEMPTS and await self._is_late(
                 run, tasks, hedges, retries
             ):
-                excluded = run.excluded | {run.lease.target.id}
-                if len(tasks) > 1:
-                    # With few targets a new connection to the first one is
-                    # better than none.
-                    excluded = frozenset({run.lease.target.id})
+                excluded = self._excluded_beside(run, len(tasks))
                 run = Attempt(self, run.request, excluded, is_first=False)
                 tasks.append(asyncio.ensure_future(self._run(run)))
             kept = await _first_success(tasks)
@@ -221,6 +222,18 @@
                     task.cancel()
                     task.add_done_callback(_drop_result)
 
+    def _excluded_beside(self, run: "Attempt", count: int) -> frozenset[str]:
+        """Return the targets that an attempt beside others must not use.
+
+        With few targets a new connection to one tried before is better than
+        none.
+        """
+        last = frozenset({run.lease.target.id})
+        if count == 1:
+            last |= run.excluded
+        has_other = self._policy.has_target(run.request.service, last)
+        return last if has_other else frozenset()
+
     async def _is_late(
         self,
         run: "Attempt",
@@ -244,7 +257,9 @@
         if len(tasks) == 1:
             if await _is_settled(tasks, delay_ms - self._sent_for_ms(run)):
                 return False
-            if hedges.take():
+            tried = run.excluded | {run.lease.target.id}
+            has_other = self._policy.has_target(run.request.service, tried)
+            if has_other and hedges.take():
                 self._counters.hedged()
                 return True
         silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * p95_ms)
--- a/slatechute/policies/base.py
+++ b/slatechute/policies/base.py
@@ -25,6 +25,10 @@
         """
         ...
 
+    def has_target(self, service: str, excluded: frozenset[str]) -> bool:
+        """Return whether a service has a target that is not excluded."""
+        ...
+
     def release(
         self, lease: leases.Lease, result: leases.Result, service_ms: float
     ) -> None:
--- a/slatechute/policies/baselines.py
+++ b/slatechute/policies/baselines.py
@@ -59,6 +59,10 @@
         number = next(self._numbers)
         return leases.Lease(number, target, "", "", bulk, now_ms, deadline_ms)
 
+    def has_target(self, service: str, excluded: frozenset[str]) -> bool:
+        """Return whether a service has a target that is not excluded."""
+        return any(t.id not in excluded for t in self._targets_of(service))
+
     def release(
         self, lease: leases.Lease, result: leases.Result, service_ms: float
     ) -> None:
--- a/slatechute/policies/owner.py
+++ b/slatechute/policies/owner.py
@@ -81,6 +81,10 @@
         else:
             self.dispatcher.cancel(number)
 
+    def has_target(self, service: str, excluded: frozenset[str]) -> bool:
+        """Return whether a service has a target that is not excluded."""
+        return self.dispatcher.has_target(service, excluded)
+
     def release(
         self, lease: leases.Lease, result: leases.Result, service_ms: float
     ) -> None:
--- a/slatechute/requests.py
+++ b/slatechute/requests.py
@@ -91,7 +91,10 @@
                 errors.Reason.FOREIGN_REQUEST_ID, parsed.boot_id
             )
         if text in self._expiry_by_id:
-            raise _may_have_run(errors.Reason.DUPLICATE_REQUEST_ID)
+            raise _may_have_run(
+                errors.Reason.DUPLICATE_REQUEST_ID,
+                first_status=self.status_of(text),
+            )
         if not now_ms - ID_WINDOW_MS < parsed.issued_ms <= now_ms:
             raise _may_have_run(errors.Reason.EXPIRED_REQUEST_ID)
         if len(self._expiry_by_id) >= self._size:
@@ -123,11 +126,14 @@
             self.withdraw(key)
 
 
-def _may_have_run(reason: errors.Reason, peer: str = "") -> errors.RequestError:
+def _may_have_run(
+    reason: errors.Reason, peer: str = "", first_status: int | None = None
+) -> errors.RequestError:
     return errors.RequestError(
         reason,
         errors.Step.ACCEPTED,
         peer,
         outcome=errors.Outcome.UNKNOWN,
         status=409,
+        first_status=first_status,
     )
--- /dev/null
+++ b/tests/faults/test_callers.py
@@ -0,0 +1,281 @@
+"""Faults between callers and an entry, and refusals on the wire."""
+
+import asyncio
+import contextlib
+import json
+import time
+
+import aiohttp
+import pytest
+
+from slatechute.fakes import deployments
+from slatechute.fakes import local_fleet
+from slatechute.fakes import platform as platforms
+from slatechute.fakes import target as targets
+from slatechute.fakes import tcp_proxy
+
+_POST = "POST /reservations HTTP/1.1\r\nHost: kit\r\n"
+
+
+@contextlib.asynccontextmanager
+async def _one_entry(instances=2):
+    fleet = local_fleet.LocalFleet(
+        deployments.DEPLOYMENTS["kits"],
+        entries=1,
+        instances=instances,
+        work_ms=1.0,
+    )
+    async with fleet:
+        yield fleet
+
+
+def _raw(fleet):
+    host, port = fleet.entry_addresses[0].split(":")
+    return asyncio.open_connection(host, int(port), limit=1 << 24)
+
+
+def _runs(fleet):
+    return sum(
+        len(runs)
+        for target in fleet.all_targets
+        for runs in target.runs_by_request_id.values()
+    )
+
+
+async def _post(session, fleet, request_id="", **headers):
+    if request_id:
+        headers["Slatechute-Request-Id"] = request_id
+    url = f"http://{fleet.entry_addresses[0]}/reservations"
+    started = time.monotonic()
+    async with session.post(
+        url, headers={"Slatechute-Service": "kit", **headers}
+    ) as response:
+        text = await response.text()
+        took_s = time.monotonic() - started
+        return response.status, response.headers, text, took_s
+
+
+def _check_refusal(answer, reason, outcome, step):
+    status, headers, text, took_s = answer
+    content = json.loads(text)
+    assert headers["Slatechute-Reason"] == content["reason"] == reason
+    assert headers["Slatechute-Outcome"] == content["outcome"] == outcome
+    assert headers["Slatechute-Step"] == content["step"] == step
+    assert int(headers["Retry-After"]) >= 1
+    assert status >= 400
+    assert took_s < 0.5
+    return content
+
+
+def test_half_a_body_never_runs():
+    """Guards against a run of a request whose caller broke off."""
+
+    async def scenario():
+        async with _one_entry() as fleet:
+            _, writer = await _raw(fleet)
+            writer.write((_POST + "Content-Length: 100\r\n\r\nhalf").encode())
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.1)
+            assert _runs(fleet) == 0
+            assert fleet.applications[0]._callers.inflight == 0
+
+    asyncio.run(scenario())
+
+
+def test_body_that_stops_ends_at_the_deadline():
+    """Guards against a silent caller that holds up a planned stop."""
+
+    async def scenario():
+        async with _one_entry() as fleet:
+            reader, writer = await _raw(fleet)
+            head = "Slatechute-Deadline-Ms: 200\r\nContent-Length: 100\r\n\r\n"
+            writer.write((_POST + head + "half").encode())
+            async with asyncio.timeout(1):
+                answer = await reader.readuntil(b"\r\n\r\n")
+            assert b" 504 " in answer.splitlines()[0]
+            assert b"Slatechute-Outcome: not-run" in answer
+            assert b"Slatechute-Step: accepted" in answer
+            assert fleet.applications[0]._callers.inflight == 0
+            assert _runs(fleet) == 0
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def _streaming(chunked_by_proxy=True):
+    """Yield a fleet and the proxy in front of its only drawing target."""
+    async with _one_entry(instances=1) as fleet:
+        target = fleet.targets_by_service["drawings"][0]
+        proxy = tcp_proxy.FaultProxy(target.address)
+        await proxy.start()
+        fleet._is_news = lambda part, listed: False
+        row = platforms.Instance("proxied", proxy.address, "dc1")
+        fleet.platform.set_targets("drawings", [row])
+        await asyncio.sleep(0.3)
+        try:
+            yield fleet, proxy
+        finally:
+            await proxy.stop()
+
+
+_PACK = (
+    "GET /packs/4 HTTP/1.1\r\nHost: drawings\r\nX-Answer-Bytes: 500000\r\n"
+    "Slatechute-Deadline-Ms: 700\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("fault", ["reset", "silence"])
+def test_cut_stream_closes_the_caller(fault):
+    """Guards against a cut answer that looks whole, or one without an end.
+
+    A silent target connection ends at the deadline.
+    """
+
+    async def scenario():
+        async with _streaming() as (fleet, proxy):
+            proxy.hold(to_client=200_000)
+            reader, writer = await _raw(fleet)
+            writer.write(_PACK.encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 200 " in head.splitlines()[0]
+            started = time.monotonic()
+            received = await reader.read(100_000)
+            if fault == "reset":
+                proxy.reset()
+            with contextlib.suppress(ConnectionError):
+                async with asyncio.timeout(1.5):
+                    while data := await reader.read(1 << 16):
+                        received += data
+            assert time.monotonic() - started < 1.2
+            assert len(received) < 500_000
+            body = b"".join(targets.answer_chunks(_id_of(head), 500_000))
+            assert body.startswith(received)
+            writer.close()
+            counter = fleet.applications[0].metrics
+            reason = "deadline" if fault == "silence" else "connection_lost"
+            value = counter.value(
+                "refusals_total",
+                reason=reason,
+                outcome="unknown",
+                service="drawings",
+            )
+            assert value == 1
+            assert fleet.applications[0].policy.dispatcher.counts() == (0, 0)
+
+    asyncio.run(scenario())
+
+
+def _id_of(head: bytes) -> str:
+    for line in head.decode().splitlines():
+        name, _, value = line.partition(": ")
+        if name.lower() == "slatechute-request-id":
+            return value
+    raise AssertionError(head)
+
+
+def test_caller_that_stops_reading_ends_at_the_deadline():
+    """Guards against a slot that a silent caller holds for ever."""
+
+    async def scenario():
+        async with _streaming() as (fleet, _):
+            reader, writer = await _raw(fleet)
+            writer.transport.pause_reading()
+            pack = _PACK.replace("500000", "50000000")
+            writer.write(pack.encode())
+            await asyncio.sleep(0.4)
+            assert fleet.applications[0].policy.dispatcher.counts()[0] == 1
+            await asyncio.sleep(0.6)
+            assert fleet.applications[0].policy.dispatcher.counts()[0] == 0
+            assert fleet.applications[0]._callers.inflight == 0
+            writer.transport.abort()
+
+    asyncio.run(scenario())
+
+
+def test_refusals_name_reason_step_outcome_and_time():
+    """Guards against refusals that a caller cannot act on, or late ones."""
+
+    async def scenario():
+        async with (
+            _one_entry() as fleet,
+            aiohttp.ClientSession() as session,
+        ):
+            boot = fleet.applications[0].boot_id
+            done = f"{boot}.1.done"
+            assert (await _post(session, fleet, done))[0] == 200
+            content = _check_refusal(
+                await _post(session, fleet, done),
+                "duplicate_request_id",
+                "unknown",
+                "accepted",
+            )
+            assert content["first_status"] == 200
+            _check_refusal(
+                await _post(session, fleet, "e9-00.1.x"),
+                "foreign_request_id",
+                "unknown",
+                "accepted",
+            )
+            # A prefix from the future counts as out of its window too.
+            _check_refusal(
+                await _post(session, fleet, f"{boot}.99999999999.x"),
+                "expired_request_id",
+                "unknown",
+                "accepted",
+            )
+            _check_refusal(
+                await _post(session, fleet, "no id"),
+                "bad_request",
+                "not-run",
+                "accepted",
+            )
+            assert _runs(fleet) == 1
+
+    asyncio.run(scenario())
+
+
+def test_running_duplicate_is_refused_at_once():
+    """Guards against a second run, and a wait for the first one."""
+
+    async def scenario():
+        async with (
+            _one_entry() as fleet,
+            aiohttp.ClientSession() as session,
+        ):
+            key = f"{fleet.applications[0].boot_id}.1.twice"
+            slow = {"X-Work-Ms": "400"}
+            first = asyncio.create_task(_post(session, fleet, key, **slow))
+            await asyncio.sleep(0.1)
+            content = _check_refusal(
+                await _post(session, fleet, key),
+                "duplicate_request_id",
+                "unknown",
+                "accepted",
+            )
+            assert "first_status" not in content
+            assert (await first)[0] == 200
+            assert _runs(fleet) == 1
+
+    asyncio.run(scenario())
+
+
+def test_failing_connects_are_refused_at_once():
+    """Guards against a wait for a slot on targets that were all tried."""
+
+    async def scenario():
+        async with (
+            _one_entry(instances=1) as fleet,
+            aiohttp.ClientSession() as session,
+        ):
+            fleet._is_news = lambda part, listed: False
+            (target,) = fleet.targets_by_service["kit"]
+            await target.stop()
+            answer = await _post(session, fleet)
+            assert answer[3] < 0.5
+            assert answer[1]["Slatechute-Outcome"] == "not-run"
+            assert answer[1]["Slatechute-Reason"] == "connect_failed"
+
+    asyncio.run(scenario())
