Add the bench of random faults

The status page shows the slots granted, held and waited for, which the bench uses to find leaks.

Decided: a not-run refusal of a resent repeatable request is not compared with runs of its id, since an earlier submission, whose answer was lost, may have run; for requests that must not run twice it is compared.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -512,6 +512,18 @@
             "state": self._state,
             "configuration": self._configuration_status(),
             "peers": peers,
+            "slots": self._slot_status(),
+        }
+
+    def _slot_status(self) -> dict[str, int]:
+        if not isinstance(self.policy, owner.OwnerPolicy):
+            return {}
+        dispatcher = self.policy.dispatcher
+        held, waiting = dispatcher.counts()
+        return {
+            "granted": dispatcher.granted(),
+            "held": held,
+            "waiting": waiting,
         }
 
     def _configuration_status(self) -> dict:
--- /dev/null
+++ b/slatechute/benches/faults.py
@@ -0,0 +1,605 @@
+"""Bench under random faults: many requests, each checked at its end."""
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable
+import dataclasses
+import json
+import random
+import signal
+from typing import Any
+
+import aiohttp
+from hdrh import histogram
+
+from slatechute.benches import processes
+from slatechute.fakes import deployments
+
+__all__ = ["FaultsBench", "Measurements", "Plan"]
+
+_DEADLINE_MS = 2000
+# A lease expires a second after its deadline at the latest.
+_IDLE_S = _DEADLINE_MS / 1000 + 1.5
+_LISTING_S = 0.1
+_WARM_UP = 200
+_CALLERS = 4
+_MAX_FAULTS = 3
+_PAUSE_S = (0.1, 0.6)
+_SLOW_FACTOR = 8.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What to run.
+
+    Attributes:
+        deployments: Names of the deployments, one after the other.
+        requests: Requests in all.
+        rate: Requests a second.
+        entries: Entry processes.
+        work_ms: Mean work time of a request.
+        seed: Seed of the faults, the load and the work times.
+    """
+
+    deployments: tuple[str, ...] = ("cases", "kits")
+    requests: int = 200_000
+    rate: float = 1200.0
+    entries: int = 6
+    work_ms: float = 2.0
+    seed: int = 1
+
+
+class _Faults:
+    """Random faults on a fleet, several at a time, each undone."""
+
+    def __init__(self, fleet: processes.ProcessFleet, seed: int):
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._busy_entries: set[str] = set()
+        self._busy_targets: set[tuple[str, int, int]] = set()
+        self._is_platform_faulty = False
+        self._is_partitioned = False
+        self._kinds: list[Callable[[], Awaitable[None]]] = [
+            self._kill_entry,
+            self._freeze_entry,
+            self._crash_target,
+            self._drain_target,
+            self._slow_target,
+            self._fail_target,
+            self._shed_target,
+            self._silence_target,
+            self._crash_by_request,
+            self._partition,
+            self._platform_down,
+            self._platform_stale,
+        ]
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Inject faults until told to stop, then wait for their end."""
+        running: set[asyncio.Task] = set()
+        while not stopping.is_set():
+            if len(running) < _MAX_FAULTS:
+                kind = self._random.choice(self._kinds)
+                running.add(asyncio.create_task(kind()))
+            await asyncio.sleep(self._random.uniform(*_PAUSE_S))
+            for task in [task for task in running if task.done()]:
+                running.discard(task)
+                task.result()
+        await asyncio.gather(*running)
+
+    def _count(self, name: str) -> None:
+        self.counts[name] += 1
+
+    # Entries.
+
+    def _free_entry(self) -> processes.EntryProcess | None:
+        free = [
+            entry
+            for entry in self._fleet.entries
+            if entry.entry_id not in self._busy_entries
+        ]
+        # At least half of the entries stay untouched.
+        if 2 * len(free) <= len(self._fleet.entries):
+            return None
+        return self._random.choice(free)
+
+    async def _kill_entry(self) -> None:
+        entry = self._free_entry()
+        if entry is None:
+            return
+        self._count("entry_kill")
+        self._busy_entries.add(entry.entry_id)
+        entry.signal(signal.SIGKILL)
+        await entry.wait()
+        await asyncio.sleep(self._random.uniform(0.1, 1.0))
+        await entry.start()
+        await entry.wait_ready(self._fleet.session)
+        self._busy_entries.discard(entry.entry_id)
+
+    async def _freeze_entry(self) -> None:
+        entry = self._free_entry()
+        if entry is None:
+            return
+        self._count("freeze")
+        self._busy_entries.add(entry.entry_id)
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        entry.signal(signal.SIGCONT)
+        self._busy_entries.discard(entry.entry_id)
+
+    async def _partition(self) -> None:
+        if self._is_partitioned:
+            return
+        self._is_partitioned = True
+        self._count("partition")
+        proxies = list(self._fleet.proxy_by_entry.values())
+        cut = self._random.sample(proxies, len(proxies) // 2)
+        for proxy in cut:
+            proxy.silence_present()
+            proxy.to_upstream.silent = proxy.to_client.silent = True
+        await asyncio.sleep(self._random.uniform(0.3, 2.0))
+        for proxy in cut:
+            proxy.to_upstream.silent = proxy.to_client.silent = False
+            proxy.reset()
+        self._is_partitioned = False
+
+    # Targets.
+
+    async def _on_target(
+        self, name: str, *steps: tuple[str, Any], seconds: float
+    ) -> None:
+        services = sorted(self._fleet.target_nodes)
+        service = self._random.choice(services)
+        nodes = self._fleet.target_nodes[service]
+        index = self._random.randrange(len(nodes))
+        listing = await nodes[index].call("listing")
+        number = self._random.randrange(len(listing))
+        key = (service, index, number)
+        if key in self._busy_targets:
+            return
+        self._busy_targets.add(key)
+        self._count(name)
+        for fault, value in steps:
+            await nodes[index].call(
+                "fault", number=number, name=fault, value=value
+            )
+            await asyncio.sleep(seconds)
+        self._busy_targets.discard(key)
+
+    async def _crash_target(self) -> None:
+        await self._on_target("crash", ("crash", None), seconds=1.0)
+
+    async def _drain_target(self) -> None:
+        steps = ("leave", None), ("crash", None)
+        await self._on_target("drain", *steps, seconds=2.0)
+
+    async def _slow_target(self) -> None:
+        steps = ("slow_factor", _SLOW_FACTOR), ("slow_factor", 1.0)
+        await self._on_target("slow", *steps, seconds=1.0)
+
+    async def _fail_target(self) -> None:
+        steps = ("fail_fast", True), ("fail_fast", False)
+        await self._on_target("fail_fast", *steps, seconds=0.5)
+
+    async def _shed_target(self) -> None:
+        steps = ("shedding", True), ("shedding", False)
+        await self._on_target("shedding", *steps, seconds=0.5)
+
+    async def _silence_target(self) -> None:
+        steps = (("silence_connections", None),)
+        await self._on_target("silence", *steps, seconds=0.1)
+
+    async def _crash_by_request(self) -> None:
+        """Send a request that crashes targets to one entry after another."""
+        self._count("crash_request")
+        size = self._fleet.deployment.services[1]
+        path = f"{size.path}?crash={self._random.getrandbits(40)}"
+        headers = {"Slatechute-Service": size.name, "X-Crash": "1"}
+        for entry in self._random.sample(self._fleet.entries, 3):
+            timeout = aiohttp.ClientTimeout(total=_DEADLINE_MS / 1000)
+            try:
+                async with self._fleet.session.request(
+                    size.method,
+                    f"http://{entry.address}{path}",
+                    headers=headers,
+                    timeout=timeout,
+                ) as response:
+                    reason = response.headers.get("Slatechute-Reason", "")
+            except (aiohttp.ClientError, TimeoutError):
+                reason = "lost"
+            self._count(f"crash_request_{reason}")
+
+    # Platform.
+
+    async def _platform_down(self) -> None:
+        if self._is_platform_faulty:
+            return
+        self._is_platform_faulty = True
+        self._count("platform_down")
+        self._fleet.platform.down = True
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        self._fleet.platform.down = False
+        self._is_platform_faulty = False
+
+    async def _platform_stale(self) -> None:
+        if self._is_platform_faulty:
+            return
+        self._is_platform_faulty = True
+        self._count("platform_stale")
+        self._fleet.platform.stale = self._random.randrange(1, 4)
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        self._fleet.platform.stale = 0
+        self._is_platform_faulty = False
+
+
+class FaultsBench:
+    """Runs a plan and checks each request against what targets ran."""
+
+    def __init__(self, plan: Plan, report: Callable[[dict], None]):
+        self._plan = plan
+        self._report = report
+
+    async def run(self) -> dict:
+        """Run all deployments; return the results for JSON."""
+        runs = []
+        for name in self._plan.deployments:
+            run = await self._run_deployment(deployments.DEPLOYMENTS[name])
+            self._report(run)
+            runs.append(run)
+        broken = ("doubled", "false_not_run", "wrong")
+        return {
+            "bench": "faults",
+            "revision": processes.git_revision(),
+            "plan": dataclasses.asdict(self._plan),
+            "runs": runs,
+            "requests": sum(run["requests"] for run in runs),
+            "ok": not any(run[key] for run in runs for key in broken),
+        }
+
+    async def _run_deployment(self, deployment: deployments.Deployment) -> dict:
+        plan = self._plan
+        fleet = processes.ProcessFleet(
+            deployment,
+            entries=plan.entries,
+            services=[size.name for size in deployment.services[:2]],
+            work_ms=plan.work_ms,
+            seed=plan.seed,
+            peer_proxies=True,
+        )
+        callers = [processes.Node("callers") for _ in range(_CALLERS)]
+        async with fleet:
+            try:
+                for node in callers:
+                    await node.start()
+                return await self._run_fleet(fleet, callers)
+            finally:
+                for node in callers:
+                    await node.stop()
+
+    async def _run_fleet(
+        self,
+        fleet: processes.ProcessFleet,
+        callers: list[processes.Node],
+    ) -> dict:
+        plan = self._plan
+        await _send(fleet, callers, plan, _WARM_UP)
+        stopping = asyncio.Event()
+        faults = _Faults(fleet, plan.seed)
+        listing = asyncio.create_task(_keep_listing(fleet))
+        injecting = asyncio.create_task(faults.run(stopping))
+        count = plan.requests // len(plan.deployments)
+        sending = asyncio.create_task(_send(fleet, callers, plan, count))
+        # A fault that raises ends the bench instead of the faults.
+        await asyncio.wait(
+            (sending, injecting), return_when=asyncio.FIRST_COMPLETED
+        )
+        if injecting.done():
+            injecting.result()
+        results = await sending
+        stopping.set()
+        await injecting
+        await asyncio.sleep(_IDLE_S)
+        leaked = await _leaked_slots(fleet)
+        listing.cancel()
+        checks = await _check(fleet, results)
+        refused: collections.Counter[str] = collections.Counter()
+        others: collections.Counter[str] = collections.Counter()
+        for result in results:
+            for reason, outcome, number in result["refused"]:
+                refused[f"{reason}/{outcome}"] += number
+            for outcome, detail, number in result["errors"]:
+                others[f"{outcome}/{detail}"] += number
+        served = sum(result["served"] for result in results)
+        return {
+            "deployment": fleet.deployment.name,
+            "requests": served + refused.total() + others.total(),
+            "served": served,
+            "resent": sum(result["resent"] for result in results),
+            "refused": dict(refused.most_common()),
+            "other": dict(others.most_common()),
+            "wrong": sum(
+                number
+                for name, number in others.items()
+                if name.startswith("wrong/")
+            ),
+            **checks,
+            "leaked_slots": leaked,
+            "faults": dict(faults.counts.most_common()),
+            "duration_s": round(max(r["duration_s"] for r in results), 1),
+        }
+
+
+async def _send(
+    fleet: processes.ProcessFleet,
+    callers: list[processes.Node],
+    plan: Plan,
+    count: int,
+) -> list[dict]:
+    """Send requests of the first two services from alternate callers."""
+    settings = []
+    for number in range(len(callers)):
+        size = fleet.deployment.services[number % 2]
+        settings.append(
+            {
+                "entries": fleet.entry_addresses,
+                "service": size.name,
+                "method": size.method,
+                "path": size.path,
+                "deadline_ms": _DEADLINE_MS,
+                "resends": 2,
+                "unique_paths": True,
+                "seed": plan.seed * 100 + number,
+            }
+        )
+    return await asyncio.gather(
+        *(
+            node.call(
+                "run",
+                settings=item,
+                rate=plan.rate / len(callers),
+                count=-(-count // len(callers)),
+            )
+            for node, item in zip(callers, settings, strict=True)
+        )
+    )
+
+
+async def _keep_listing(fleet: processes.ProcessFleet) -> None:
+    """Publish targets that were restarted or are leaving."""
+    while True:
+        await asyncio.sleep(_LISTING_S)
+        for service, nodes in fleet.target_nodes.items():
+            listings = [await node.call("listing") for node in nodes]
+            rows = [row for listing in listings for row in listing]
+            if rows != fleet.rows_by_service[service]:
+                fleet.rows_by_service[service] = rows
+                fleet.list_targets(service)
+
+
+async def _leaked_slots(fleet: processes.ProcessFleet) -> int:
+    """Return the slots, leases and waits left in an idle fleet."""
+    total = 0
+    for entry in fleet.entries:
+        status = json.loads(await entry.get(fleet.session, "/status"))
+        total += sum(status["slots"].values())
+    return total
+
+
+async def _check(fleet: processes.ProcessFleet, results: list[dict]) -> dict:
+    """Compare what callers were told with what targets ran."""
+    not_run: list[str] = []
+    once: list[str] = []
+    for number, result in enumerate(results):
+        by_outcome = result["ids_by_outcome"]
+        if number % 2:
+            once += [key for ids in by_outcome.values() for key in ids if key]
+            not_run += by_outcome.get("not-run", [])
+        else:
+            # An earlier submission of the same id may have run; the refusal
+            # speaks of the last one.
+            resent = set(result["resent_ids"])
+            ids = by_outcome.get("not-run", [])
+            not_run += [key for key in ids if key not in resent]
+    runs: collections.Counter[str] = collections.Counter()
+    false_not_run = 0
+    for nodes in fleet.target_nodes.values():
+        for node in nodes:
+            found = await node.call("check", not_run=not_run, once=once)
+            false_not_run += found["ran"]
+            runs.update(found["runs"])
+    return {
+        "once": len(once),
+        "doubled": sum(1 for number in runs.values() if number > 1),
+        "false_not_run": false_not_run,
+    }
+
+
+class Measurements:
+    """Latency with slow targets, retries with failing ones, and probes."""
+
+    def __init__(self, plan: Plan, seconds: float = 10.0):
+        self._plan = plan
+        self._seconds = seconds
+
+    async def run(self, name: str) -> dict:
+        """Run `slow`, `failing` or `measuring`; return results for JSON."""
+        method = {
+            "slow": self._slow,
+            "failing": self._failing,
+            "measuring": self._measuring,
+        }[name]
+        deployment = deployments.DEPLOYMENTS["kits"]
+        fleet = processes.ProcessFleet(
+            deployment,
+            entries=self._plan.entries,
+            services=[deployment.services[0].name],
+            work_ms=20.0 if name == "slow" else self._plan.work_ms,
+            seed=self._plan.seed,
+        )
+        callers = [processes.Node("callers") for _ in range(_CALLERS)]
+        async with fleet:
+            try:
+                for node in callers:
+                    await node.start()
+                found = await method(fleet, callers)
+            finally:
+                for node in callers:
+                    await node.stop()
+        return {
+            "bench": f"faults {name}",
+            "revision": processes.git_revision(),
+            "seed": self._plan.seed,
+            "entries": self._plan.entries,
+            "deployment": deployment.name,
+            **found,
+        }
+
+    async def _load(
+        self,
+        fleet: processes.ProcessFleet,
+        callers: list[processes.Node],
+        rate: float,
+        seconds: float,
+    ) -> list[dict]:
+        size = fleet.deployment.services[0]
+        return await asyncio.gather(
+            *(
+                node.call(
+                    "run",
+                    settings={
+                        "entries": fleet.entry_addresses,
+                        "service": size.name,
+                        "method": size.method,
+                        "path": size.path,
+                        "unique_paths": True,
+                        "seed": self._plan.seed * 100 + number,
+                    },
+                    rate=rate / len(callers),
+                    count=int(rate * seconds / len(callers)),
+                )
+                for number, node in enumerate(callers)
+            )
+        )
+
+    async def _slow(
+        self,
+        fleet: processes.ProcessFleet,
+        callers: list[processes.Node],
+    ) -> dict:
+        size = fleet.deployment.services[0]
+        # Half of all slots at 20 ms a request.
+        rate = 0.5 * size.instances * size.slots * 1000 / 20.0
+        nodes = fleet.target_nodes[size.name]
+        await self._load(fleet, callers, rate, 3.0)
+        normal = await self._load(fleet, callers, rate, self._seconds)
+        for node in nodes:
+            await node.call(
+                "fault", number=0, name="slow_factor", value=_SLOW_FACTOR
+            )
+        onset = await self._load(fleet, callers, rate, self._seconds)
+        steady = await self._load(fleet, callers, rate, self._seconds)
+        p99 = _percentile(normal, 99)
+        return {
+            "slow_targets": len(nodes),
+            "targets": size.instances,
+            "rate": rate,
+            "p99_ms": {
+                "without": p99,
+                "with, from the onset": _percentile(onset, 99),
+                "with, later": _percentile(steady, 99),
+            },
+            "ratio_from_onset": round(_percentile(onset, 99) / p99, 3),
+            "ratio_later": round(_percentile(steady, 99) / p99, 3),
+            "bound": 1.5,
+        }
+
+    async def _failing(
+        self,
+        fleet: processes.ProcessFleet,
+        callers: list[processes.Node],
+    ) -> dict:
+        size = fleet.deployment.services[0]
+        await self._load(fleet, callers, 300, 2.0)
+        nodes = fleet.target_nodes[size.name]
+        for node in nodes:
+            for number in range(len(await node.call("listing"))):
+                await node.call(
+                    "fault", number=number, name="fail_fast", value=True
+                )
+            await node.call("forget")
+        results = await self._load(fleet, callers, 300, self._seconds)
+        stats = [await node.call("stats") for node in nodes]
+        runs = sum(item["runs"] for item in stats)
+        requests = sum(
+            result["served"]
+            + sum(n for *_, n in result["refused"])
+            + sum(n for *_, n in result["errors"])
+            for result in results
+        )
+        tokens = await _retries(fleet)
+        return {
+            "requests": requests,
+            "refused": sum(
+                n for result in results for *_, n in result["refused"]
+            ),
+            "runs": runs,
+            "retries": tokens,
+            "retries_over_requests": round(tokens / requests, 4),
+            # A budget holds the tokens of at most 200 requests at the start.
+            "bound": round(0.1 + 20 * self._plan.entries / requests, 4),
+        }
+
+    async def _measuring(
+        self,
+        fleet: processes.ProcessFleet,
+        callers: list[processes.Node],
+    ) -> dict:
+        size = fleet.deployment.services[0]
+        nodes = fleet.target_nodes[size.name]
+        before = [await node.call("stats") for node in nodes]
+        await self._load(fleet, callers, 300, self._seconds)
+        after = [await node.call("stats") for node in nodes]
+        spent = {
+            key: sum(
+                late[key] - early[key]
+                for late, early in zip(after, before, strict=True)
+            )
+            for key in ("probes", "probe_bytes")
+        }
+        # One poll of each target gives the price of polling.
+        for row in fleet.rows_by_service[size.name]:
+            url = f"http://{row['address']}/-/load"
+            async with fleet.session.get(url) as response:
+                await response.read()
+        polled = [await node.call("stats") for node in nodes]
+        poll_bytes = sum(
+            late["probe_bytes"] - early["probe_bytes"]
+            for late, early in zip(polled, after, strict=True)
+        )
+        entries = self._plan.entries
+        return {
+            "seconds": self._seconds,
+            "requests_per_s": spent["probes"] / self._seconds,
+            "bytes_per_s": spent["probe_bytes"] / self._seconds,
+            "polling_requests_per_s": entries * size.instances,
+            "polling_bytes_per_s": entries * poll_bytes,
+        }
+
+
+async def _retries(fleet: processes.ProcessFleet) -> float:
+    """Return the retries of all entries since their start."""
+    total = 0.0
+    for entry in fleet.entries:
+        text = await entry.get(fleet.session, "/metrics")
+        for line in text.splitlines():
+            if line.startswith("slatechute_retries_total{"):
+                total += float(line.rsplit(" ", 1)[1])
+    return total
+
+
+def _percentile(results: list[dict], percentile: float) -> float:
+    total = histogram.HdrHistogram(1, 60_000_000, 3)
+    for result in results:
+        total.decode_and_add(result["latencies"])
+    return round(total.get_value_at_percentile(percentile) / 1000, 2)
--- a/slatechute/benches/node.py
+++ b/slatechute/benches/node.py
@@ -144,6 +144,8 @@
             "refused": [[*key, n] for key, n in result.refused.items()],
             "errors": [[*key, n] for key, n in result.errors.items()],
             "ids_by_outcome": dict(result.ids_by_outcome),
+            "resent": result.resent,
+            "resent_ids": sorted(result.resent_ids),
             "latencies": result.latencies_us.encode().decode(),
             "duration_s": result.duration_s,
             "cpu_s": time.process_time(),
--- a/slatechute/benches/processes.py
+++ b/slatechute/benches/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import os
 import signal
@@ -14,6 +15,7 @@
 from slatechute.fakes import deployments
 from slatechute.fakes import local_fleet
 from slatechute.fakes import platform as platforms
+from slatechute.fakes import tcp_proxy
 from slatechute.platforms import base
 
 __all__ = ["EntryProcess", "Node", "ProcessFleet", "git_revision"]
@@ -181,6 +183,7 @@
         entries: Entry processes.
         target_nodes: Processes with the targets of each service.
         rows_by_service: Instance rows of the targets.
+        proxy_by_entry: Proxies for links to each entry, when asked for.
     """
 
     def __init__(
@@ -194,6 +197,7 @@
         seed: int = 1,
         extra_files: dict[str, str] | None = None,
         target_processes: int = 2,
+        peer_proxies: bool = False,
     ):
         self.deployment = deployment
         self.platform = platforms.FakePlatform()
@@ -209,6 +213,8 @@
         self._extra_files = extra_files or {}
         self._target_processes = target_processes
         self._started = 0
+        self._has_proxies = peer_proxies
+        self.proxy_by_entry: dict[str, tcp_proxy.FaultProxy] = {}
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -241,6 +247,12 @@
         ]
         await asyncio.gather(*(self._start_targets(size) for size in sizes))
         self.entries = [self.new_entry() for _ in range(self._entry_count)]
+        if self._has_proxies:
+            for entry in self.entries:
+                proxy = tcp_proxy.FaultProxy(entry.peer_address)
+                await proxy.start()
+                self._stack.push_async_callback(proxy.stop)
+                self.proxy_by_entry[entry.entry_id] = proxy
         self.list_entries()
         await asyncio.gather(*(e.start() for e in self.entries))
         for entry in self.entries:
@@ -268,7 +280,12 @@
 
     def list_entries(self) -> None:
         """Publish the list of entries."""
-        self.platform.set_entries([entry.row for entry in self.entries])
+        rows = []
+        for entry in self.entries:
+            proxy = self.proxy_by_entry.get(entry.entry_id)
+            address = proxy.address if proxy else entry.peer_address
+            rows.append(dataclasses.replace(entry.row, peer_address=address))
+        self.platform.set_entries(rows)
 
     async def _start_targets(self, size: deployments.ServiceSize) -> None:
         centres = self.deployment.data_centres
--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -624,6 +624,14 @@
         waiting = sum(s.local_waiting for s in self._services.values())
         return len(self._held_by_id), waiting
 
+    def granted(self) -> int:
+        """Return the slots in use on the targets that this entry dispatches."""
+        return sum(
+            len(item.leases_by_id) + item.inherited
+            for state in self._services.values()
+            for item in state.state_by_id.values()
+        )
+
     def _expire_leases(
         self, state: _ServiceState, lost: set[str], now_ms: float
     ) -> None:
--- a/slatechute/fakes/caller.py
+++ b/slatechute/fakes/caller.py
@@ -35,6 +35,8 @@
         resends: Times that a request without an answer is sent again: after
             a failed connect with a new id to another entry, otherwise with
             the same id to the same entry.
+        unique_paths: Whether each request gets a query of its own, so that
+            crashes are not put down to the same request.
         seed: Seed of the arrival times and of the choice of entries.
     """
 
@@ -46,6 +48,7 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     deadline_ms: int | None = 2000
     resends: int = 0
+    unique_paths: bool = False
     seed: int = 0
 
 
@@ -90,6 +93,7 @@
         latencies_us: Latencies of served requests.
         refusal_latencies_us: Latencies of refused requests.
         resent: Requests sent again.
+        resent_ids: Their ids.
         duration_s: Length of the run.
     """
 
@@ -110,12 +114,15 @@
         default_factory=_new_histogram
     )
     resent: int = 0
+    resent_ids: set[str] = dataclasses.field(default_factory=set)
     duration_s: float = 0.0
 
     def add(self, answer: Answer) -> None:
         """Count an answer."""
         self.ids_by_outcome[answer.outcome].append(answer.request_id)
         self.resent += answer.resent
+        if answer.resent:
+            self.resent_ids.add(answer.request_id)
         latency_us = min(max(1, int(answer.latency_ms * 1000)), _LONGEST_US)
         if answer.outcome == "served":
             self.served += 1
@@ -256,6 +263,9 @@
             "Slatechute-Service": settings.service,
             "Slatechute-Request-Id": request_id,
         }
+        path = settings.path
+        if settings.unique_paths:
+            path += f"?n={self._token}-{self._sent}"
         total_s = None
         if settings.deadline_ms is not None:
             headers["Slatechute-Deadline-Ms"] = str(settings.deadline_ms)
@@ -263,7 +273,7 @@
         try:
             async with self._session.request(
                 settings.method,
-                f"http://{address}{settings.path}",
+                f"http://{address}{path}",
                 data=settings.body or None,
                 headers=headers | settings.headers | extra,
                 timeout=aiohttp.ClientTimeout(total=total_s),
--- a/slatechute/fakes/target.py
+++ b/slatechute/fakes/target.py
@@ -226,6 +226,8 @@
 
     def crash(self) -> None:
         """Close everything abruptly; listen again after `restart_ms`."""
+        if self._listener is None:
+            return
         self.crashes += 1
         self._stop_instance("crashed")
         self._tasks.append(asyncio.create_task(self._restart()))
