--- a/slatechute/benches/node.py
+++ b/slatechute/benches/node.py
@@ -156,6 +156,8 @@
             "errors": [[*key, n] for key, n in total.errors.items()],
             "ids_by_outcome": dict(total.ids_by_outcome),
             "latencies": total.latencies_us.encode().decode(),
+            "resent": total.resent,
+            "resent_ids": sorted(total.resent_ids),
             "cpu_s": time.process_time(),
         }
 
--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -134,6 +134,7 @@
         self.times = latencies.ServiceTimes()
         self.dispatchers: list[str] = []
         self.total_slots = 0
+        self.target_ids: frozenset[str] = frozenset()
         self.target_count = 0
         self.share = 1.0
         self.queue_length = 256
@@ -195,6 +196,7 @@
         owners = dict.fromkeys(dispatcher_by_target.values())
         state.dispatchers = [name for name in owners if name != self._entry_id]
         state.total_slots = slots * len(targets_by_id)
+        state.target_ids = frozenset(targets_by_id)
         state.target_count = len(targets_by_id)
         state.share = share
         state.queue_length = queue_length
@@ -418,6 +420,11 @@
         )
         self._hold(ticket, renewed)
 
+    def has_target(self, service: str, excluded: frozenset[str]) -> bool:
+        """Return whether a service has a target that is not excluded."""
+        state = self._services.get(service)
+        return state is not None and not state.target_ids <= excluded
+
     def service_times(self, service: str) -> latencies.ServiceTimes | None:
         """Return the recent service times of a service at this entry."""
         state = self._services.get(service)
@@ -705,6 +712,14 @@
         waiting = sum(s.local_waiting for s in self._services.values())
         return len(self._held_by_id), waiting
 
+    def granted(self) -> int:
+        """Return the slots in use on the targets that this entry dispatches."""
+        return sum(
+            len(item.leases_by_id) + item.inherited
+            for state in self._services.values()
+            for item in state.state_by_id.values()
+        )
+
     def _expire_leases(
         self, state: _ServiceState, lost: set[str], now_ms: float
     ) -> None:
