--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -102,7 +102,9 @@
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
         self._platform = platform
-        self._plans: dict[str, membership.ServicePlan] = {}
+        self._plans: dict[
+            str, tuple[membership.ServicePlan, models.Service]
+        ] = {}
         self._build()
         self._wire()
 
@@ -272,8 +274,9 @@
         self._adopted_ms = self.clock.now_ms()
         self.metrics.configuration_adopted(event.revision)
         self._executor.set_rules(event.configuration.fleet)
-        if isinstance(self.policy, owner.OwnerPolicy):
-            for service in gone:
+        for service in gone:
+            self._plans.pop(service, None)
+            if isinstance(self.policy, owner.OwnerPolicy):
                 self.policy.dispatcher.remove_service(service)
         _LOG.info("configuration_in_force", revision=event.revision)
         self._set_peers()
@@ -347,9 +350,14 @@
         if self._state == "starting":
             return
         now_ms = self.clock.now_ms()
-        for name, service in self._configuration.services.items():
+        services = self._configuration.services
+        self.membership.keep_services(services)
+        for name, service in services.items():
             plan = self.membership.plan(name)
-            self._plans[name] = plan
+            known = self._plans.get(name)
+            if known is not None and known == (plan, service):
+                continue
+            self._plans[name] = (plan, service)
             if isinstance(self.policy, owner.OwnerPolicy):
                 self.policy.dispatcher.set_service(
                     name,
@@ -468,8 +476,8 @@
 
         Entries that start or leave are left out unless there is no other.
         """
-        plan = self._plans.get(service)
-        dispatching = plan.dispatcher_by_target.values() if plan else ()
+        known = self._plans.get(service)
+        dispatching = known[0].dispatcher_by_target.values() if known else ()
         targets_by_entry: dict[str, int] = {}
         for entry_id in dispatching:
             targets_by_entry[entry_id] = targets_by_entry.get(entry_id, 0) + 1
--- a/slatechute/configuration/instances.py
+++ b/slatechute/configuration/instances.py
@@ -11,8 +11,10 @@
 
 __all__ = ["ENTRIES", "Entry", "Instances", "Target", "parse"]
 
-# Part that lists the entries; every other part is named after its service.
+# Part that lists the entries. Further ones are `entries:NAME`, since 2,000
+# entries exceed the size of a part. Any other part is named after its service.
 ENTRIES = "entries"
+_MORE_ENTRIES = f"{ENTRIES}:"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,8 +103,12 @@
 _TARGET_LIST = pydantic.TypeAdapter(list[_TargetItem])
 
 
+def _lists_entries(part: str) -> bool:
+    return part == ENTRIES or part.startswith(_MORE_ENTRIES)
+
+
 def _items(part: str, text: str, problems: list[str]) -> list[_TargetItem]:
-    adapter = _ENTRY_LIST if part == ENTRIES else _TARGET_LIST
+    adapter = _ENTRY_LIST if _lists_entries(part) else _TARGET_LIST
     try:
         return adapter.validate_json(text)
     except pydantic.ValidationError as err:
@@ -124,11 +130,11 @@
     entries_by_id: dict[str, Entry] = {}
     targets_by_id: dict[str, Target] = {}
     for part, text in sorted(document.text_by_part.items()):
-        known = entries_by_id if part == ENTRIES else targets_by_id
+        known = entries_by_id if _lists_entries(part) else targets_by_id
         for item in _items(part, text, problems):
             if item.id in known:
                 problems.append(f"{part}: {item.id}: id is listed twice")
-            elif part == ENTRIES:
+            elif known is entries_by_id:
                 entries_by_id[item.id] = Entry(**item.model_dump())
             else:
                 fields = item.model_dump()
--- a/slatechute/membership.py
+++ b/slatechute/membership.py
@@ -42,7 +42,6 @@
 
     def __init__(self, own: instances.Entry, group_size: int):
         self._own = own
-        self._group_size = group_size
         self._listed_by_id: dict[str, instances.Entry] = {}
         self._linked_by_id: dict[str, instances.Entry] = {}
         self._targets_by_service: dict[str, dict[str, instances.Target]] = {}
@@ -50,6 +49,10 @@
         self._known_targets: set[str] = set()
         self._leaving: dict[str, None] = {}
         self._has_list = False
+        self._groups = ownership.Groups(group_size)
+        self._entries_by_id: dict[str, instances.Entry] = {}
+        self._plans: dict[str, tuple[tuple, ServicePlan]] = {}
+        self._entries_changed()
 
     @property
     def own(self) -> instances.Entry:
@@ -64,6 +67,14 @@
     def set_own_leaving(self) -> None:
         """Take this entry out of address answers and dispatch."""
         self._own = dataclasses.replace(self._own, state=LEAVING)
+        self._entries_changed()
+
+    def _entries_changed(self) -> None:
+        # Direct evidence goes over the list.
+        known = {**self._listed_by_id, **self._linked_by_id}
+        known[self._own.id] = self._own
+        self._entries_by_id = known
+        self._groups.set_members(known.keys())
 
     def set_list(
         self,
@@ -83,14 +94,21 @@
         self._known_targets |= listed
         if len(self._known_targets) > 2 * len(listed) + 1000:
             self._known_targets = set(listed)
+        # A plan is kept as long as the targets of its service are the same
+        # object.
+        for service, group in by_service.items():
+            if group == self._targets_by_service.get(service):
+                by_service[service] = self._targets_by_service[service]
         self._targets_by_service = by_service
         self._listed_targets = listed
+        self._entries_changed()
         self._has_list = True
         return fresh
 
     def set_linked(self, entries: Iterable[instances.Entry]) -> None:
         """Take in the entries with a live link."""
         self._linked_by_id = {entry.id: entry for entry in entries}
+        self._entries_changed()
 
     def mark_leaving(self, target_id: str) -> bool:
         """Remember that a target leaves; return whether that is news.
@@ -101,6 +119,7 @@
         if target_id in self._leaving:
             return False
         self._leaving[target_id] = None
+        self._plans.clear()
         if len(self._leaving) > _MAX_LEAVING_MARKS:
             del self._leaving[next(iter(self._leaving))]
         return True
@@ -126,33 +145,53 @@
 
     def entries(self) -> dict[str, instances.Entry]:
         """Return all known entries by id, direct evidence first."""
-        known = {**self._listed_by_id, **self._linked_by_id}
-        known[self._own.id] = self._own
-        return known
+        return self._entries_by_id
 
     def _group(self, service: str) -> list[str]:
-        return ownership.entry_group(service, self.entries(), self._group_size)
+        return self._groups.group(service)
+
+    def keep_services(self, services: Iterable[str]) -> None:
+        """Forget what was worked out for all other services."""
+        kept = set(services)
+        self._groups.keep(kept)
+        for service in self._plans.keys() - kept:
+            del self._plans[service]
 
     def reachable(self) -> frozenset[str]:
         """Return the peers with a live link."""
         return frozenset(self._linked_by_id)
 
     def plan(self, service: str) -> ServicePlan:
-        """Return who dispatches the targets of a service now."""
-        group = self._group(service)
-        known = self.entries()
+        """Return who dispatches the targets of a service now.
+
+        The same object is returned as long as nothing changes. An entry outside
+        the group plans no targets: it has no links to their dispatchers.
+        """
+        group = tuple(self._group(service))
+        if self._own.id not in group:
+            return ServicePlan({}, {}, 1.0, group)
+        known = self._entries_by_id
         able = {
             key: known[key].data_centre
             for key in group
             if key == self._own.id or key in self._linked_by_id
             if known[key].state != LEAVING
         }
-        staying = [key for key in group if known[key].state != LEAVING]
+        staying = sum(known[key].state != LEAVING for key in group)
+        listed = self._targets_by_service.get(service)
+        # The dictionary of targets is held by the basis, so that its id cannot
+        # pass to another one.
+        basis = (group, able, staying, id(listed), listed)
+        kept = self._plans.get(service)
+        if kept is not None and kept[0][:4] == basis[:4]:
+            return kept[1]
         targets = {t.id: t for t in self.targets_of(service)}
         dispatcher_by_target = {}
         for target in targets.values():
             owner = ownership.dispatcher_of(target.id, target.data_centre, able)
             if owner is not None:
                 dispatcher_by_target[target.id] = owner
-        share = len(able) / len(staying) if staying else 1.0
-        return ServicePlan(targets, dispatcher_by_target, share, tuple(group))
+        share = len(able) / staying if staying else 1.0
+        plan = ServicePlan(targets, dispatcher_by_target, share, group)
+        self._plans[service] = (basis, plan)
+        return plan
--- a/slatechute/ownership.py
+++ b/slatechute/ownership.py
@@ -1,10 +1,11 @@
 """Rendezvous ranks: entry groups of services and dispatchers of targets."""
 
-from collections.abc import Iterable
+import bisect
+from collections.abc import Iterable, Set
 
 import xxhash
 
-__all__ = ["dispatcher_of", "entry_group", "ranked"]
+__all__ = ["Groups", "dispatcher_of", "entry_group", "ranked"]
 
 
 def _weight(key: str, member: str) -> int:
@@ -25,6 +26,59 @@
     return ranked(service, entries)[:size]
 
 
+class Groups:
+    """Entry groups that are kept while entries come and go.
+
+    Ranking all entries for all services takes 0.4 s at 2,000 entries and 530
+    services. An entry that is added costs one weight for each service; one that
+    is removed costs a new ranking for the few services whose group it was in.
+
+    >>> groups = Groups(2)
+    >>> groups.set_members({"e1", "e2", "e3"})
+    >>> groups.group("plans") == entry_group("plans", ["e1", "e2", "e3"], 2)
+    True
+    """
+
+    def __init__(self, size: int):
+        self._size = size
+        self._members: frozenset[str] = frozenset()
+        # Keys sort like the ranks of `ranked`.
+        self._keys_by_service: dict[str, list[tuple[int, str]]] = {}
+
+    def set_members(self, members: Set[str]) -> None:
+        """Replace the entries."""
+        added = members - self._members
+        removed = self._members - members
+        self._members = frozenset(members)
+        if not added and not removed:
+            return
+        for service, keys in list(self._keys_by_service.items()):
+            if any(member in removed for _, member in keys):
+                del self._keys_by_service[service]
+                continue
+            for member in added:
+                key = (-_weight(service, member), member)
+                if len(keys) < self._size or key < keys[-1]:
+                    bisect.insort(keys, key)
+                    del keys[self._size :]
+
+    def group(self, service: str) -> list[str]:
+        """Return the entries that serve a service."""
+        keys = self._keys_by_service.get(service)
+        if keys is None:
+            keys = sorted(
+                (-_weight(service, member), member) for member in self._members
+            )[: self._size]
+            self._keys_by_service[service] = keys
+        return [member for _, member in keys]
+
+    def keep(self, services: Iterable[str]) -> None:
+        """Forget all other services."""
+        kept = set(services)
+        for service in self._keys_by_service.keys() - kept:
+            del self._keys_by_service[service]
+
+
 def dispatcher_of(
     target_id: str,
     data_centre: str,
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,25 @@
+"""Tests of rendezvous ranks."""
+
+import hypothesis
+from hypothesis import strategies
+
+from slatechute import ownership
+
+_MEMBERS = strategies.sets(
+    strategies.integers(0, 40).map(lambda number: f"e{number}")
+)
+
+
+@hypothesis.given(strategies.lists(_MEMBERS, min_size=1, max_size=8))
+def test_kept_groups_equal_new_rankings(steps):
+    """Guards against a group that depends on the order of past changes.
+
+    Two entries with different groups would send slot requests to entries that
+    dispatch nothing.
+    """
+    groups = ownership.Groups(4)
+    for members in steps:
+        groups.set_members(members)
+        for service in ("plans", "kit", "survey"):
+            wanted = ownership.entry_group(service, members, 4)
+            assert groups.group(service) == wanted
