--- a/slatechute/benches/capacity.py
+++ b/slatechute/benches/capacity.py
@@ -13,7 +13,7 @@
 import sys
 import time
 import tracemalloc
-from typing import Any
+from typing import Any, ClassVar
 
 from slatechute import application
 from slatechute import events
@@ -162,6 +162,8 @@
 
 
 class _NoSpread:
+    neighbours: ClassVar[list[str]] = []
+
     def on_peers_changed(self, entries: Any) -> None:
         """Ignore the peers."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -72,3 +72,14 @@
     plan = known.plan("plans")
     assert known.own.id not in plan.group
     assert not plan.targets_by_id and not plan.dispatcher_by_target
+
+
+def test_neighbours_are_linked_beyond_the_groups():
+    """Guards against documents that stop at the bounds of a group."""
+    own = membership.Membership(_entry(0), 2)
+    own.set_list([_entry(number) for number in range(8)], [])
+    grouped = set(own.peer_addresses(["plans"]))
+    outside = min({f"e{number}" for number in range(1, 8)} - grouped)
+    wanted = own.peer_addresses(["plans"], [outside, "gone"])
+    assert set(wanted) == grouped | {outside}
+    assert wanted[outside] == own.entries()[outside].peer_address
