Answer for services of other entry groups

It now passes the question for addresses to an entry of the group. A request that arrives nevertheless goes to dispatchers that it has links with, or is refused as not run at once. Dispatchers are ranked over the whole listed group then: ranked over the linked members alone, entries were asked that do not dispatch the target. Tested with 9 entries in groups of 3: links are exactly those of groups and neighbours, every service is served through every entry, documents reach all.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -17,6 +17,7 @@
 from slatechute import membership
 from slatechute import messages
 from slatechute import metrics
+from slatechute import relay
 from slatechute import requests
 from slatechute import settings as entry_settings
 from slatechute.configuration import catch_up
@@ -142,6 +143,7 @@
             self.metrics,
         )
         self._store = store.DocumentStore(self.bus)
+        self._relay = relay.AddressRelay(self.clock)
         self.metrics.bind_gauges(
             in_flight=lambda: self._callers.inflight,
             waiting=self._count_waiting,
@@ -556,12 +558,22 @@
         """Return the configuration in force."""
         return self._configuration
 
-    def addresses_for(self, service: str) -> list[dict[str, str]]:
+    async def addresses_for(
+        self, service: str, *, may_relay: bool
+    ) -> list[dict[str, str]]:
         """Return addresses with id prefixes, entries with most slots first.
 
-        Entries that start or leave are left out unless there is no other.
+        Entries that start or leave are left out unless there is no other. For
+        a service whose group this entry is not in, an entry of the group is
+        asked.
         """
         plan = self._plans.get(service)
+        if may_relay and plan and self.settings.entry_id not in plan.group:
+            found = await self._relay.ask(
+                self._session, service, self._group_addresses(plan)
+            )
+            if found:
+                return found
         dispatching = plan.dispatcher_by_target.values() if plan else ()
         targets_by_entry: dict[str, int] = {}
         for entry_id in dispatching:
@@ -576,6 +588,16 @@
         found = [item for item in found if item is not None]
         return found or [self._address(self.settings.entry_id)]
 
+    def _group_addresses(self, plan: membership.ServicePlan) -> list[str]:
+        """Return the callers' addresses of a group, own data centre first."""
+        known = self.membership.entries()
+        members = [known[key] for key in plan.group if key in known]
+        members = [item for item in members if item.state != membership.LEAVING]
+        self._random.shuffle(members)
+        own = self.settings.data_centre
+        members.sort(key=lambda item: item.data_centre != own)
+        return [item.address for item in members]
+
     def _address(self, entry_id: str) -> dict[str, str] | None:
         if entry_id == self.settings.entry_id:
             prefix = identifiers.issue_prefix(self.boot_id, self.clock.now_ms())
--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -12,6 +12,7 @@
 from slatechute import execution
 from slatechute import leases
 from slatechute import metrics
+from slatechute import relay
 from slatechute import requests
 from slatechute import settings as entry_settings
 from slatechute.configuration import models
@@ -52,8 +53,15 @@
         """Return the configuration in force."""
         ...
 
-    def addresses_for(self, service: str) -> list[dict[str, str]]:
-        """Return addresses with id prefixes, best first."""
+    async def addresses_for(
+        self, service: str, *, may_relay: bool
+    ) -> list[dict[str, str]]:
+        """Return addresses with id prefixes, best first.
+
+        Args:
+            service: A configured service.
+            may_relay: Whether another entry may be asked.
+        """
         ...
 
 
@@ -104,7 +112,7 @@
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         if http.path == "/entries" and _SERVICE_HEADER not in http.headers:
-            return self._addresses(http)
+            return await self._addresses(http)
         service = _service_of(http)
         self.inflight += 1
         try:
@@ -115,7 +123,7 @@
         finally:
             self.inflight -= 1
 
-    def _addresses(self, http: web.BaseRequest) -> web.Response:
+    async def _addresses(self, http: web.BaseRequest) -> web.Response:
         service = http.query.get("service", "")
         configuration = self._directory.configuration()
         if service not in configuration.services:
@@ -129,7 +137,9 @@
         answer = {
             "service": service,
             "keep_ms": configuration.fleet.keep_ms,
-            "entries": self._directory.addresses_for(service),
+            "entries": await self._directory.addresses_for(
+                service, may_relay=relay.RELAYED_HEADER not in http.headers
+            ),
         }
         return web.json_response(answer)
 
--- a/slatechute/fakes/local_fleet.py
+++ b/slatechute/fakes/local_fleet.py
@@ -5,6 +5,7 @@
 import json
 import random
 import socket
+from typing import Any
 
 from slatechute import application
 from slatechute import settings as entry_settings
@@ -81,7 +82,18 @@
         work_ms: float = 10.0,
         seed: int = 1,
         instances: int | None = None,
+        options: dict[str, Any] | None = None,
     ):
+        """Prepare a fleet.
+
+        Args:
+            deployment: Services and data centres.
+            entries: Number of entries.
+            work_ms: Mean work time of a request.
+            seed: Seed of the targets.
+            instances: Targets of each service; those of the deployment if None.
+            options: Further settings of the entries.
+        """
         self.deployment = deployment
         self.platform = platforms.FakePlatform()
         self.targets_by_service: dict[str, list[targets.FakeTarget]] = {}
@@ -90,6 +102,7 @@
         self._work_ms = work_ms
         self._seed = seed
         self._instances = instances
+        self._options = options or {}
         self._starts = 0
         self._listing: asyncio.Task | None = None
         self._rows_by_part: dict[str, list] = {}
@@ -146,6 +159,7 @@
             platform_url=self.platform.url,
             fleet_key=FLEET_KEY,
             drain_limit_ms=5000,
+            **self._options,
         )
         return application.Application(settings)
 
--- a/slatechute/membership.py
+++ b/slatechute/membership.py
@@ -156,11 +156,22 @@
             if known[key].state != LEAVING
         }
         staying = [key for key in group if known[key].state != LEAVING]
+        # Outside of the group, this entry has links with a few members at most
+        # and cannot tell from them which others are alive.
+        is_member = self._own.id in group
+        ranked = able
+        if not is_member:
+            ranked = {key: known[key].data_centre for key in staying}
         targets = {t.id: t for t in self.targets_of(service)}
         dispatcher_by_target = {}
         for target in targets.values():
-            owner = ownership.dispatcher_of(target.id, target.data_centre, able)
-            if owner is not None:
+            owner = ownership.dispatcher_of(
+                target.id, target.data_centre, ranked
+            )
+            if owner in able:
                 dispatcher_by_target[target.id] = owner
+        if not is_member:
+            # Requests are then refused at once where no dispatcher is linked.
+            targets = {key: targets[key] for key in dispatcher_by_target}
         share = len(able) / len(staying) if staying else 1.0
         return ServicePlan(targets, dispatcher_by_target, share, tuple(group))
--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,140 @@
+"""Tests of a fleet with more entries than an entry group."""
+
+import asyncio
+
+from slatechute import relay
+from slatechute.configuration import spread
+from slatechute.fakes import caller
+from slatechute.fakes import deployments
+from slatechute.fakes import local_fleet
+from slatechute.platforms import base
+from slatechute.util import clock as clocks
+
+_DEPLOYMENT = deployments.DEPLOYMENTS["kits"]
+_SERVICES = [size.name for size in _DEPLOYMENT.services]
+_LIMIT_S = 20
+
+
+def _fleet(entries, **options):
+    return local_fleet.LocalFleet(
+        _DEPLOYMENT, entries=entries, work_ms=1, instances=4, options=options
+    )
+
+
+def _expected_links(apps):
+    """Return the peers of each entry's groups, and neighbours both ways."""
+    ids = [app.settings.entry_id for app in apps]
+    listed = [app.membership.own for app in apps]
+    expected = {key: set() for key in ids}
+    for app in apps:
+        own = app.settings.entry_id
+        for service in _SERVICES:
+            group = app.membership.plan(service).group
+            if own in group:
+                expected[own].update(group)
+        degree = app.settings.spread_degree
+        centre = app.settings.data_centre
+        for peer in spread.neighbours(own, centre, listed, degree):
+            expected[own].add(peer)
+            expected[peer].add(own)
+        expected[own].discard(own)
+    return expected
+
+
+async def _until(condition):
+    for _ in range(_LIMIT_S * 50):
+        if condition():
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError("condition is not met in time")
+
+
+async def _send_directly(app, size):
+    """Send a request to an entry that its address answer may not name."""
+    url = f"http://{app.settings.address}{size.path}"
+    headers = {"Slatechute-Service": size.name}
+    async with app._session.request(size.method, url, headers=headers) as got:
+        reason = got.headers.get("Slatechute-Reason")
+        assert got.status == 200 or reason == "no_targets", got
+        if got.status != 200:
+            assert got.headers["Slatechute-Outcome"] == "not-run"
+
+
+def test_entries_link_with_groups_and_neighbours_and_serve_everything():
+    """Guards against links to all entries and services without an answer."""
+
+    async def run():
+        async with _fleet(9, group_size=3, spread_degree=2) as fleet:
+            apps = fleet.applications
+            expected = _expected_links(apps)
+            await _until(
+                lambda: all(
+                    app.membership.reachable()
+                    == expected[app.settings.entry_id]
+                    for app in apps
+                )
+            )
+            assert min(len(peers) for peers in expected.values()) < 8
+            outside = 0
+            for app in apps:
+                for size in _DEPLOYMENT.services:
+                    group = app.membership.plan(size.name).group
+                    outside += app.settings.entry_id not in group
+                    settings = caller.CallerSettings(
+                        [app.settings.address],
+                        size.name,
+                        size.method,
+                        size.path,
+                    )
+                    async with caller.FakeCaller(settings) as client:
+                        answer = await client.send()
+                    assert answer.outcome == "served", (size.name, answer)
+                    await _send_directly(app, size)
+            assert outside > 9
+            files = dict(_DEPLOYMENT.text_by_file)
+            files["90.toml"] = "[fleet]\nkeep_ms = 777\n"
+            revision = fleet.platform.publish(base.CONFIGURATION, files)
+            await _until(
+                lambda: all(
+                    app.status()["configuration"]["revision"] == revision
+                    for app in apps
+                )
+            )
+
+    asyncio.run(run())
+
+
+def test_relayed_question_is_not_passed_on():
+    """Guards against entries that ask each other without end."""
+
+    async def run():
+        async with _fleet(4, group_size=1, spread_degree=2) as fleet:
+            for app in fleet.applications:
+                (entry,) = await app.addresses_for("kit", may_relay=False)
+                assert entry["address"] in fleet.entry_addresses
+                (owner,) = app.membership.plan("kit").group
+                (entry,) = await app.addresses_for("kit", may_relay=True)
+                assert entry["id_prefix"].startswith(f"{owner}-")
+
+    asyncio.run(run())
+
+
+def test_dead_members_are_passed_over_and_answers_kept():
+    """Guards against a dead member and one question for each caller."""
+
+    async def run():
+        async with _fleet(2) as fleet:
+            session = fleet.applications[0]._session
+            dead = local_fleet.free_address()
+            clock = clocks.ManualClock()
+            asking = relay.AddressRelay(clock)
+            live = fleet.entry_addresses[0]
+            found = await asking.ask(session, "kit", [dead, live])
+            assert {item["address"] for item in found} <= set(
+                fleet.entry_addresses
+            )
+            assert await asking.ask(session, "kit", [dead]) is found
+            clock.advance(relay.KEEP_MS)
+            assert await asking.ask(session, "kit", [dead]) is None
+
+    asyncio.run(run())
