--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -26,6 +26,7 @@
 from slatechute.configuration import spread
 from slatechute.configuration import store
 from slatechute.peers import links
+from slatechute.peers import peer as peers
 from slatechute.platforms import base as platforms
 from slatechute.platforms import http as http_platform
 from slatechute.policies import base as policies
@@ -44,13 +45,18 @@
 # A new entry waits this long for links to its peers before it dispatches,
 # since without them it would take every target for its own.
 _SETTLE_MS = 500.0
+_MAX_ADDRESSES = 8
+# Load hints only order whom to ask for a slot. In each heartbeat they would
+# cost more than all other control together: 41 KB/s with 24 entries.
+_LOADS_MS = 500.0
+# Covers the drift between the clocks of two hosts over the life of a link.
+_CLOCK_MARGIN_MS = 100.0
 # After a pause, new requests wait at most this long for the documents of the
 # peers, which may have to link again first.
 _CATCH_UP_MS = 500.0
 # A peer without a link for this long is no longer a neighbour for documents.
 _UNREACHABLE_MS = 1000.0
 _REVIEW_MS = 500.0
-_MAX_ADDRESSES = 4
 _LOAD_POLL_S = 0.5
 
 
@@ -91,6 +97,8 @@
         self._configuration = models.Configuration()
         self._revision = 0
         self._digest = ""
+        self._loads: list[messages.ServiceLoad] = []
+        self._loads_due_ms = 0.0
         self._adopted_ms_by_name: dict[str, float] = {}
         self._state = "starting"
         self.ready = asyncio.Event()
@@ -177,6 +185,7 @@
         bus.of(events.InstancesAdopted).subscribe(self._on_instances)
         bus.of(events.PeerReady).subscribe(self._on_peer_ready)
         bus.of(events.PeerLost).subscribe(self._on_peer_lost)
+        bus.of(events.LinkReplaced).subscribe(self._on_link_replaced)
         bus.of(events.TargetLeaving).subscribe(self._on_target_leaving)
 
     # Life cycle.
@@ -263,11 +272,15 @@
                 self._review_neighbours()
 
     def _check_pause(self, now_ms: float) -> None:
-        """Doubt leases and documents when this process was paused."""
+        """Doubt leases and documents when this process was paused.
+
+        Messages that arrived meanwhile are read before the first tick.
+        """
         last_ms = self._last_tick_ms
         if now_ms - last_ms <= _PAUSE_MS or last_ms == self._pause_after_ms:
             return
         self._pause_after_ms = last_ms
+        _LOG.warning("entry_was_paused", ms=now_ms - last_ms)
         reachable = self.membership.reachable()
         # Before the take-over: peers then announce newer documents before they
         # report, which is what dispatch waits for.
@@ -404,6 +417,11 @@
         self._spread.on_peer_lost(event.entry_id)
         self._peers_changed()
 
+    def _on_link_replaced(self, event: events.LinkReplaced) -> None:
+        if isinstance(self.policy, owner.OwnerPolicy):
+            now_ms = self.clock.now_ms()
+            self.policy.dispatcher.link_replaced(event.entry_id, now_ms)
+
     def _peers_changed(self) -> None:
         linked = [
             _entry_of(peer)
@@ -461,19 +479,20 @@
 
     def _heartbeat(self) -> messages.Heartbeat:
         now_ms = self.clock.now_ms()
-        loads = []
-        if isinstance(self.policy, owner.OwnerPolicy):
-            loads = self.policy.dispatcher.loads(now_ms)
+        if now_ms >= self._loads_due_ms:
+            self._loads_due_ms = now_ms + _LOADS_MS
+            if isinstance(self.policy, owner.OwnerPolicy):
+                self._loads = self.policy.dispatcher.loads(now_ms)
         return messages.Heartbeat(
             self._state == "draining",
-            loads,
+            self._loads,
             self._revision,
             self._digest,
-            now_ms,
         )
 
     def _on_message(self, peer_id: str, message: messages.Message) -> None:
         now_ms = self.clock.now_ms()
+        self._check_pause(now_ms)
         if isinstance(
             message,
             (
@@ -531,7 +550,8 @@
             case messages.SlotRequest():
                 dispatcher.on_request(peer_id, message, now_ms)
             case messages.SlotGrant():
-                if now_ms - self._last_tick_ms > _PAUSE_MS:
+                # Before the first tick after a pause.
+                if self._last_tick_ms == self._pause_after_ms:
                     self._return_stale(peer_id, message)
                 else:
                     dispatcher.on_grant(peer_id, message, now_ms)
@@ -603,11 +623,14 @@
             prefix = identifiers.issue_prefix(self.boot_id, self.clock.now_ms())
             return {"address": self.settings.address, "id_prefix": prefix}
         peer = self._links.peers().get(entry_id)
-        if peer is None or peer.heartbeat is None:
+        if peer is None or not peer.reachable:
             return None
-        # The peer's clock as of its last heartbeat: a little behind, so the
-        # prefix expires a little early and never late.
-        prefix = identifiers.issue_prefix(peer.boot_id, peer.heartbeat.clock_ms)
+        # A prefix from the future would be refused, one that is a little old
+        # only expires a little early.
+        issued_ms = (
+            self.clock.now_ms() + peer.clock_offset_ms - _CLOCK_MARGIN_MS
+        )
+        prefix = identifiers.issue_prefix(peer.boot_id, max(0.0, issued_ms))
         return {"address": peer.address, "id_prefix": prefix}
 
     # Operators.
@@ -694,7 +717,7 @@
         self.policy.load_by_target[target.id] = float(report["load"])
 
 
-def _entry_of(peer: links.Peer) -> instances.Entry:
+def _entry_of(peer: peers.Peer) -> instances.Entry:
     leaving = peer.heartbeat is not None and peer.heartbeat.leaving
     return instances.Entry(
         peer.entry_id,
--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 import dataclasses
 import itertools
+import math
 import secrets
 from typing import Protocol
 
@@ -26,10 +27,15 @@
 # A request that waits longer asks further dispatchers: the first ones may be
 # slow, cut off or may never have got the message.
 WIDEN_AFTER_MS = 20.0
-REMOTE_HANDICAP_MS = 10.0
+REMOTE_HANDICAP_MS = 5.0
+# Bounds how long a holder keeps a slot on a stale view of its dispatcher.
+MAX_RENEWALS = 8
 LEASE_GRACE_MS = 1000.0
+# Part of a service's slots that has to be free for hedges.
+SPARE_SHARE = 0.2
 TAKE_OVER_WAIT_MS = 100.0
 _MAX_REMOTE_WAITING = 10_000
+_MAX_DOUBLINGS = 5
 
 
 class Port(Protocol):
@@ -63,9 +69,11 @@
         deadline_ms: When the request gives up.
         bulk: Whether the answer is large.
         excluded: Targets that must not get it.
+        spare: Whether it only gets a slot that nothing else waits for.
         origin: Peer that asks, empty for this entry.
-        asked: Dispatchers asked for it so far.
+        asked: Dispatchers asked for it in this round.
         widen_ms: When further dispatchers are asked.
+        asks: Times that dispatchers were asked.
     """
 
     number: int
@@ -74,15 +82,22 @@
     deadline_ms: float
     bulk: bool = False
     excluded: frozenset[str] = frozenset()
+    spare: bool = False
     origin: str = ""
     asked: list[str] = dataclasses.field(default_factory=list)
     widen_ms: float = 0.0
+    asks: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
         """Key that is unique at this dispatcher."""
         return (self.origin, self.number)
 
+    @property
+    def counts_as_waiting(self) -> bool:
+        """Whether it is a request of this entry that nothing else answers."""
+        return not self.origin and not self.spare
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Assignment:
@@ -99,15 +114,15 @@
     cold: bool = False
 
 
-def _order(ticket: Ticket) -> float:
+def _order(ticket: Ticket) -> tuple[bool, float]:
     """Return the sort key of waiting requests.
 
     A slot that goes to a request of the same entry is in use at once, while
     the grant to a peer takes two hops during which the slot is idle.
     """
     if ticket.origin:
-        return ticket.arrived_ms + REMOTE_HANDICAP_MS
-    return ticket.arrived_ms
+        return ticket.spare, ticket.arrived_ms + REMOTE_HANDICAP_MS
+    return ticket.spare, ticket.arrived_ms
 
 
 class _ServiceState:
@@ -310,7 +325,8 @@
         """Check all slots with the peers after this process was paused."""
         for state in self._services.values():
             for target_state in state.state_by_id.values():
-                target_state.leases_by_id.clear()
+                for lease_id in list(target_state.leases_by_id):
+                    target_state.drop(lease_id)
             self._take_over(state, list(state.state_by_id), reachable, now_ms)
 
     # Requests of this entry.
@@ -358,14 +374,73 @@
         )
         if owner == self._entry_id:
             self.on_release(message, now_ms)
-        else:
-            self._port.send(owner, message)
+            return
+        ticket = None
+        if owner == lease.dispatcher and result is leases.Result.OK:
+            ticket = self._ticket_for_renewal(lease, service_ms)
+        if ticket is not None:
+            message.renewed_ms = max(1.0, ticket.deadline_ms - now_ms)
+        if self._port.send(owner, message) and ticket is not None:
+            self._renew(lease, ticket, now_ms)
+
+    def _ticket_for_renewal(
+        self, lease: leases.Lease, service_ms: float
+    ) -> Ticket | None:
+        """Return the request that should use a finished slot next, if any.
+
+        Passing the slot back and on takes two hops in which it is idle. The
+        holder keeps it for a request of its own unless an older one waited at
+        the dispatcher.
+        """
+        state = self._services.get(lease.target.service)
+        if state is None or lease.bulk or lease.renewals >= MAX_RENEWALS:
+            return None
+        if service_ms > targets.SLOW_FACTOR * state.times.median_ms:
+            return None
+        if lease.target.id not in self._target_by_id:
+            return None
+        ticket = self._next_local(lease.target)
+        if ticket is None:
+            return None
+        latest_ms = lease.next_arrival_ms + REMOTE_HANDICAP_MS
+        return ticket if ticket.arrived_ms <= latest_ms else None
+
+    def _renew(
+        self, lease: leases.Lease, ticket: Ticket, now_ms: float
+    ) -> None:
+        self._remove_ticket(ticket)
+        self._cancel_asked(ticket)
+        renewed = dataclasses.replace(
+            lease,
+            granted_ms=now_ms,
+            expires_ms=ticket.deadline_ms + LEASE_GRACE_MS,
+            renewals=lease.renewals + 1,
+        )
+        self._hold(ticket, renewed)
 
     def service_times(self, service: str) -> latencies.ServiceTimes | None:
         """Return the recent service times of a service at this entry."""
         state = self._services.get(service)
         return None if state is None else state.times
 
+    def has_spare(self, service: str, now_ms: float) -> bool:
+        """Return whether enough slots are free for hedges.
+
+        No entry sees all queues, so a slot that is spare at one dispatcher may
+        be wanted at another. Near saturation hedges would take the slots that
+        keep the queues short.
+        """
+        state = self._services.get(service)
+        if state is None or state.local_waiting:
+            return False
+        own = self._load(service, state, now_ms)
+        spare = own.free - own.queued
+        for peer_id in state.dispatchers:
+            hint = self._load_by_peer.get(peer_id, {}).get(service)
+            if hint is not None:
+                spare += hint.free - hint.queued
+        return spare >= SPARE_SHARE * state.total_slots
+
     def expected_wait_ms(self, service: str) -> float:
         """Return how long a new request would wait, roughly."""
         state = self._services.get(service)
@@ -390,8 +465,9 @@
     def _ask(self, state: _ServiceState, ticket: Ticket, now_ms: float) -> None:
         """Ask the next dispatchers, those with free slots first."""
         # Longer each time: under overload more messages would not help.
-        rounds = 2 ** (len(ticket.asked) // self._fan_out)
+        rounds = 2 ** min(ticket.asks, _MAX_DOUBLINGS)
         ticket.widen_ms = now_ms + WIDEN_AFTER_MS * rounds
+        ticket.asks += 1
         asked = 0
         for peer_id in self._ask_order(state, ticket):
             request = messages.SlotRequest(
@@ -401,6 +477,7 @@
                 ticket.deadline_ms - now_ms,
                 ticket.bulk,
                 sorted(ticket.excluded),
+                ticket.spare,
             )
             if self._port.send(peer_id, request):
                 ticket.asked.append(peer_id)
@@ -447,8 +524,12 @@
             now_ms + message.remaining_ms,
             message.bulk,
             frozenset(message.excluded),
-            origin=peer_id,
+            message.spare,
+            peer_id,
         )
+        known = self._ticket_by_key.get(ticket.key)
+        if known is not None:
+            self._remove_ticket(known)
         chosen = self._best_target(state, ticket, now_ms)
         if chosen is not None:
             self._grant(ticket, chosen, now_ms)
@@ -493,6 +574,9 @@
             ticket.bulk,
             now_ms,
             ticket.deadline_ms + LEASE_GRACE_MS,
+            now_ms - message.next_age_ms
+            if message.next_age_ms >= 0
+            else math.inf,
         )
         self._hold(ticket, lease)
 
@@ -501,7 +585,11 @@
         if state is None or not state.local_waiting:
             return None
         for ticket in state.waiting:
-            usable = not ticket.bulk and target.id not in ticket.excluded
+            usable = (
+                not ticket.bulk
+                and not ticket.spare
+                and target.id not in ticket.excluded
+            )
             if not ticket.origin and usable:
                 return ticket
         return None
@@ -511,7 +599,11 @@
         target_state = self._target_state(message.target_id)
         if target_state is None:
             return
-        target_state.drop(message.lease_id)
+        if message.renewed_ms > 0:
+            expires_ms = now_ms + message.renewed_ms + LEASE_GRACE_MS
+            target_state.renew(message.lease_id, now_ms, expires_ms)
+        else:
+            target_state.drop(message.lease_id)
         state = self._services[target_state.target.service]
         result = leases.Result(message.result)
         ejects = target_state.record(
@@ -556,7 +648,15 @@
         for ticket in list(self._ticket_by_key.values()):
             if ticket.origin == peer_id:
                 self._remove_ticket(ticket)
-            elif peer_id in ticket.asked:
+        self._ask_again(peer_id, now_ms)
+
+    def link_replaced(self, peer_id: str, now_ms: float) -> None:
+        """Ask a peer again for what may be lost with the older link."""
+        self._ask_again(peer_id, now_ms)
+
+    def _ask_again(self, peer_id: str, now_ms: float) -> None:
+        for ticket in list(self._ticket_by_key.values()):
+            if peer_id in ticket.asked:
                 ticket.asked.remove(peer_id)
                 self._ask(self._services[ticket.service], ticket, now_ms)
 
@@ -588,14 +688,18 @@
         for service, state in self._services.items():
             if not state.state_by_id:
                 continue
-            free = sum(
-                max(0, item.free(now_ms, state.share))
-                for item in state.state_by_id.values()
-            )
-            queued = len(state.waiting)
-            found.append(messages.ServiceLoad(service, free, queued))
+            found.append(self._load(service, state, now_ms))
         return found
 
+    def _load(
+        self, service: str, state: _ServiceState, now_ms: float
+    ) -> messages.ServiceLoad:
+        free = sum(
+            max(0, item.free(now_ms, state.share))
+            for item in state.state_by_id.values()
+        )
+        return messages.ServiceLoad(service, free, len(state.waiting))
+
     def counts(self) -> tuple[int, int]:
         """Return the leases held and the requests waiting at this entry."""
         waiting = sum(s.local_waiting for s in self._services.values())
@@ -626,6 +730,10 @@
             if not ticket.origin and ticket.widen_ms <= now_ms
         ]
         for ticket in late:
+            if not set(state.dispatchers).difference(ticket.asked):
+                # The message or its answer may be lost with a link, and a
+                # target may have passed to a dispatcher that refused before.
+                ticket.asked.clear()
             self._ask(state, ticket, now_ms)
 
     # Slots.
@@ -656,24 +764,23 @@
         """Grant free slots to the oldest requests that can use them."""
         if not state.waiting:
             return
-        served = []
-        for ticket in state.waiting:
+        waiting = state.waiting
+        index = 0
+        while index < len(waiting):
+            ticket = waiting[index]
             chosen = self._best_target(state, ticket, now_ms)
             if chosen is not None:
-                served.append(ticket)
-                self._grant_waiting(ticket, chosen, now_ms)
-            elif not ticket.excluded and not ticket.bulk:
+                # First of all out of the queue: a request that was cancelled
+                # meanwhile returns its slot, which calls this method again.
+                self._remove_ticket(ticket)
+                if not ticket.origin:
+                    self._cancel_asked(ticket)
+                self._grant(ticket, chosen, now_ms)
+            elif ticket.excluded or ticket.bulk:
+                index += 1
+            else:
                 # No slot for an ordinary request: none for younger ones.
-                break
-        for ticket in served:
-            self._remove_ticket(ticket)
-
-    def _grant_waiting(
-        self, ticket: Ticket, chosen: targets.TargetState, now_ms: float
-    ) -> None:
-        if not ticket.origin:
-            self._cancel_asked(ticket)
-        self._grant(ticket, chosen, now_ms)
+                return
 
     def _grant(
         self, ticket: Ticket, chosen: targets.TargetState, now_ms: float
@@ -691,7 +798,12 @@
         if not ticket.origin:
             self._hold(ticket, lease)
             return
-        message = messages.SlotGrant(ticket.number, lease.id, chosen.target.id)
+        waiting = self._services[ticket.service].waiting
+        has_next = bool(waiting) and not waiting[0].spare
+        age_ms = now_ms - waiting[0].arrived_ms if has_next else -1.0
+        message = messages.SlotGrant(
+            ticket.number, lease.id, chosen.target.id, age_ms
+        )
         if not self._port.send(ticket.origin, message):
             chosen.drop(lease.id)
 
@@ -715,7 +827,7 @@
     def _add_ticket(self, state: _ServiceState, ticket: Ticket) -> None:
         state.waiting.add(ticket)
         self._ticket_by_key[ticket.key] = ticket
-        state.local_waiting += not ticket.origin
+        state.local_waiting += ticket.counts_as_waiting
 
     def _remove_ticket(self, ticket: Ticket) -> None:
         if self._ticket_by_key.pop(ticket.key, None) is None:
@@ -723,4 +835,4 @@
         state = self._services.get(ticket.service)
         if state is not None:
             state.waiting.discard(ticket)
-            state.local_waiting -= not ticket.origin
+            state.local_waiting -= ticket.counts_as_waiting
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -22,6 +22,13 @@
 _CHART = statechart.load("request")
 _MAX_ATTEMPTS = 3
 _MIN_HEDGE_DELAY_MS = 5.0
+# Without a hedge a second exchange starts after this time, or these many p95,
+# at the cost of the retry budget: the connection may have gone silent, which
+# its kernel does not notice while a middlebox acknowledges the bytes.
+_MIN_SILENCE_MS = 250.0
+_SILENCE_FACTOR = 4.0
+# A lease that is older when its exchange would start may have passed on.
+_LEASE_START_MS = 250.0
 _RETRYABLE_STATUS = frozenset({500, 502, 503, 504})
 
 _STATE_BY_STEP = {
@@ -81,22 +88,27 @@
         retries.add()
         hedges.add()
         excluded: set[str] = set()
+        may_have_run = False
         attempt = 1
         while True:
-            run = Attempt(self, request, frozenset(excluded))
+            run = Attempt(
+                self, request, frozenset(excluded), is_first=attempt == 1
+            )
             try:
                 if request.rule.repeatable and not request.rule.bulk:
-                    return await self._run_hedged(run, hedges)
+                    return await self._run_hedged(run, hedges, retries)
                 return await self._run(run)
             except _AttemptError as failure:
-                self._note_failure(request, failure)
-                if failure.target_id:
-                    excluded.add(failure.target_id)
-                if not self._may_retry(request, failure, attempt, retries):
-                    if failure.answered is not None:
-                        return failure.answered
-                    raise failure.error from failure
+                may_have_run = may_have_run or failure.may_have_run
+                excluded |= failure.target_ids
+                error = self._reason_to_end(request, failure, attempt, retries)
+                if error is failure.error and failure.answered is not None:
+                    return failure.answered
                 failure.discard()
+                if error is not None:
+                    # An earlier attempt may have run although the last one
+                    # certainly did not.
+                    raise error.after(may_have_run) from failure
             attempt += 1
 
     def _budget(
@@ -124,39 +136,43 @@
                 retry_after_ms=int(remaining_ms),
             )
 
-    def _may_retry(
+    def _reason_to_end(
         self,
         request: requests.Request,
         failure: "_AttemptError",
         attempt: int,
         retries: budgets.RatioBudget,
-    ) -> bool:
+    ) -> errors.RequestError | None:
+        """Return the error to end with, None when there is a next attempt."""
         if failure.error.step is errors.Step.WAITING:
-            return False
-        not_run = failure.error.outcome is errors.Outcome.NOT_RUN
-        if not not_run and not request.rule.repeatable:
-            return False
+            return failure.error
+        if failure.may_have_run and not request.rule.repeatable:
+            return failure.error
         # An upstream hop that already sends again leaves it at that, so that
         # retries do not multiply with the depth of calls.
         if request.attempt > 0 or attempt >= _MAX_ATTEMPTS:
-            return False
+            return failure.error
         if self._clock.now_ms() >= request.deadline_ms:
-            return False
-        self._check_quarantine(request)
+            return failure.error
+        try:
+            self._check_quarantine(request)
+        except errors.RequestError as error:
+            return error
         if not retries.take():
-            return False
+            return failure.error
         self._counters.retried(failure.error.reason)
-        return True
+        return None
 
-    def _note_failure(
+    def _note_crash(
         self, request: requests.Request, failure: "_AttemptError"
     ) -> None:
         if not failure.crashed:
             return
         key = request.fingerprint
         now_ms = self._clock.now_ms()
-        self.quarantine.strike(key, failure.target_id, now_ms)
-        self._announce(messages.CrashStrike(key, failure.target_id))
+        for target_id in failure.target_ids:
+            self.quarantine.strike(key, target_id, now_ms)
+            self._announce(messages.CrashStrike(key, target_id))
 
     # One attempt.
 
@@ -167,48 +183,195 @@
         try:
             async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
                 return await run.execute()
+        except _AttemptError as failure:
+            self._note_crash(request, failure)
+            raise
         except TimeoutError as err:
             raise run.failed(
                 errors.Reason.DEADLINE, leases.Result.CANCELLED, status=504
             ) from err
 
     async def _run_hedged(
-        self, run: "Attempt", hedges: budgets.RatioBudget
+        self,
+        run: "Attempt",
+        hedges: budgets.RatioBudget,
+        retries: budgets.RatioBudget,
     ) -> "Attempt":
-        """Run an attempt and, when it is slow, a second one beside it."""
-        first = asyncio.ensure_future(self._run(run))
-        delay_ms = max(
-            _MIN_HEDGE_DELAY_MS, self._policy.p95_ms(run.request.service)
-        )
-        tasks = [first]
-        kept = None
+        """Run an attempt and, while it is late, further ones beside it."""
+        race = _Race(self, run, hedges, retries)
         try:
-            await asyncio.wait(tasks, timeout=delay_ms / 1000)
-            if not first.done() and run.lease is not None and hedges.take():
-                self._counters.hedged()
-                excluded = run.excluded | {run.lease.target.id}
-                hedge = Attempt(self, run.request, excluded)
-                tasks.append(asyncio.ensure_future(self._run(hedge)))
-            kept = await _first_success(tasks)
-            return await kept
+            return await self._run(run)
+        except (asyncio.CancelledError, _AttemptError) as failure:
+            winner = await race.settle(failure)
+            if winner is None:
+                raise
+            return winner
         finally:
-            for task in tasks:
-                if task is not kept:
-                    task.cancel()
-                    task.add_done_callback(_drop_result)
-
-
-async def _first_success(tasks: list[asyncio.Task]) -> asyncio.Task:
-    """Return the task that has an answer first, else the first task."""
-    pending = set(tasks)
-    while pending:
-        done, pending = await asyncio.wait(
-            pending, return_when=asyncio.FIRST_COMPLETED
+            race.close()
+
+
+class _Race:
+    """Further attempts that start while the first one is late.
+
+    The first attempt runs in the task of the request and is interrupted by
+    cancellation, as by `asyncio.timeout`. A task for each attempt would cost
+    every request several turns of the loop, and few ever get a second one.
+
+    A hedge only uses a slot to spare. An exchange that lasts much longer still
+    is taken for one on a silent connection, and the next attempt waits for its
+    slot like any request.
+    """
+
+    def __init__(
+        self,
+        executor: Executor,
+        first: "Attempt",
+        hedges: budgets.RatioBudget,
+        retries: budgets.RatioBudget,
+    ):
+        self._executor = executor
+        self._request = first.request
+        self._attempts = [first]
+        self._hedges = hedges
+        self._retries = retries
+        self._task = asyncio.current_task()
+        self._cancelling = self._task.cancelling()
+        self._others: list[asyncio.Task[Attempt]] = []
+        self._winner: asyncio.Task[Attempt] | None = None
+        self._is_over = False
+        p95_ms = executor._policy.p95_ms(self._request.service)
+        self._hedge_ms = max(_MIN_HEDGE_DELAY_MS, p95_ms)
+        self._silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * p95_ms)
+        self._timer: asyncio.TimerHandle | None = None
+        self._check_later(self._hedge_ms)
+
+    def _check_later(self, delay_ms: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_ms / 1000, self._check)
+
+    def _check(self) -> None:
+        """Start another attempt when the last one is late."""
+        if self._is_over or len(self._attempts) >= _MAX_ATTEMPTS:
+            return
+        latest = self._attempts[-1]
+        if latest.lease is None and not latest.is_spare:
+            # Time spent waiting for a slot does not count: one more exchange
+            # would have to wait for one as well.
+            latest.on_lease = self._check
+            return
+        sent = latest if latest.lease is not None else self._attempts[-2]
+        elapsed_ms = self._executor._clock.now_ms() - sent.lease.granted_ms
+        if latest is sent and len(self._attempts) == 1:
+            if elapsed_ms < self._hedge_ms:
+                self._check_later(self._hedge_ms - elapsed_ms)
+                return
+            if self._has_spare() and self._hedges.take():
+                self._executor._counters.hedged()
+                self._start(sent, is_spare=True)
+                return
+        if elapsed_ms < self._silence_ms:
+            self._check_later(self._silence_ms - elapsed_ms)
+        else:
+            self._retry_if_allowed(sent)
+
+    def _has_spare(self) -> bool:
+        return self._executor._policy.has_spare(self._request.service)
+
+    def _retry_if_allowed(self, silent: "Attempt") -> None:
+        if self._request.attempt > 0 or not self._retries.take():
+            return
+        if self._attempts[-1] is not silent:
+            # The hedge has found no slot to spare.
+            self._attempts.pop()
+            self._drop(self._others.pop())
+        reason = errors.Reason.CONNECTION_SILENT
+        self._executor._counters.retried(reason)
+        self._start(silent, is_spare=False)
+
+    def _start(self, late: "Attempt", *, is_spare: bool) -> None:
+        excluded = late.excluded | {late.lease.target.id}
+        if len(self._attempts) > 1:
+            # With few targets a new connection to the first one is better than
+            # none.
+            excluded = frozenset({late.lease.target.id})
+        attempt = Attempt(
+            self._executor,
+            self._request,
+            excluded,
+            is_first=False,
+            is_spare=is_spare,
         )
-        for task in done:
-            if task.exception() is None:
-                return task
-    return tasks[0]
+        self._attempts.append(attempt)
+        task = asyncio.ensure_future(self._executor._run(attempt))
+        task.add_done_callback(self._ended)
+        self._others.append(task)
+        self._check_later(self._hedge_ms)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        # When a further attempt fails the other ones decide.
+        if self._is_over or task.cancelled() or task.exception():
+            return
+        if self._winner is None:
+            self._winner = task
+            self._task.cancel()
+
+    async def settle(self, failure: BaseException) -> "Attempt | None":
+        """Return the answer of a further attempt after the first has ended.
+
+        Returns:
+            None when there is none, so that `failure` counts.
+        """
+        self._stop()
+        if self._winner is not None:
+            # Whoever else cancelled the task goes first.
+            if self._task.uncancel() > self._cancelling:
+                self._winner = None
+                return None
+            return self._take_winner(failure)
+        if isinstance(failure, asyncio.CancelledError):
+            return None
+        pending = set(self._others)
+        while pending and self._winner is None:
+            # Not `await task`: a cancellation of the request must not be taken
+            # for one of the attempt.
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                self._note_end(task, failure)
+        return self._take_winner(failure)
+
+    def _note_end(self, task: asyncio.Task, failure: "_AttemptError") -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is None:
+            self._winner = self._winner or task
+        elif isinstance(error, _AttemptError):
+            failure.merge(error)
+
+    def _take_winner(self, failure: BaseException) -> "Attempt | None":
+        if self._winner is None:
+            return None
+        if isinstance(failure, _AttemptError):
+            failure.discard()
+        return self._winner.result()
+
+    def close(self) -> None:
+        """End all further attempts but the one that gave the answer."""
+        self._stop()
+        for task in self._others:
+            if task is not self._winner:
+                self._drop(task)
+
+    def _drop(self, task: asyncio.Task) -> None:
+        task.cancel()
+        task.add_done_callback(_drop_result)
+
+    def _stop(self) -> None:
+        self._is_over = True
+        self._attempts[-1].on_lease = None
+        self._timer.cancel()
 
 
 def _drop_result(task: asyncio.Task) -> None:
@@ -226,7 +389,8 @@
 
     Attributes:
         error: What the caller would get.
-        target_id: Target concerned, empty when there was none.
+        target_ids: Targets concerned.
+        may_have_run: Whether the attempt, or one beside it, may have run.
         crashed: Whether the target died while it ran the request.
         answered: Attempt to pass on when there is no further one.
     """
@@ -241,10 +405,16 @@
     ):
         super().__init__(str(error))
         self.error = error
-        self.target_id = target_id
+        self.target_ids = {target_id} if target_id else set()
+        self.may_have_run = error.outcome is not errors.Outcome.NOT_RUN
         self.crashed = crashed
         self.answered = answered
 
+    def merge(self, other: "_AttemptError") -> None:
+        """Let this failure speak for another attempt as well."""
+        self.may_have_run = self.may_have_run or other.may_have_run
+        self.target_ids |= other.target_ids
+
     def discard(self) -> None:
         """Give up the answer that came with the failure."""
         if self.answered is not None:
@@ -258,7 +428,11 @@
     Attributes:
         request: The request.
         excluded: Targets that must not get it.
+        is_first: Whether it is the first exchange of the request. Others only
+            use connections that are new or have answered a moment ago.
+        is_spare: Whether it only gets a slot that nothing else waits for.
         lease: Slot that it uses until `finish`, None while it waits.
+        on_lease: Called when there is a lease, or None.
         answer: Answer of the target; its body may have to be streamed.
         service_ms: Time of the exchange once it has ended.
     """
@@ -268,9 +442,15 @@
         executor: Executor,
         request: requests.Request,
         excluded: frozenset[str],
+        *,
+        is_first: bool,
+        is_spare: bool = False,
     ):
         self.request = request
         self.excluded = excluded
+        self.is_first = is_first
+        self.is_spare = is_spare
+        self.on_lease: Callable[[], None] | None = None
         self.lease: leases.Lease | None = None
         self.answer: exchange.Answer | None = None
         self.service_ms = 0.0
@@ -301,6 +481,7 @@
                 self.lease.target.address,
                 self.request,
                 self.request.deadline_ms - now_ms,
+                fresh=not self.is_first,
             )
         except exchange.ExchangeError as err:
             raise self._exchange_failed(err) from err
@@ -314,17 +495,28 @@
 
     async def _acquire(self) -> None:
         request = self.request
+        executor = self._executor
         self._fire("wait")
-        try:
-            self.lease = await self._executor._policy.acquire(
-                request.service,
-                request.deadline_ms,
-                bulk=request.rule.bulk,
-                excluded=self.excluded,
-            )
-        except errors.RequestError as error:
-            raise _AttemptError(error) from error
+        while self.lease is None:
+            try:
+                lease = await executor._policy.acquire(
+                    request.service,
+                    request.deadline_ms,
+                    bulk=request.rule.bulk,
+                    excluded=self.excluded,
+                    spare=self.is_spare,
+                )
+            except errors.RequestError as error:
+                raise _AttemptError(error) from error
+            if executor._clock.now_ms() - lease.granted_ms > _LEASE_START_MS:
+                # This process was paused since the grant.
+                executor._policy.release(lease, leases.Result.UNUSED, 0.0)
+                executor._counters.retried(errors.Reason.LEASE_STALE)
+            else:
+                self.lease = lease
         self._fire("grant")
+        if self.on_lease is not None:
+            self.on_lease()
 
     def _check_answer(self, answer: exchange.Answer) -> None:
         target_id = self.lease.target.id
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -3,7 +3,10 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import json
+import signal
 import socket
+import sys
 import time
 
 import hypothesis
@@ -14,6 +17,7 @@
 from slatechute import events
 from slatechute import messages
 from slatechute import settings as settings_module
+from slatechute.benches import control
 from slatechute.peers import authentication
 from slatechute.peers import counters
 from slatechute.peers import dialer
@@ -40,7 +44,7 @@
         self.entry_id = entry_id
         self.received: list[tuple[str, messages.Message]] = []
         self.events: list[object] = []
-        bus = events.EventBus()
+        self.bus = bus = events.EventBus()
         for event_type in (events.PeerReady, events.PeerLost):
             bus.of(event_type).subscribe(self.events.append)
         self.links = links.PeerLinks(
@@ -219,6 +223,48 @@
     asyncio.run(run())
 
 
+def test_unchanged_heartbeat_is_a_keepalive():
+    """Guards against control traffic that idle entries cannot afford.
+
+    An empty heartbeat frame has 6 bytes and more of framing; a pong has 2 or 6
+    bytes in all.
+    """
+
+    async def run():
+        one, two = _Node("e1"), _Node("e2")
+        heartbeats = []
+        one.links._on_message = lambda peer_id, message: heartbeats.append(
+            message.revision
+        )
+        revision = 1
+        two.links._heartbeat = lambda: messages.Heartbeat(revision=revision)
+        async with _started(one, two):
+            _introduce(one, two)
+            await _linked(one, two)
+            metrics = two.links.metrics
+            frames, size = metrics.frames_sent, metrics.bytes_sent
+            await asyncio.sleep(1.0)
+            assert one.events == [events.PeerReady("e2")]
+            assert heartbeats == [1]
+            assert metrics.frames_sent == frames
+            # At most 20 beats of at most 6 bytes.
+            assert 0 < metrics.bytes_sent - size <= 120
+            revision = 2
+            await _until(lambda: heartbeats == [1, 2], 1.0)
+            assert one.links.peers()["e2"].heartbeat.revision == 2
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("wall_s", [0.0, 12.3, 1e9 + 0.0999, 1.7e9 + 0.05])
+def test_beats_follow_the_wall_clock(wall_s):
+    """Guards against beats that come too late, too often or unaligned."""
+    delay_s = links._delay_to_beat_s(wall_s)
+    assert 0.05 <= delay_s <= 0.15
+    beat = (wall_s + delay_s) / 0.1
+    assert abs(beat - round(beat)) < 1e-4
+
+
 def test_wrong_key_gets_no_link():
     """Guards against peers that do not know the fleet key."""
 
@@ -626,6 +672,60 @@
     asyncio.run(run())
 
 
+def test_failing_subscriber_does_not_break_links():
+    """Guards against a fault in one subscriber that stops heartbeats."""
+
+    async def run():
+        one, two, three = _Node("e1"), _Node("e2"), _Node("e3")
+        for event_type in (events.PeerReady, events.PeerLost):
+            one.links._bus.of(event_type).subscribe(lambda event: 1 / 0)
+        async with _started(one, two, three):
+            _introduce(one, two, three)
+            await _linked(one, two, three)
+            await two.links.stop()
+            await _until(lambda: not one.reaches("e2"))
+            await asyncio.sleep(0.6)
+            assert three.reaches("e1")
+            assert three.events.count(events.PeerReady("e1")) == 1
+            assert one.failures(_Fault.HANDLER) == 3
+
+    asyncio.run(run())
+
+
+def test_paused_peer_process_is_lost_and_comes_back():
+    """Guards against a stopped process that is taken for a live peer.
+
+    Its kernel still accepts connections. Afterwards a call that is under way
+    may need 1 s to fail and the next one waits for up to 2 s.
+    """
+
+    async def run():
+        one = _Node("e1", key=control.FLEET_KEY)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "slatechute.benches.control", "--node", "e2"),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            answer = json.loads(await process.stdout.readline())
+            async with _started(one):
+                one.links.set_peers({"e2": answer["peer_address"]})
+                await _until(lambda: one.reaches("e2"))
+                process.send_signal(signal.SIGSTOP)
+                await _until(lambda: not one.reaches("e2"), 1.0)
+                assert one.failures(_Fault.SILENT) == 1
+                await asyncio.sleep(0.5)
+                assert not one.reaches("e2")
+                process.send_signal(signal.SIGCONT)
+                await _until(lambda: one.reaches("e2"), 4.0)
+        finally:
+            process.kill()
+            await process.wait()
+
+    asyncio.run(run())
+
+
 def test_stop_is_bounded():
     """Guards against a stop that waits for silent peers."""
 
@@ -653,3 +753,21 @@
         delay_s = dialer.backoff_s(failures)
         limit_s = min(dialer.BACKOFF_MAX_S, 0.05 * 2**failures)
         assert limit_s / 2 <= delay_s <= limit_s
+
+
+def test_replaced_link_is_reported():
+    """Guards against waits for what was lost with the older link."""
+
+    async def run():
+        node = _Node("e9")
+        replaced = []
+        node.bus.of(events.LinkReplaced).subscribe(replaced.append)
+        async with _started(node):
+            await _RawPeer("e2").authenticate(node)
+            await _until(lambda: node.reaches("e2"))
+            new = await _RawPeer("e2", boot=1).authenticate(node)
+            await _until(lambda: replaced)
+            assert replaced == [events.LinkReplaced("e2")]
+            await new.close()
+
+    asyncio.run(run())
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -10,6 +10,7 @@
 from slatechute import events
 from slatechute import exchange
 from slatechute import execution
+from slatechute import leases
 from slatechute import metrics
 from slatechute import requests
 from slatechute.configuration import instances
@@ -198,6 +199,79 @@
     _run(scenario)
 
 
+def test_silent_connections_cost_no_deadline():
+    """Guards against a wait until the deadline when no hedge is allowed.
+
+    All kept connections are silent, so a second exchange on another one of
+    them would wait as well.
+    """
+
+    async def scenario(setup):
+        setup.executor.set_rules(models.FleetRules(hedge_ratio=0))
+        client = setup.executor._client
+        for number, proxy in enumerate(setup.proxies):
+            request = setup.request(number)
+            await client.send(proxy.address, request, 1000)
+        # Older than what counts as a fresh connection.
+        await asyncio.sleep(0.3)
+        for proxy in setup.proxies:
+            assert proxy.connections
+            proxy.silence_present()
+        start_ms = setup.clock.now_ms()
+        attempt = await setup.executor.execute(setup.request(5))
+        assert attempt.answer.status == 200
+        assert setup.clock.now_ms() - start_ms < 600
+        count = setup.metrics.value("retries_total", reason="connection_silent")
+        assert count == 1
+
+    _run(scenario)
+
+
+def test_wait_for_a_slot_takes_no_hedge():
+    """Guards against hedges spent on a queue instead of slow exchanges."""
+
+    async def scenario(setup):
+        policy = setup.executor._policy
+        acquire = policy.acquire
+
+        async def late(*args, **kwargs):
+            await asyncio.sleep(0.1)
+            return await acquire(*args, **kwargs)
+
+        policy.acquire = late
+        await setup.executor.execute(setup.request())
+        assert setup.metrics.value("hedges_total") == 0
+
+    _run(scenario)
+
+
+def test_stale_lease_is_returned():
+    """Guards against a slot used although its dispatcher took it back."""
+
+    async def scenario(setup):
+        policy = setup.executor._policy
+        acquire, release = policy.acquire, policy.release
+        results = []
+
+        async def stale_once(*args, **kwargs):
+            lease = await acquire(*args, **kwargs)
+            if not results:
+                granted_ms = lease.granted_ms - 300
+                lease = dataclasses.replace(lease, granted_ms=granted_ms)
+            return lease
+
+        def record(lease, result, service_ms):
+            results.append(result)
+            release(lease, result, service_ms)
+
+        policy.acquire, policy.release = stale_once, record
+        await setup.executor.execute(setup.request())
+        assert results == [leases.Result.UNUSED, leases.Result.OK]
+        assert setup.runs() == 1
+
+    _run(scenario)
+
+
 def test_request_that_crashes_targets_is_stopped():
     """Guards against a request that takes down one target after another."""
 
@@ -213,6 +287,51 @@
     asyncio.run(main())
 
 
+def test_crash_that_ran_is_not_told_as_not_run():
+    """Guards against "not run" by the quarantine for a request that ran."""
+
+    async def main():
+        async with _setup(count=4) as setup:
+            crash = [("X-Crash", "1")]
+            error = await _error(setup, setup.request(1, headers=crash))
+            assert setup.runs(1) == 2
+            assert error.reason is errors.Reason.QUARANTINED
+            assert error.outcome is errors.Outcome.UNKNOWN
+
+    asyncio.run(main())
+
+
+def test_failed_connect_after_a_run_is_unknown():
+    """Guards against "not run" when only the last attempt did not run."""
+
+    async def main():
+        async with _setup(count=3) as setup:
+            setup.proxies[0].to_client.cut_after_bytes = 10
+            await setup.proxies[1].refuse(True)
+            await setup.proxies[2].refuse(True)
+            error = await _error(setup, setup.request(1))
+            assert setup.runs(1) == 1
+            assert error.outcome is errors.Outcome.UNKNOWN
+
+    asyncio.run(main())
+
+
+def test_run_of_a_failed_hedge_is_unknown():
+    """Guards against "not run" when the attempt beside it may have run."""
+
+    async def scenario(setup):
+        # The first attempt is shed after its hedge has been cut.
+        setup.targets[0].shedding = True
+        setup.proxies[0].to_client.latency_ms = 100
+        setup.proxies[1].to_client.cut_after_bytes = 10
+        setup.executor.set_rules(models.FleetRules(retry_ratio=0))
+        error = await _error(setup, setup.request(1))
+        assert setup.runs(1) == 1
+        assert error.outcome is errors.Outcome.UNKNOWN
+
+    _run(scenario)
+
+
 def test_retries_stay_in_their_budget():
     """Guards against retries that multiply the load on failing targets."""
 
