--- a/slatechute/membership.py
+++ b/slatechute/membership.py
@@ -173,11 +173,10 @@
         """Return who dispatches the targets of a service now.
 
         The same object is returned as long as nothing changes. An entry outside
-        the group plans no targets: it has no links to their dispatchers.
+        the group only plans targets whose dispatcher it has a link with, so
+        that other requests are refused at once.
         """
         group = tuple(self._group(service))
-        if self._own.id not in group:
-            return ServicePlan({}, {}, 1.0, group)
         known = self._entries_by_id
         able = {
             key: known[key].data_centre
@@ -185,7 +184,9 @@
             if key == self._own.id or key in self._linked_by_id
             if known[key].state != LEAVING
         }
-        staying = sum(known[key].state != LEAVING for key in group)
+        if not able:
+            return ServicePlan({}, {}, 1.0, group)
+        staying = [key for key in group if known[key].state != LEAVING]
         listed = self._targets_by_service.get(service)
         # The dictionary of targets is held by the basis, so that its id cannot
         # pass to another one.
@@ -193,13 +194,23 @@
         kept = self._plans.get(service)
         if kept is not None and kept[0][:4] == basis[:4]:
             return kept[1]
+        # Outside of the group, this entry has links with a few members at most
+        # and cannot tell from them which others are alive.
+        is_member = self._own.id in group
+        ranked = able
+        if not is_member:
+            ranked = {key: known[key].data_centre for key in staying}
         targets = {t.id: t for t in self.targets_of(service)}
         dispatcher_by_target = {}
         for target in targets.values():
-            owner = ownership.dispatcher_of(target.id, target.data_centre, able)
-            if owner is not None:
+            owner = ownership.dispatcher_of(
+                target.id, target.data_centre, ranked
+            )
+            if owner in able:
                 dispatcher_by_target[target.id] = owner
-        share = len(able) / staying if staying else 1.0
+        if not is_member:
+            targets = {key: targets[key] for key in dispatcher_by_target}
+        share = len(able) / len(staying)
         plan = ServicePlan(targets, dispatcher_by_target, share, group)
         self._plans[service] = (basis, plan)
         return plan
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -69,11 +69,35 @@
     """Guards against waiting for slots of dispatchers without a link."""
     names = [f"e{number}" for number in range(8)]
     known = _fleet(8, own=ownership.ranked("plans", names)[-1])
+    known.set_linked([])
     plan = known.plan("plans")
     assert known.own.id not in plan.group
     assert not plan.targets_by_id and not plan.dispatcher_by_target
 
 
+def test_entry_outside_of_the_group_asks_only_real_dispatchers():
+    """Guards against requests that wait for an entry without their target."""
+    entries = [_entry(n) for n in range(8)]
+    targets = [_target(n) for n in range(20)]
+    inside = membership.Membership(_entry(0), 3)
+    inside.set_list(entries, targets)
+    group = inside.plan("plans").group
+    outside_id = min({entry.id for entry in entries} - set(group))
+    member = membership.Membership(_entry(int(group[0][1:])), 3)
+    member.set_list(entries, targets)
+    member.set_linked([_entry(int(key[1:])) for key in group[1:]])
+    owners = member.plan("plans").dispatcher_by_target
+    assert set(owners.values()) == set(group)
+    outside = membership.Membership(_entry(int(outside_id[1:])), 3)
+    outside.set_list(entries, targets)
+    assert outside.plan("plans").dispatcher_by_target == {}
+    assert outside.plan("plans").targets_by_id == {}
+    outside.set_linked([_entry(int(group[0][1:]))])
+    assert outside.plan("plans").dispatcher_by_target == {
+        key: owner for key, owner in owners.items() if owner == group[0]
+    }
+
+
 def test_neighbours_are_linked_beyond_the_groups():
     """Guards against documents that stop at the bounds of a group."""
     own = membership.Membership(_entry(0), 2)
