--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -13,21 +13,20 @@
 import secrets
 from typing import Protocol
 
-import sortedcontainers
-
 from slatechute import errors
 from slatechute import latencies
 from slatechute import leases
 from slatechute import messages
+from slatechute import service_slots
 from slatechute import targets
+from slatechute import tickets
 from slatechute.configuration import instances
 
-__all__ = ["Assignment", "Dispatcher", "Port", "Ticket"]
+__all__ = ["Assignment", "Dispatcher", "Port"]
 
 # A request that waits longer asks further dispatchers: the first ones may be
 # slow, cut off or may never have got the message.
 WIDEN_AFTER_MS = 20.0
-REMOTE_HANDICAP_MS = 5.0
 # Bounds how long a holder keeps a slot on a stale view of its dispatcher.
 MAX_RENEWALS = 8
 LEASE_GRACE_MS = 1000.0
@@ -58,47 +57,6 @@
         ...
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Ticket:
-    """A request that wants a slot.
-
-    Attributes:
-        number: Number that is unique at the entry that accepted the request.
-        service: Service of the request.
-        arrived_ms: Arrival time, for remote ones estimated from their age.
-        deadline_ms: When the request gives up.
-        bulk: Whether the answer is large.
-        excluded: Targets that must not get it.
-        spare: Whether it only gets a slot that nothing else waits for.
-        origin: Peer that asks, empty for this entry.
-        asked: Dispatchers asked for it in this round.
-        widen_ms: When further dispatchers are asked.
-        asks: Times that dispatchers were asked.
-    """
-
-    number: int
-    service: str
-    arrived_ms: float
-    deadline_ms: float
-    bulk: bool = False
-    excluded: frozenset[str] = frozenset()
-    spare: bool = False
-    origin: str = ""
-    asked: list[str] = dataclasses.field(default_factory=list)
-    widen_ms: float = 0.0
-    asks: int = 0
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Key that is unique at this dispatcher."""
-        return (self.origin, self.number)
-
-    @property
-    def counts_as_waiting(self) -> bool:
-        """Whether it is a request of this entry that nothing else answers."""
-        return not self.origin and not self.spare
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Assignment:
     """A target that this entry dispatches.
@@ -114,34 +72,6 @@
     cold: bool = False
 
 
-def _order(ticket: Ticket) -> tuple[bool, float]:
-    """Return the sort key of waiting requests.
-
-    A slot that goes to a request of the same entry is in use at once, while
-    the grant to a peer takes two hops during which the slot is idle.
-    """
-    if ticket.origin:
-        return ticket.spare, ticket.arrived_ms + REMOTE_HANDICAP_MS
-    return ticket.spare, ticket.arrived_ms
-
-
-class _ServiceState:
-    """Waiting requests and targets of one service."""
-
-    def __init__(self):
-        self.waiting = sortedcontainers.SortedKeyList(key=_order)
-        self.state_by_id: dict[str, targets.TargetState] = {}
-        self.times = latencies.ServiceTimes()
-        self.dispatchers: list[str] = []
-        self.total_slots = 0
-        self.target_ids: frozenset[str] = frozenset()
-        self.target_count = 0
-        self.share = 1.0
-        self.queue_length = 256
-        self.local_waiting = 0
-        self.ejected_until_by_id: dict[str, float] = {}
-
-
 class Dispatcher:
     """Grants slots and asks for them."""
 
@@ -149,8 +79,8 @@
         self._entry_id = entry_id
         self._fan_out = fan_out
         self._port = port
-        self._services: dict[str, _ServiceState] = {}
-        self._ticket_by_key: dict[tuple[str, int], Ticket] = {}
+        self._services: dict[str, service_slots.ServiceSlots] = {}
+        self._ticket_by_key: dict[tuple[str, int], tickets.Ticket] = {}
         self._service_by_lease: dict[int, str] = {}
         self._held_by_id: dict[int, leases.Lease] = {}
         self._dispatcher_by_target: dict[str, str] = {}
@@ -189,7 +119,10 @@
             reachable: Peers that can report exchanges under way.
             now_ms: Current time.
         """
-        state = self._services.setdefault(service, _ServiceState())
+        state = self._services.get(service)
+        if state is None:
+            state = service_slots.ServiceSlots(service)
+            self._services[service] = state
         self._forget_targets(service, targets_by_id)
         self._target_by_id.update(targets_by_id)
         self._dispatcher_by_target.update(dispatcher_by_target)
@@ -197,7 +130,6 @@
         state.dispatchers = [name for name in owners if name != self._entry_id]
         state.total_slots = slots * len(targets_by_id)
         state.target_ids = frozenset(targets_by_id)
-        state.target_count = len(targets_by_id)
         state.share = share
         state.queue_length = queue_length
         assignments = [
@@ -213,7 +145,7 @@
         state = self._services.pop(service, None)
         if state is None:
             return
-        for ticket in list(state.waiting):
+        for ticket in list(state.queue.tickets):
             self._remove_ticket(ticket)
             self._refuse(ticket, errors.Reason.UNKNOWN_SERVICE)
         self._forget_targets(service, {})
@@ -232,7 +164,7 @@
 
     def _assign(
         self,
-        state: _ServiceState,
+        state: service_slots.ServiceSlots,
         assignments: list[Assignment],
         reachable: frozenset[str],
         now_ms: float,
@@ -255,7 +187,7 @@
 
     def _take_over(
         self,
-        state: _ServiceState,
+        state: service_slots.ServiceSlots,
         target_ids: list[str],
         reachable: frozenset[str],
         now_ms: float,
@@ -333,13 +265,13 @@
 
     # Requests of this entry.
 
-    def submit(self, ticket: Ticket, now_ms: float) -> None:
+    def submit(self, ticket: tickets.Ticket, now_ms: float) -> None:
         """Find a slot for a request of this entry, now or later."""
         state = self._services.get(ticket.service)
         if state is None:
             self._port.refused(ticket.number, errors.Reason.UNKNOWN_SERVICE)
             return
-        chosen = self._best_target(state, ticket, now_ms)
+        chosen = state.best_target(ticket, now_ms)
         if chosen is not None:
             self._grant(ticket, chosen, now_ms)
             return
@@ -387,7 +319,7 @@
 
     def _ticket_for_renewal(
         self, lease: leases.Lease, service_ms: float
-    ) -> Ticket | None:
+    ) -> tickets.Ticket | None:
         """Return the request that should use a finished slot next, if any.
 
         Passing the slot back and on takes two hops in which it is idle. The
@@ -401,14 +333,14 @@
             return None
         if lease.target.id not in self._target_by_id:
             return None
-        ticket = self._next_local(lease.target)
+        ticket = state.queue.next_local(lease.target.id)
         if ticket is None:
             return None
-        latest_ms = lease.next_arrival_ms + REMOTE_HANDICAP_MS
+        latest_ms = lease.next_arrival_ms + tickets.REMOTE_HANDICAP_MS
         return ticket if ticket.arrived_ms <= latest_ms else None
 
     def _renew(
-        self, lease: leases.Lease, ticket: Ticket, now_ms: float
+        self, lease: leases.Lease, ticket: tickets.Ticket, now_ms: float
     ) -> None:
         self._remove_ticket(ticket)
         self._cancel_asked(ticket)
@@ -438,9 +370,9 @@
         keep the queues short.
         """
         state = self._services.get(service)
-        if state is None or state.local_waiting:
+        if state is None or state.queue.local_count:
             return False
-        own = self._load(service, state, now_ms)
+        own = state.load(now_ms)
         spare = own.free - own.queued
         for peer_id in state.dispatchers:
             hint = self._load_by_peer.get(peer_id, {}).get(service)
@@ -451,25 +383,29 @@
     def expected_wait_ms(self, service: str) -> float:
         """Return how long a new request would wait, roughly."""
         state = self._services.get(service)
-        if state is None or not state.total_slots:
-            return 0.0
-        entries = len(state.dispatchers) + 1
-        slots = max(1.0, state.total_slots / entries)
-        return state.local_waiting * state.times.median_ms / slots
+        return 0.0 if state is None else state.expected_wait_ms()
 
     def _reason_to_refuse(
-        self, state: _ServiceState, ticket: Ticket, now_ms: float
+        self,
+        state: service_slots.ServiceSlots,
+        ticket: tickets.Ticket,
+        now_ms: float,
     ) -> errors.Reason | None:
-        if not state.target_count:
+        if not state.target_ids:
             return errors.Reason.NO_TARGETS
-        if state.local_waiting >= state.queue_length:
+        if state.queue.local_count >= state.queue_length:
             return errors.Reason.QUEUE_FULL
         remaining_ms = ticket.deadline_ms - now_ms
         if self.expected_wait_ms(ticket.service) >= remaining_ms:
             return errors.Reason.DEADLINE
         return None
 
-    def _ask(self, state: _ServiceState, ticket: Ticket, now_ms: float) -> None:
+    def _ask(
+        self,
+        state: service_slots.ServiceSlots,
+        ticket: tickets.Ticket,
+        now_ms: float,
+    ) -> None:
         """Ask the next dispatchers, those with free slots first."""
         # Longer each time: under overload more messages would not help.
         rounds = 2 ** min(ticket.asks, _MAX_DOUBLINGS)
@@ -492,7 +428,9 @@
                 if asked >= self._fan_out:
                     return
 
-    def _ask_order(self, state: _ServiceState, ticket: Ticket) -> list[str]:
+    def _ask_order(
+        self, state: service_slots.ServiceSlots, ticket: tickets.Ticket
+    ) -> list[str]:
         names = [n for n in state.dispatchers if n not in ticket.asked]
         if not names:
             return names
@@ -507,7 +445,7 @@
 
         return sorted(names, key=load)
 
-    def _cancel_asked(self, ticket: Ticket, but: str = "") -> None:
+    def _cancel_asked(self, ticket: tickets.Ticket, but: str = "") -> None:
         message = messages.SlotCancel(ticket.number)
         for peer_id in ticket.asked:
             if peer_id != but:
@@ -524,7 +462,7 @@
             refusal = messages.SlotRefusal(message.number, "not_dispatcher")
             self._port.send(peer_id, refusal)
             return
-        ticket = Ticket(
+        ticket = tickets.Ticket(
             message.number,
             message.service,
             now_ms - max(0.0, message.age_ms),
@@ -537,10 +475,10 @@
         known = self._ticket_by_key.get(ticket.key)
         if known is not None:
             self._remove_ticket(known)
-        chosen = self._best_target(state, ticket, now_ms)
+        chosen = state.best_target(ticket, now_ms)
         if chosen is not None:
             self._grant(ticket, chosen, now_ms)
-        elif len(state.waiting) < _MAX_REMOTE_WAITING:
+        elif len(state.queue) < _MAX_REMOTE_WAITING:
             self._add_ticket(state, ticket)
 
     def on_cancel(self, peer_id: str, message: messages.SlotCancel) -> None:
@@ -564,7 +502,8 @@
         target = self._target_by_id.get(message.target_id)
         ticket = self._ticket_by_key.get(("", message.number))
         if ticket is None and target is not None:
-            ticket = self._next_local(target)
+            state = self._services[target.service]
+            ticket = state.queue.next_local(target.id)
         if ticket is None or target is None:
             unused = messages.SlotRelease(
                 message.lease_id, message.target_id, leases.Result.UNUSED.value
@@ -587,20 +526,6 @@
         )
         self._hold(ticket, lease)
 
-    def _next_local(self, target: instances.Target) -> Ticket | None:
-        state = self._services.get(target.service)
-        if state is None or not state.local_waiting:
-            return None
-        for ticket in state.waiting:
-            usable = (
-                not ticket.bulk
-                and not ticket.spare
-                and target.id not in ticket.excluded
-            )
-            if not ticket.origin and usable:
-                return ticket
-        return None
-
     def on_release(self, message: messages.SlotRelease, now_ms: float) -> None:
         """Free a slot and take in what the exchange showed."""
         target_state = self._target_state(message.target_id)
@@ -618,7 +543,7 @@
             message.service_ms,
             now_ms,
             state.times.median_ms,
-            may_eject=self._may_eject(state, now_ms),
+            may_eject=state.may_eject(now_ms),
         )
         if ejects:
             target_id = target_state.target.id
@@ -681,9 +606,9 @@
             if until_ms <= now_ms
         }
         for state in self._services.values():
-            self._expire_leases(state, lost, now_ms)
+            state.expire_leases(lost, now_ms)
             self._expire_waits(state, now_ms)
-            if state.waiting:
+            if state.queue:
                 self._serve(state, now_ms)
                 self._widen(state, now_ms)
         for peer_id in lost:
@@ -691,25 +616,15 @@
 
     def loads(self, now_ms: float) -> list[messages.ServiceLoad]:
         """Return the load hints for the next heartbeat."""
-        found = []
-        for service, state in self._services.items():
-            if not state.state_by_id:
-                continue
-            found.append(self._load(service, state, now_ms))
-        return found
-
-    def _load(
-        self, service: str, state: _ServiceState, now_ms: float
-    ) -> messages.ServiceLoad:
-        free = sum(
-            max(0, item.free(now_ms, state.share))
-            for item in state.state_by_id.values()
-        )
-        return messages.ServiceLoad(service, free, len(state.waiting))
+        return [
+            state.load(now_ms)
+            for state in self._services.values()
+            if state.state_by_id
+        ]
 
     def counts(self) -> tuple[int, int]:
         """Return the leases held and the requests waiting at this entry."""
-        waiting = sum(s.local_waiting for s in self._services.values())
+        waiting = sum(s.queue.local_count for s in self._services.values())
         return len(self._held_by_id), waiting
 
     def granted(self) -> int:
@@ -720,28 +635,17 @@
             for item in state.state_by_id.values()
         )
 
-    def _expire_leases(
-        self, state: _ServiceState, lost: set[str], now_ms: float
+    def _expire_waits(
+        self, state: service_slots.ServiceSlots, now_ms: float
     ) -> None:
-        for target_state in state.state_by_id.values():
-            expired = [
-                lease.id
-                for lease in target_state.leases_by_id.values()
-                if lease.expires_ms <= now_ms or lease.holder in lost
-            ]
-            for lease_id in expired:
-                target_state.drop(lease_id)
-
-    def _expire_waits(self, state: _ServiceState, now_ms: float) -> None:
-        expired = [t for t in state.waiting if t.deadline_ms <= now_ms]
-        for ticket in expired:
+        for ticket in state.queue.expired(now_ms):
             self._remove_ticket(ticket)
             self._refuse(ticket, errors.Reason.DEADLINE)
 
-    def _widen(self, state: _ServiceState, now_ms: float) -> None:
+    def _widen(self, state: service_slots.ServiceSlots, now_ms: float) -> None:
         late = [
             ticket
-            for ticket in state.waiting
+            for ticket in state.queue.tickets
             if not ticket.origin and ticket.widen_ms <= now_ms
         ]
         for ticket in late:
@@ -753,37 +657,13 @@
 
     # Slots.
 
-    def _best_target(
-        self, state: _ServiceState, ticket: Ticket, now_ms: float
-    ) -> targets.TargetState | None:
-        """Return the target whose slot suits the request best, or None."""
-        best = None
-        best_key = None
-        median_ms = state.times.median_ms
-        waited_ms = now_ms - ticket.arrived_ms
-        for target_state in state.state_by_id.values():
-            free = target_state.free(now_ms, state.share)
-            if free <= 0 or target_state.target.id in ticket.excluded:
-                continue
-            if ticket.bulk and not target_state.may_take_bulk():
-                continue
-            doubtful = target_state.is_doubtful(now_ms, median_ms)
-            if doubtful and waited_ms < WIDEN_AFTER_MS:
-                continue
-            key = (doubtful, target_state.rank, -free)
-            if best_key is None or key < best_key:
-                best, best_key = target_state, key
-        return best
-
-    def _serve(self, state: _ServiceState, now_ms: float) -> None:
+    def _serve(self, state: service_slots.ServiceSlots, now_ms: float) -> None:
         """Grant free slots to the oldest requests that can use them."""
-        if not state.waiting:
-            return
-        waiting = state.waiting
+        waiting = state.queue.tickets
         index = 0
         while index < len(waiting):
             ticket = waiting[index]
-            chosen = self._best_target(state, ticket, now_ms)
+            chosen = state.best_target(ticket, now_ms)
             if chosen is not None:
                 # First of all out of the queue: a request that was cancelled
                 # meanwhile returns its slot, which calls this method again.
@@ -798,7 +678,7 @@
                 return
 
     def _grant(
-        self, ticket: Ticket, chosen: targets.TargetState, now_ms: float
+        self, ticket: tickets.Ticket, chosen: targets.TargetState, now_ms: float
     ) -> None:
         lease = leases.Lease(
             next(self._lease_numbers),
@@ -813,41 +693,35 @@
         if not ticket.origin:
             self._hold(ticket, lease)
             return
-        waiting = self._services[ticket.service].waiting
-        has_next = bool(waiting) and not waiting[0].spare
-        age_ms = now_ms - waiting[0].arrived_ms if has_next else -1.0
+        queue = self._services[ticket.service].queue
         message = messages.SlotGrant(
-            ticket.number, lease.id, chosen.target.id, age_ms
+            ticket.number,
+            lease.id,
+            chosen.target.id,
+            queue.oldest_age_ms(now_ms),
         )
         if not self._port.send(ticket.origin, message):
             chosen.drop(lease.id)
 
-    def _hold(self, ticket: Ticket, lease: leases.Lease) -> None:
+    def _hold(self, ticket: tickets.Ticket, lease: leases.Lease) -> None:
         self._held_by_id[lease.id] = lease
         self._port.granted(ticket.number, lease)
 
-    def _may_eject(self, state: _ServiceState, now_ms: float) -> bool:
-        ejected = state.ejected_until_by_id
-        for target_id, until_ms in list(ejected.items()):
-            if until_ms <= now_ms:
-                del ejected[target_id]
-        return 2 * (len(ejected) + 1) <= state.target_count
-
-    def _refuse(self, ticket: Ticket, reason: errors.Reason) -> None:
+    def _refuse(self, ticket: tickets.Ticket, reason: errors.Reason) -> None:
         if ticket.origin:
             return
         self._cancel_asked(ticket)
         self._port.refused(ticket.number, reason)
 
-    def _add_ticket(self, state: _ServiceState, ticket: Ticket) -> None:
-        state.waiting.add(ticket)
+    def _add_ticket(
+        self, state: service_slots.ServiceSlots, ticket: tickets.Ticket
+    ) -> None:
+        state.queue.add(ticket)
         self._ticket_by_key[ticket.key] = ticket
-        state.local_waiting += ticket.counts_as_waiting
 
-    def _remove_ticket(self, ticket: Ticket) -> None:
+    def _remove_ticket(self, ticket: tickets.Ticket) -> None:
         if self._ticket_by_key.pop(ticket.key, None) is None:
             return
         state = self._services.get(ticket.service)
         if state is not None:
-            state.waiting.discard(ticket)
-            state.local_waiting -= ticket.counts_as_waiting
+            state.queue.remove(ticket)
--- a/slatechute/policies/owner.py
+++ b/slatechute/policies/owner.py
@@ -9,6 +9,7 @@
 from slatechute import leases
 from slatechute import messages
 from slatechute import settings as entry_settings
+from slatechute import tickets
 from slatechute.util import clock as clocks
 
 __all__ = ["OwnerPolicy"]
@@ -57,7 +58,7 @@
         future = asyncio.get_running_loop().create_future()
         self._future_by_number[number] = future
         now_ms = self._clock.now_ms()
-        ticket = dispatchers.Ticket(
+        ticket = tickets.Ticket(
             number, service, now_ms, deadline_ms, bulk, excluded, spare
         )
         try:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies
 import pytest
 
-from slatechute import dispatcher
 from slatechute import errors
 from slatechute import leases
+from slatechute import tickets
 from tests import fleet as fleets
 
 
@@ -40,7 +40,7 @@
     owner.submit(1)
     other.submit(2)
     fleet.deliver()
-    fleet.clock.advance(dispatcher.REMOTE_HANDICAP_MS + 1)
+    fleet.clock.advance(tickets.REMOTE_HANDICAP_MS + 1)
     owner.submit(3)
     owner.finish(1)
     fleet.deliver()
