Choose listening ports below the range of outgoing connections

Cause: a port that the kernel had named as free could be taken by an outgoing connection before the entry listened, or while a killed entry was down.

Ruled out: SO_REUSEPORT holders as for fake targets; the entries are separate processes and bind without that option, on purpose.

Conclusion: ports come from 12000 to 31999; ip_local_port_range is 32768 to 60999 here.

--- a/slatechute/fakes/local_fleet.py
+++ b/slatechute/fakes/local_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import socket
 
 from slatechute import application
@@ -15,15 +16,30 @@
 __all__ = ["FLEET_KEY", "LocalFleet", "free_address", "target_settings"]
 
 FLEET_KEY = "loopback-fleet-key"
+_PORTS = range(12_000, 32_000)
+_given_ports: set[int] = set()
 _LISTING_S = 0.05
 _READY_LIMIT_S = 10.0
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address whose port is free now.
+
+    The port is below the range that the kernel uses for outgoing connections,
+    one of which could otherwise take it before the listener is opened, or
+    while a killed process is down.
+    """
+    while True:
+        port = random.choice(_PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return f"127.0.0.1:{port}"
 
 
 def target_settings(
--- a/tests/faults/matrix.py
+++ b/tests/faults/matrix.py
@@ -76,3 +76,18 @@
     ("shedding", "fail_fast", "waiting"),
     ("crash", "platform_down", "writing"),
 )
+
+
+def table() -> list[str]:
+    """Return the rows of the matrix as they stand in docs/proof.md."""
+    lines = [
+        "| fault | " + " | ".join(STEPS) + " |",
+        "|---" * (len(STEPS) + 1) + "|",
+    ]
+    for fault, row in MATRIX.items():
+        marks = [_MARK_BY_REASON.get(row[step], "test") for step in STEPS]
+        lines.append(f"| {fault} | " + " | ".join(marks) + " |")
+    return lines
+
+
+_MARK_BY_REASON = {_LIST_ONLY: "(a)", _UNREAD: "(b)"}
--- a/tests/faults/test_matrix.py
+++ b/tests/faults/test_matrix.py
@@ -62,3 +62,23 @@
     for one, other, step in matrix.PAIRS:
         assert {one, other} <= set(matrix.FAULTS)
         assert step in matrix.STEPS
+
+
+def test_page_of_proofs_shows_the_matrix():
+    """Guards against a page that tells of tests that are not there."""
+    page = (_ROOT / "docs" / "proof.md").read_text()
+    missing = [line for line in matrix.table() if line not in page]
+    assert not missing
+    for one, other, step in matrix.PAIRS:
+        assert f"| {one} | {other} | {step} |" in page
+
+
+def test_page_of_proofs_covers_all_requirements(test_ids):
+    """Guards against a requirement without a row, and names of old tests."""
+    page = (_ROOT / "docs" / "proof.md").read_text()
+    for number in range(1, 11):
+        assert f"| R{number} |" in page
+    named = set(re.findall(r"`(tests/[^`\s]+::[^`\s]+)`", page))
+    assert named
+    plain = {test_id.split("[")[0] for test_id in test_ids}
+    assert not named - test_ids - plain
