--- a/slatechute/benches/faults.py
+++ b/slatechute/benches/faults.py
@@ -7,6 +7,7 @@
 import json
 import random
 import signal
+import time
 from typing import Any
 
 import aiohttp
@@ -289,6 +290,7 @@
         listing = asyncio.create_task(_keep_listing(fleet))
         injecting = asyncio.create_task(faults.run(stopping))
         count = plan.requests // len(plan.deployments)
+        started = time.monotonic()
         sending = asyncio.create_task(_send(fleet, callers, plan, count))
         # A fault that raises ends the bench instead of the faults.
         await asyncio.wait(
@@ -297,6 +299,7 @@
         if injecting.done():
             injecting.result()
         results = await sending
+        duration_s = time.monotonic() - started
         stopping.set()
         await injecting
         await asyncio.sleep(_IDLE_S)
@@ -326,7 +329,7 @@
             **checks,
             "leaked_slots": leaked,
             "faults": dict(faults.counts.most_common()),
-            "duration_s": round(max(r["duration_s"] for r in results), 1),
+            "duration_s": round(duration_s, 1),
         }
 
 
--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -24,15 +24,13 @@
 _ID_HEADER = "Slatechute-Request-Id"
 _DEADLINE_HEADER = "Slatechute-Deadline-Ms"
 _ATTEMPT_HEADER = "Slatechute-Attempt"
-_OWN_HEADERS = frozenset(
-    {
-        _SERVICE_HEADER.lower(),
-        _ID_HEADER.lower(),
-        _DEADLINE_HEADER.lower(),
-        _ATTEMPT_HEADER.lower(),
-        "content-length",
-    }
-)
+_DROPPED_HEADERS = exchange.HOP_BY_HOP | {
+    _SERVICE_HEADER.lower(),
+    _ID_HEADER.lower(),
+    _DEADLINE_HEADER.lower(),
+    _ATTEMPT_HEADER.lower(),
+    "content-length",
+}
 _MAX_HEADER_BYTES = 16 * 1024
 _KEEPALIVE_S = 75.0
 _MAX_DEADLINE_MS = 600_000
@@ -41,6 +39,14 @@
 class Directory(Protocol):
     """What the server needs to know of fleet and configuration."""
 
+    def is_current(self) -> bool:
+        """Return whether requests may be accepted by the rules in force."""
+        ...
+
+    async def wait_current(self) -> None:
+        """Wait until they may."""
+        ...
+
     def configuration(self) -> models.Configuration:
         """Return the configuration in force."""
         ...
@@ -112,13 +118,7 @@
         service = http.query.get("service", "")
         configuration = self._directory.configuration()
         if service not in configuration.services:
-            return _refusal(
-                errors.RequestError(
-                    errors.Reason.UNKNOWN_SERVICE,
-                    errors.Step.ADDRESS,
-                    status=404,
-                )
-            )
+            return _refusal(_unknown(configuration, errors.Step.ADDRESS))
         answer = {
             "service": service,
             "keep_ms": configuration.fleet.keep_ms,
@@ -145,11 +145,12 @@
         self, http: web.BaseRequest, service: str
     ) -> requests.Request:
         now_ms = self._clock.now_ms()
-        rules = self._directory.configuration().services.get(service)
+        if not self._directory.is_current():
+            await self._directory.wait_current()
+        configuration = self._directory.configuration()
+        rules = configuration.services.get(service)
         if rules is None:
-            raise errors.RequestError(
-                errors.Reason.UNKNOWN_SERVICE, errors.Step.ACCEPTED, status=404
-            )
+            raise _unknown(configuration, errors.Step.ACCEPTED)
         rule = rules.rule_for(http.method, http.path)
         headers = http.headers
         deadline_ms = _number(headers, _DEADLINE_HEADER, rule.deadline_ms)
@@ -261,6 +262,16 @@
         self._counters.answered(total_ms / 1e3, added_ms / 1e3)
 
 
+def _unknown(
+    configuration: models.Configuration, step: errors.Step
+) -> errors.RequestError:
+    """Return the refusal of a service that is not configured."""
+    if not configuration.services:
+        # Restarted at an address that callers still keep.
+        return errors.RequestError(errors.Reason.STARTING, step)
+    return errors.RequestError(errors.Reason.UNKNOWN_SERVICE, step, status=404)
+
+
 def _service_of(http: web.BaseRequest) -> str:
     named = http.headers.get(_SERVICE_HEADER)
     return named or (http.host or "").split(".", 1)[0].split(":", 1)[0]
@@ -282,14 +293,14 @@
 def _end_to_end(
     headers: multidict.CIMultiDictProxy[str],
 ) -> list[tuple[str, str]]:
-    dropped = exchange.HOP_BY_HOP
+    dropped = _DROPPED_HEADERS
     named = headers.get("Connection")
     if named:
         dropped = dropped | {key.strip().lower() for key in named.split(",")}
     return [
         (key, value)
         for key, value in headers.items()
-        if key.lower() not in dropped and key.lower() not in _OWN_HEADERS
+        if key.lower() not in dropped
     ]
 
 
--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -61,6 +61,7 @@
     QUARANTINED = "quarantined"
     QUEUE_FULL = "queue_full"
     REQUEST_TABLE_FULL = "request_table_full"
+    STARTING = "starting"
     STOPPING = "stopping"
     TARGET_ERROR = "target_error"
     TARGET_SHED = "target_shed"
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -202,135 +202,192 @@
         hedges: budgets.RatioBudget,
         retries: budgets.RatioBudget,
     ) -> "Attempt":
-        """Run an attempt and, when it is slow, a second one beside it."""
-        tasks = [asyncio.ensure_future(self._run(run))]
-        kept = None
+        """Run an attempt and, while it is late, further ones beside it."""
+        race = _Race(self, run, hedges, retries)
         try:
-            while len(tasks) < _MAX_ATTEMPTS and await self._is_late(
-                run, tasks, hedges, retries
-            ):
-                excluded = self._excluded_beside(run, len(tasks))
-                run = Attempt(self, run.request, excluded, is_first=False)
-                tasks.append(asyncio.ensure_future(self._run(run)))
-            kept = await _first_success(tasks)
-            if kept.exception() is not None:
-                _merge_failures(tasks)
-            return await kept
+            return await self._run(run)
+        except (asyncio.CancelledError, _AttemptError) as failure:
+            winner = await race.settle(failure)
+            if winner is None:
+                raise
+            return winner
         finally:
-            for task in tasks:
-                if task is not kept:
-                    task.cancel()
-                    task.add_done_callback(_drop_result)
+            race.close()
 
-    def _excluded_beside(self, run: "Attempt", count: int) -> frozenset[str]:
-        """Return the targets that an attempt beside others must not use.
 
-        With few targets a new connection to one tried before is better than
-        none.
-        """
-        last = frozenset({run.lease.target.id})
-        if count == 1:
-            last |= run.excluded
-        has_other = self._policy.has_target(run.request.service, last)
-        return last if has_other else frozenset()
+class _Race:
+    """Further attempts that start while the first one is late.
 
-    async def _is_late(
+    The first attempt runs in the task of the request and is interrupted by
+    cancellation, as by `asyncio.timeout`. A task for each attempt would cost
+    every request several turns of the loop, and few ever get a second one.
+
+    A hedge only uses a slot to spare. An exchange that lasts much longer still
+    is taken for one on a silent connection, and the next attempt waits for its
+    slot like any request.
+    """
+
+    def __init__(
         self,
-        run: "Attempt",
-        tasks: list[asyncio.Task],
+        executor: Executor,
+        first: "Attempt",
         hedges: budgets.RatioBudget,
         retries: budgets.RatioBudget,
-    ) -> bool:
-        """Wait until there is a result or the last attempt is late.
+    ):
+        self._executor = executor
+        self._request = first.request
+        self._attempts = [first]
+        self._hedges = hedges
+        self._retries = retries
+        self._task = asyncio.current_task()
+        self._cancelling = self._task.cancelling()
+        self._others: list[asyncio.Task[Attempt]] = []
+        self._winner: asyncio.Task[Attempt] | None = None
+        self._is_over = False
+        p95_ms = executor._policy.p95_ms(self._request.service)
+        self._hedge_ms = max(_MIN_HEDGE_DELAY_MS, p95_ms)
+        self._silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * p95_ms)
+        self._timer: asyncio.TimerHandle | None = None
+        self._check_later(self._hedge_ms)
+
+    def _check_later(self, delay_ms: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_ms / 1000, self._check)
+
+    def _check(self) -> None:
+        """Start another attempt when the last one is late."""
+        if self._is_over or len(self._attempts) >= _MAX_ATTEMPTS:
+            return
+        latest = self._attempts[-1]
+        if latest.lease is None and not latest.is_spare:
+            # Time spent waiting for a slot does not count: one more exchange
+            # would have to wait for one as well.
+            latest.on_lease = self._check
+            return
+        sent = latest if latest.lease is not None else self._attempts[-2]
+        elapsed_ms = self._executor._clock.now_ms() - sent.lease.granted_ms
+        if latest is sent and len(self._attempts) == 1:
+            if elapsed_ms < self._hedge_ms:
+                self._check_later(self._hedge_ms - elapsed_ms)
+                return
+            if self._may_hedge(sent) and self._hedges.take():
+                self._executor._counters.hedged()
+                self._start(sent, is_spare=True)
+                return
+        if elapsed_ms < self._silence_ms:
+            self._check_later(self._silence_ms - elapsed_ms)
+        else:
+            self._retry_if_allowed(sent)
+
+    def _may_hedge(self, late: "Attempt") -> bool:
+        policy = self._executor._policy
+        service = self._request.service
+        tried = late.excluded | {late.lease.target.id}
+        return policy.has_target(service, tried) and policy.has_spare(service)
 
-        Time spent waiting for a slot does not count: one more exchange would
-        have to wait for one as well.
-        """
-        p95_ms = self._policy.p95_ms(run.request.service)
-        delay_ms = max(_MIN_HEDGE_DELAY_MS, p95_ms)
-        if await _is_settled(tasks, delay_ms):
-            return False
-        if run.lease is None:
-            run.leased = asyncio.get_running_loop().create_future()
-            if await _is_settled(tasks, None, run.leased):
-                return False
-        if len(tasks) == 1:
-            if await _is_settled(tasks, delay_ms - self._sent_for_ms(run)):
-                return False
-            tried = run.excluded | {run.lease.target.id}
-            has_other = self._policy.has_target(run.request.service, tried)
-            if has_other and hedges.take():
-                self._counters.hedged()
-                return True
-        silence_ms = max(_MIN_SILENCE_MS, _SILENCE_FACTOR * p95_ms)
-        if await _is_settled(tasks, silence_ms - self._sent_for_ms(run)):
-            return False
-        if run.request.attempt > 0 or not retries.take():
-            return False
-        self._counters.retried(errors.Reason.CONNECTION_SILENT)
-        return True
-
-    def _sent_for_ms(self, run: "Attempt") -> float:
-        return self._clock.now_ms() - run.lease.granted_ms
-
-
-async def _is_settled(
-    tasks: list[asyncio.Task],
-    limit_ms: float | None,
-    until: asyncio.Future[None] | None = None,
-) -> bool:
-    """Wait for a result or the end of all attempts; return whether it came.
-
-    Args:
-        tasks: Attempts.
-        limit_ms: How long to wait, None without limit.
-        until: Stops the wait when it is done.
-    """
-    loop = asyncio.get_running_loop()
-    end_s = None if limit_ms is None else loop.time() + limit_ms / 1000
-    while True:
-        pending = [task for task in tasks if not task.done()]
-        if (
-            not pending
-            or len(pending) < len(tasks)
-            and any(task.exception() is None for task in tasks if task.done())
-        ):
-            return True
-        if until is not None:
-            if until.done():
-                return False
-            pending.append(until)
-        remaining_s = None if end_s is None else end_s - loop.time()
-        if remaining_s is not None and remaining_s <= 0:
-            return False
-        await asyncio.wait(
-            pending,
-            timeout=remaining_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+    def _excluded_beside(self, late: "Attempt") -> frozenset[str]:
+        """Return the targets that an attempt beside others must not use.
 
+        With few targets a new connection to one tried before is better than
+        none.
+        """
+        last = frozenset({late.lease.target.id})
+        if len(self._attempts) == 1:
+            last |= late.excluded
+        policy = self._executor._policy
+        has_other = policy.has_target(self._request.service, last)
+        return last if has_other else frozenset()
 
-async def _first_success(tasks: list[asyncio.Task]) -> asyncio.Task:
-    """Return the task that has an answer first, else the first task."""
-    pending = set(tasks)
-    while pending:
-        done, pending = await asyncio.wait(
-            pending, return_when=asyncio.FIRST_COMPLETED
+    def _retry_if_allowed(self, silent: "Attempt") -> None:
+        if self._request.attempt > 0 or not self._retries.take():
+            return
+        if self._attempts[-1] is not silent:
+            # The hedge has found no slot to spare.
+            self._attempts.pop()
+            self._drop(self._others.pop())
+        reason = errors.Reason.CONNECTION_SILENT
+        self._executor._counters.retried(reason)
+        self._start(silent, is_spare=False)
+
+    def _start(self, late: "Attempt", *, is_spare: bool) -> None:
+        attempt = Attempt(
+            self._executor,
+            self._request,
+            self._excluded_beside(late),
+            is_first=False,
+            is_spare=is_spare,
         )
-        for task in done:
-            if task.exception() is None:
-                return task
-    return tasks[0]
+        self._attempts.append(attempt)
+        task = asyncio.ensure_future(self._executor._run(attempt))
+        task.add_done_callback(self._ended)
+        self._others.append(task)
+        self._check_later(self._hedge_ms)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        # When a further attempt fails the other ones decide.
+        if self._is_over or task.cancelled() or task.exception():
+            return
+        if self._winner is None:
+            self._winner = task
+            self._task.cancel()
+
+    async def settle(self, failure: BaseException) -> "Attempt | None":
+        """Return the answer of a further attempt after the first has ended.
 
+        Returns:
+            None when there is none, so that `failure` counts.
+        """
+        self._stop()
+        if self._winner is not None:
+            # Whoever else cancelled the task goes first.
+            if self._task.uncancel() > self._cancelling:
+                self._winner = None
+                return None
+            return self._take_winner(failure)
+        if isinstance(failure, asyncio.CancelledError):
+            return None
+        pending = set(self._others)
+        while pending and self._winner is None:
+            # Not `await task`: a cancellation of the request must not be taken
+            # for one of the attempt.
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                self._note_end(task, failure)
+        return self._take_winner(failure)
 
-def _merge_failures(tasks: list[asyncio.Task]) -> None:
-    """Let the failure of the first task speak for all of them."""
-    first, *others = (task.exception() for task in tasks)
-    if isinstance(first, _AttemptError):
-        for other in others:
-            if isinstance(other, _AttemptError):
-                first.may_have_run = first.may_have_run or other.may_have_run
-                first.target_ids |= other.target_ids
+    def _note_end(self, task: asyncio.Task, failure: "_AttemptError") -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is None:
+            self._winner = self._winner or task
+        elif isinstance(error, _AttemptError):
+            failure.merge(error)
+
+    def _take_winner(self, failure: BaseException) -> "Attempt | None":
+        if self._winner is None:
+            return None
+        if isinstance(failure, _AttemptError):
+            failure.discard()
+        return self._winner.result()
+
+    def close(self) -> None:
+        """End all further attempts but the one that gave the answer."""
+        self._stop()
+        for task in self._others:
+            if task is not self._winner:
+                self._drop(task)
+
+    def _drop(self, task: asyncio.Task) -> None:
+        task.cancel()
+        task.add_done_callback(_drop_result)
+
+    def _stop(self) -> None:
+        self._is_over = True
+        self._attempts[-1].on_lease = None
+        self._timer.cancel()
 
 
 def _drop_result(task: asyncio.Task) -> None:
@@ -369,6 +426,11 @@
         self.crashed = crashed
         self.answered = answered
 
+    def merge(self, other: "_AttemptError") -> None:
+        """Let this failure speak for another attempt as well."""
+        self.may_have_run = self.may_have_run or other.may_have_run
+        self.target_ids |= other.target_ids
+
     def discard(self) -> None:
         """Give up the answer that came with the failure."""
         if self.answered is not None:
@@ -384,8 +446,9 @@
         excluded: Targets that must not get it.
         is_first: Whether it is the first exchange of the request. Others only
             use connections that are new or have answered a moment ago.
+        is_spare: Whether it only gets a slot that nothing else waits for.
         lease: Slot that it uses until `finish`, None while it waits.
-        leased: Future to resolve when there is a lease, or None.
+        on_lease: Called when there is a lease, or None.
         answer: Answer of the target; its body may have to be streamed.
         service_ms: Time of the exchange once it has ended.
     """
@@ -397,11 +460,13 @@
         excluded: frozenset[str],
         *,
         is_first: bool,
+        is_spare: bool = False,
     ):
         self.request = request
         self.excluded = excluded
         self.is_first = is_first
-        self.leased: asyncio.Future[None] | None = None
+        self.is_spare = is_spare
+        self.on_lease: Callable[[], None] | None = None
         self.lease: leases.Lease | None = None
         self.answer: exchange.Answer | None = None
         self.service_ms = 0.0
@@ -455,6 +520,7 @@
                     request.deadline_ms,
                     bulk=request.rule.bulk,
                     excluded=self.excluded,
+                    spare=self.is_spare,
                 )
             except errors.RequestError as error:
                 raise _AttemptError(error) from error
@@ -465,8 +531,8 @@
             else:
                 self.lease = lease
         self._fire("grant")
-        if self.leased is not None and not self.leased.done():
-            self.leased.set_result(None)
+        if self.on_lease is not None:
+            self.on_lease()
 
     def _check_answer(self, answer: exchange.Answer) -> None:
         target_id = self.lease.target.id
--- a/slatechute/fakes/local_fleet.py
+++ b/slatechute/fakes/local_fleet.py
@@ -16,21 +16,24 @@
 __all__ = ["FLEET_KEY", "LocalFleet", "free_address", "target_settings"]
 
 FLEET_KEY = "loopback-fleet-key"
-_PORTS = range(12_000, 32_000)
-_given_ports: set[int] = set()
 _LISTING_S = 0.05
 _READY_LIMIT_S = 10.0
 
 
+# Below the range from which the system takes the ports of outgoing connections:
+# one of those could take the port before the server binds it.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_given_ports: set[int] = set()
+
+
 def free_address() -> str:
     """Return a loopback address whose port is free now.
 
-    The port is below the range that the kernel uses for outgoing connections,
-    one of which could otherwise take it before the listener is opened, or
-    while a killed process is down.
+    An address is given out once in a process.
     """
     while True:
-        port = random.choice(_PORTS)
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
         if port in _given_ports:
             continue
         with socket.socket() as sock:
--- a/tests/configuration/test_spread.py
+++ b/tests/configuration/test_spread.py
@@ -40,9 +40,9 @@
     return base.Document(_NAME, revision, text_by_part)
 
 
-def _digest(document):
+def _digest(document, unconfirmed=False):
     return messages.DocumentDigest(
-        document.name, document.revision, document.digest_by_part
+        document.name, document.revision, document.digest_by_part, unconfirmed
     )
 
 
@@ -233,6 +233,72 @@
     assert network.callers == readers
 
 
+def test_new_link_exchanges_digests_at_once():
+    # Guards against a healed partition or a replaced peer that waits for the
+    # next resent digest because it is no neighbour or was one before.
+    core, documents = _core()
+    assert core.on_peer_linked("e9", 0) == [
+        ("e9", messages.DocumentRequest(name, 0, [])) for name in store.NAMES
+    ]
+    documents.offer(_document(4), store.PLATFORM)
+    announcement = _digest(_document(4), unconfirmed=True)
+    assert ("e9", announcement) in core.on_peer_linked("e9", 0)
+    asked = core.ask(["e9"], 0)
+    assert ("e9", messages.DocumentRequest(_NAME, 0, [])) in asked
+
+
+def test_unconfirmed_peers_do_not_confirm_each_other():
+    # Guards against a mark that is lost when all hosts start at once with a
+    # stale platform and agree on the stale document.
+    document = _document(4)
+    parts = messages.DocumentParts(_NAME, 4, document.text_by_part)
+    core, documents = _core()
+    documents.offer(document, store.PLATFORM)
+    core.on_message("e2", _digest(document, unconfirmed=True), 0)
+    assert documents.status()[_NAME].unconfirmed
+    core.on_message("e3", _digest(document), 0)
+    assert not documents.status()[_NAME].unconfirmed
+    # The mark goes with the document to an entry that had none.
+    core, documents = _core()
+    core.on_message("e2", _digest(document, unconfirmed=True), 0)
+    core.on_message("e2", parts, 0)
+    assert documents.status()[_NAME].unconfirmed
+    # One announcer that knows better is enough.
+    core, documents = _core()
+    core.on_message("e2", _digest(document, unconfirmed=True), 0)
+    core.on_message("e3", _digest(document), 0)
+    core.on_message("e2", parts, 0)
+    assert not documents.status()[_NAME].unconfirmed
+
+
+def test_heartbeat_of_a_newer_revision_is_followed_up():
+    # Guards against an entry that is cut off from all of its neighbours and
+    # stays behind peers that it has links with.
+    core, documents = _core()
+    documents.offer(_document(4), store.PLATFORM)
+    asked = [("e9", messages.DocumentRequest(_NAME, 0, []))]
+    assert core.on_heartbeat("e9", 4, 0) == []
+    assert core.on_heartbeat("e9", 6, 0) == asked
+    # Not for each heartbeat of each peer while the answer is on its way.
+    assert core.on_heartbeat("e8", 6, spread.ASK_MS - 1) == []
+    core.on_message("e9", _digest(_document(6)), 300)
+    assert core.on_heartbeat("e8", 6, 600) == []
+    # Nor for a revision that is refused here.
+    documents.offer(_document(7, valid=False), "e9")
+    assert core.on_heartbeat("e9", 7, 900) == []
+
+
+def test_request_lost_with_its_link_is_sent_again():
+    # Guards against a fetch that waits for its timeout because the same peer
+    # announces the document again over a new link.
+    core, documents = _core()
+    [(_, request)] = core.on_message("e2", _digest(_document(4)), 0)
+    assert core.on_peer_lost("e2", 5) == []
+    assert core.on_message("e2", _digest(_document(4)), 10) == [("e2", request)]
+    core.on_message("e3", _digest(_document(4)), 10)
+    assert core.on_peer_lost("e2", 20) == [("e3", request)]
+
+
 def test_replaced_entry_gets_documents_from_peers_before_the_platform():
     # Guards against a start that depends on the platform.
     core, documents = _core()
@@ -265,7 +331,7 @@
     core, documents = _core()
     documents.offer(_document(2), store.PLATFORM)
     outbox = core.on_message("e2", _digest(_document(1)), 0)
-    assert outbox == [("e2", _digest(_document(2)))]
+    assert outbox == [("e2", _digest(_document(2), unconfirmed=True))]
 
 
 def test_silent_or_wrong_peer_is_replaced_by_the_next_announcer():
@@ -315,7 +381,7 @@
     assert core.on_message("e3", _digest(refused), 0) == []
     outbox = core.tick(spread.DIGEST_MS / 2) + core.tick(spread.DIGEST_MS)
     announced = [message for _, message in outbox if message.name == _NAME]
-    assert announced == [_digest(_document(6))] * 2
+    assert announced == [_digest(_document(6), unconfirmed=True)] * 2
     # A wrong revision of a peer must not keep the watch above the platform's.
     core.on_platform_document(_NAME, _document(6), 2000)
     assert core.next_platform_call(_NAME, 2000).after == 6
--- a/tests/faults/test_callers.py
+++ b/tests/faults/test_callers.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from slatechute.configuration import models
 from slatechute.fakes import deployments
 from slatechute.fakes import local_fleet
 from slatechute.fakes import platform as platforms
@@ -237,6 +238,22 @@
     asyncio.run(scenario())
 
 
+def test_entry_without_configuration_is_starting():
+    """Guards against a restarted entry that tells its callers to give up."""
+
+    async def scenario():
+        async with (
+            _one_entry() as fleet,
+            aiohttp.ClientSession() as session,
+        ):
+            fleet.applications[0]._configuration = models.Configuration()
+            answer = await _post(session, fleet)
+            assert answer[0] == 503
+            _check_refusal(answer, "starting", "not-run", "accepted")
+
+    asyncio.run(scenario())
+
+
 def test_running_duplicate_is_refused_at_once():
     """Guards against a second run, and a wait for the first one."""
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -206,6 +206,54 @@
         assert all(count <= fleet.slots for count in used.values())
 
 
+def test_slot_of_a_cancelled_request_goes_to_the_next_one(monkeypatch):
+    """Guards against granting the same request again within its grant.
+
+    A caller that is gone returns the slot while the dispatcher is serving; the
+    request was still queued then and the two calls recursed without end.
+    """
+    fleet = fleets.Fleet(entries=1, targets=1, slots=1)
+    entry = fleet.entry_by_id["e0"]
+    for number in (1, 2, 3):
+        entry.submit(number)
+    granted = entry.granted
+
+    def return_if_gone(number, lease):
+        granted(number, lease)
+        if number == 2:
+            entry.finish(number, leases.Result.UNUSED)
+
+    monkeypatch.setattr(entry, "granted", return_if_gone)
+    entry.finish(1)
+    assert 3 in entry.lease_by_number
+
+
+def test_hedge_takes_no_slot_that_a_request_waits_for():
+    """Guards against hedges that slow other requests down under load."""
+    fleet = fleets.Fleet(entries=1, targets=1, slots=1)
+    entry = fleet.entry_by_id["e0"]
+    entry.submit(1)
+    entry.submit(2, spare=True)
+    fleet.clock.advance(1)
+    entry.submit(3)
+    entry.finish(1)
+    assert 3 in entry.lease_by_number
+    assert 2 not in entry.lease_by_number
+    entry.finish(3)
+    assert 2 in entry.lease_by_number
+
+
+def test_near_saturation_there_is_no_slot_to_spare():
+    """Guards against hedges that push a loaded service into overload."""
+    fleet = fleets.Fleet(entries=1, targets=5, slots=2)
+    entry = fleet.entry_by_id["e0"]
+    for number in range(8):
+        entry.submit(number)
+    assert entry.core.has_spare("plans", fleet.clock.now_ms())
+    entry.submit(8)
+    assert not entry.core.has_spare("plans", fleet.clock.now_ms())
+
+
 def test_lost_grant_is_asked_for_again():
     """Guards against a request that waits for a dispatcher that forgot it.
 
