--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -126,13 +126,7 @@
         service = http.query.get("service", "")
         configuration = self._directory.configuration()
         if service not in configuration.services:
-            return _refusal(
-                errors.RequestError(
-                    errors.Reason.UNKNOWN_SERVICE,
-                    errors.Step.ADDRESS,
-                    status=404,
-                )
-            )
+            return _refusal(_unknown(configuration, errors.Step.ADDRESS))
         answer = {
             "service": service,
             "keep_ms": configuration.fleet.keep_ms,
@@ -163,11 +157,10 @@
         now_ms = self._clock.now_ms()
         if not self._directory.is_current():
             await self._directory.wait_current()
-        rules = self._directory.configuration().services.get(service)
+        configuration = self._directory.configuration()
+        rules = configuration.services.get(service)
         if rules is None:
-            raise errors.RequestError(
-                errors.Reason.UNKNOWN_SERVICE, errors.Step.ACCEPTED, status=404
-            )
+            raise _unknown(configuration, errors.Step.ACCEPTED)
         rule = rules.rule_for(http.method, http.path)
         headers = http.headers
         deadline_ms = _number(headers, _DEADLINE_HEADER, rule.deadline_ms)
@@ -279,6 +272,16 @@
         self._counters.answered(total_ms / 1e3, added_ms / 1e3)
 
 
+def _unknown(
+    configuration: models.Configuration, step: errors.Step
+) -> errors.RequestError:
+    """Return the refusal of a service that is not configured."""
+    if not configuration.services:
+        # Restarted at an address that callers still keep.
+        return errors.RequestError(errors.Reason.STARTING, step)
+    return errors.RequestError(errors.Reason.UNKNOWN_SERVICE, step, status=404)
+
+
 def _service_of(http: web.BaseRequest) -> str:
     named = http.headers.get(_SERVICE_HEADER)
     return named or (http.host or "").split(".", 1)[0].split(":", 1)[0]
