Bound callers' connections and the time to send a request

max_connections was read but not enforced, a caller could send one byte of its headers every minute, and several refusals were not counted. Now: - connections above max_connections get a 503 (overload, not run) on their first request; more than 64 of them, or without a request for 5 s, are closed; - headers must arrive within 5 s of their first byte, bodies within 10 s (request_too_slow, 408 for a body); - at most 64 headers of 16 KiB; requests that cannot be parsed are counted; - /entries for an unknown service, duplicates and large answers that are cut are counted.

Ruled out: answering an excess connection before its request; closing with unread bytes resets the connection and loses the answer. A body deadline by the keep-alive timer of aiohttp: it only runs between requests. Not covered: a caller that does not read a large answer. tests/test_callers.py: 12 passed in each of 3 runs (4.4 s).

--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -1,5 +1,6 @@
 """HTTP server towards callers: addresses to use, and requests."""
 
+import asyncio
 import json
 import math
 from typing import Protocol
@@ -11,6 +12,7 @@
 from slatechute import exchange
 from slatechute import execution
 from slatechute import leases
+from slatechute import listener
 from slatechute import metrics
 from slatechute import requests
 from slatechute import settings as entry_settings
@@ -31,7 +33,13 @@
     "content-length",
 }
 _MAX_HEADER_BYTES = 16 * 1024
+# At `_MAX_HEADER_BYTES` each, the headers of a request take at most 1 MiB.
+_MAX_HEADERS = 64
 _KEEPALIVE_S = 75.0
+_BODY_LIMIT_S = 10.0
+# How long the rest of a refused body is read, so that the caller gets to see
+# the refusal.
+_LINGERING_S = 2.0
 _MAX_DEADLINE_MS = 600_000
 
 
@@ -82,13 +90,19 @@
         Raises:
             OSError: The address cannot be used.
         """
-        server = web.Server(
+        server = listener.CallerListener(
             self._handle,
+            max_connections=self._settings.max_connections,
+            refused=lambda reason: self._counters.refused(
+                reason, errors.Outcome.NOT_RUN, ""
+            ),
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=_KEEPALIVE_S,
             max_field_size=_MAX_HEADER_BYTES,
             max_line_size=_MAX_HEADER_BYTES,
+            max_headers=_MAX_HEADERS,
+            lingering_time=_LINGERING_S,
         )
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
@@ -101,28 +115,51 @@
             await self._runner.cleanup()
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        if http.path == "/entries" and _SERVICE_HEADER not in http.headers:
-            return self._addresses(http)
-        service = _service_of(http)
-        self.inflight += 1
+        connection = http.protocol
+        connection.is_serving = True
+        connection.head_since_s = 0.0
+        service = ""
         try:
-            return await self._serve(http, service)
+            if connection.is_refused:
+                raise errors.RequestError(
+                    errors.Reason.OVERLOAD, errors.Step.ACCEPTED
+                )
+            if http.path == "/entries" and _SERVICE_HEADER not in http.headers:
+                service = http.query.get("service", "")
+                return self._addresses(service)
+            service = _service_of(http)
+            self.inflight += 1
+            try:
+                return await self._serve(http, service)
+            finally:
+                self.inflight -= 1
         except errors.RequestError as error:
-            self._counters.refused(error.reason, error.outcome, service)
-            return _refusal(error)
+            return self._refuse(error, service, connection)
         finally:
-            self.inflight -= 1
+            connection.is_serving = False
+
+    def _refuse(
+        self,
+        error: errors.RequestError,
+        service: str,
+        connection: listener.Connection,
+    ) -> web.Response:
+        self._counters.refused(error.reason, error.outcome, service)
+        if error.reason is errors.Reason.DUPLICATE_REQUEST_ID:
+            self._counters.duplicate_refused()
+        response = _refusal(error)
+        if (
+            connection.is_refused
+            or error.reason is errors.Reason.REQUEST_TOO_SLOW
+        ):
+            response.force_close()
+        return response
 
-    def _addresses(self, http: web.BaseRequest) -> web.Response:
-        service = http.query.get("service", "")
+    def _addresses(self, service: str) -> web.Response:
         configuration = self._directory.configuration()
         if service not in configuration.services:
-            return _refusal(
-                errors.RequestError(
-                    errors.Reason.UNKNOWN_SERVICE,
-                    errors.Step.ADDRESS,
-                    status=404,
-                )
+            raise errors.RequestError(
+                errors.Reason.UNKNOWN_SERVICE, errors.Step.ADDRESS, status=404
             )
         answer = {
             "service": service,
@@ -186,14 +223,15 @@
         )
         if http.content_length is not None and http.content_length > limit:
             raise too_large
-        parts = []
-        size = 0
-        async for chunk in http.content.iter_any():
-            size += len(chunk)
-            if size > limit:
-                raise too_large
-            parts.append(chunk)
-        return b"".join(parts)
+        try:
+            async with asyncio.timeout(_BODY_LIMIT_S):
+                return await _read_body(http, limit, too_large)
+        except TimeoutError:
+            raise errors.RequestError(
+                errors.Reason.REQUEST_TOO_SLOW,
+                errors.Step.ACCEPTED,
+                status=408,
+            ) from None
 
     async def _pass_on(
         self,
@@ -220,6 +258,11 @@
         except exchange.ExchangeError:
             # The caller must not take a cut answer for a whole one.
             result = leases.Result.FAILED
+            self._counters.refused(
+                errors.Reason.CONNECTION_LOST,
+                errors.Outcome.UNKNOWN,
+                request.service,
+            )
             if http.transport is not None:
                 http.transport.abort()
         finally:
@@ -237,6 +280,19 @@
         self._counters.answered(total_ms / 1e3, added_ms / 1e3)
 
 
+async def _read_body(
+    http: web.BaseRequest, limit: int, too_large: errors.RequestError
+) -> bytes:
+    parts = []
+    size = 0
+    async for chunk in http.content.iter_any():
+        size += len(chunk)
+        if size > limit:
+            raise too_large
+        parts.append(chunk)
+    return b"".join(parts)
+
+
 def _service_of(http: web.BaseRequest) -> str:
     named = http.headers.get(_SERVICE_HEADER)
     return named or (http.host or "").split(".", 1)[0].split(":", 1)[0]
--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -61,6 +61,7 @@
     QUARANTINED = "quarantined"
     QUEUE_FULL = "queue_full"
     REQUEST_TABLE_FULL = "request_table_full"
+    REQUEST_TOO_SLOW = "request_too_slow"
     STOPPING = "stopping"
     TARGET_ERROR = "target_error"
     TARGET_SHED = "target_shed"
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,281 @@
+"""Tests of the server towards callers, with raw connections."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from slatechute import callers
+from slatechute import errors
+from slatechute import exchange
+from slatechute import listener
+from slatechute import metrics as metrics_module
+from slatechute import requests
+from slatechute import settings as entry_settings
+from slatechute.configuration import models
+from slatechute.fakes import local_fleet
+from slatechute.util import clock as clocks
+
+_REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\nSlatechute-Service: plans\r\n\r\n"
+
+
+class _Directory:
+    def configuration(self) -> models.Configuration:
+        return models.Configuration(services={"plans": models.Service(slots=2)})
+
+    def addresses_for(self, service: str) -> list[dict[str, str]]:
+        return []
+
+    def is_current(self) -> bool:
+        return True
+
+
+class _Answer:
+    """A large answer that is cut."""
+
+    status = 200
+    headers = ()
+    body = None
+
+    async def chunks(self):
+        yield b"x"
+        raise exchange.ExchangeError(errors.Step.READING, "cut", not_run=False)
+
+    def close(self) -> None:
+        pass
+
+
+class _Run:
+    service_ms = 0.0
+
+    def __init__(self):
+        self.answer = _Answer()
+
+    def finish(self, result) -> None:
+        pass
+
+
+class _Executor:
+    async def execute(self, request):
+        return _Run()
+
+
+class _Server:
+    def __init__(self, **settings):
+        self.settings = entry_settings.EntrySettings(
+            entry_id="e1",
+            data_centre="dc1",
+            address=local_fleet.free_address(),
+            fleet_key="a key for tests only",
+            **settings,
+        )
+        self.metrics = metrics_module.Metrics()
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> "_Server":
+        clock = clocks.MonotonicClock()
+        self._server = callers.CallerServer(
+            self.settings,
+            _Executor(),
+            _Directory(),
+            requests.RequestTable("e1-aa", 10),
+            clock,
+            self.metrics,
+        )
+        await self._server.start()
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        for writer in self._writers:
+            writer.close()
+        await self._server.stop()
+
+    async def connect(self, data: bytes = b"") -> asyncio.StreamReader:
+        host, port = self.settings.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self._writers.append(writer)
+        writer.write(data)
+        await writer.drain()
+        return reader
+
+    async def send(self, data: bytes) -> bytes:
+        """Return all that arrives until the server closes."""
+        reader = await self.connect(data)
+        async with asyncio.timeout(10):
+            with contextlib.suppress(ConnectionError):
+                return await reader.read()
+        return b""
+
+    def refused(self, reason: errors.Reason, **labels: str) -> float:
+        labels = {"outcome": "not-run", "service": "other"} | labels
+        return self.metrics.value("refusals_total", reason=reason, **labels)
+
+
+def _run(scenario, **settings) -> None:
+    async def main():
+        async with _Server(**settings) as server:
+            await scenario(server)
+
+    asyncio.run(main())
+
+
+def test_addresses_of_an_unknown_service_are_counted():
+    """Guards against callers with a misspelt service that nobody sees."""
+
+    async def scenario(server):
+        answer = await server.send(
+            b"GET /entries?service=x HTTP/1.1\r\nHost: h\r\n"
+            b"Connection: close\r\n\r\n"
+        )
+        assert b" 404 " in answer
+        assert server.refused(errors.Reason.UNKNOWN_SERVICE) == 1
+
+    _run(scenario)
+
+
+def test_duplicates_have_their_own_counter():
+    """Guards against a counter on the page that is always 0."""
+
+    async def scenario(server):
+        request = (
+            b"POST /x HTTP/1.1\r\nHost: h\r\nSlatechute-Service: plans\r\n"
+            b"Slatechute-Request-Id: e1-aa.0.1\r\nConnection: close\r\n\r\n"
+        )
+        await server.send(request)
+        answer = await server.send(request)
+        assert b"duplicate_request_id" in answer
+        assert server.metrics.value("duplicates_refused_total") == 1
+
+    _run(scenario)
+
+
+def test_cut_answer_is_counted_with_its_service():
+    """Guards against cut large answers that no counter shows."""
+
+    async def scenario(server):
+        await server.send(_REQUEST)
+        count = server.refused(
+            errors.Reason.CONNECTION_LOST, outcome="unknown", service="plans"
+        )
+        assert count == 1
+
+    _run(scenario)
+
+
+def test_connections_above_the_limit_are_refused():
+    """Guards against callers that use up the descriptors of an entry."""
+
+    async def scenario(server):
+        await server.connect()
+        await server.connect()
+        await asyncio.sleep(0.05)
+        answer = await server.send(_REQUEST)
+        assert b" 503 " in answer
+        assert b"Slatechute-Outcome: not-run" in answer
+        assert b"Slatechute-Reason: overload" in answer
+        assert server.refused(errors.Reason.OVERLOAD) == 1
+
+    _run(scenario, max_connections=2)
+
+
+def test_flood_of_connections_is_closed_at_once(monkeypatch):
+    """Guards against connections above the limit that wait for ever."""
+    monkeypatch.setattr(listener, "_REFUSED_CONNECTIONS", 1)
+
+    async def scenario(server):
+        for _ in range(3):
+            await server.connect()
+        await asyncio.sleep(0.05)
+        assert await server.send(b"") == b""
+        assert server.refused(errors.Reason.OVERLOAD) >= 1
+
+    _run(scenario, max_connections=1)
+
+
+@pytest.mark.parametrize("data", [b"GET", _REQUEST[:-2]])
+def test_slow_headers_are_cut(monkeypatch, data):
+    """Guards against a slow caller that holds a connection for ever."""
+    monkeypatch.setattr(
+        listener.CallerListener.__init__,
+        "__kwdefaults__",
+        {"head_limit_s": 0.2},
+    )
+
+    async def scenario(server):
+        assert await server.send(data) == b""
+        assert server.refused(errors.Reason.REQUEST_TOO_SLOW) == 1
+
+    _run(scenario)
+
+
+def test_idle_connection_is_not_slow(monkeypatch):
+    """Guards against closing connections that callers keep for later."""
+    monkeypatch.setattr(
+        listener.CallerListener.__init__,
+        "__kwdefaults__",
+        {"head_limit_s": 0.2},
+    )
+
+    async def scenario(server):
+        request = b"GET /entries?service=plans HTTP/1.1\r\nHost: h\r\n\r\n"
+        reader = await server.connect(request)
+        await asyncio.sleep(1.0)
+        assert not reader.at_eof()
+        assert server.refused(errors.Reason.REQUEST_TOO_SLOW) == 0
+
+    _run(scenario)
+
+
+def test_slow_body_is_refused(monkeypatch):
+    """Guards against a slow body that holds a connection for ever."""
+    monkeypatch.setattr(callers, "_BODY_LIMIT_S", 0.1)
+    monkeypatch.setattr(callers, "_LINGERING_S", 0.1)
+
+    async def scenario(server):
+        answer = await server.send(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nSlatechute-Service: plans\r\n"
+            b"Content-Length: 10\r\n\r\n12345"
+        )
+        assert b" 408 " in answer
+        assert b"Slatechute-Reason: request_too_slow" in answer
+        labels = {"service": "plans"}
+        assert server.refused(errors.Reason.REQUEST_TOO_SLOW, **labels) == 1
+
+    _run(scenario)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"X: " + b"x" * 20_000 + b"\r\n",
+        b"".join(b"X%d: x\r\n" % number for number in range(200)),
+    ],
+)
+def test_oversized_headers_are_refused_and_counted(headers):
+    """Guards against headers that take the memory of an entry."""
+
+    async def scenario(server):
+        answer = await server.send(
+            b"GET /x HTTP/1.1\r\nHost: h\r\n" + headers + b"\r\n"
+        )
+        assert b" 400 " in answer
+        assert b"Slatechute-Outcome: not-run" in answer
+        assert server.refused(errors.Reason.BAD_REQUEST) == 1
+
+    _run(scenario)
+
+
+def test_oversized_body_is_refused():
+    """Guards against bodies that take the memory of an entry."""
+
+    async def scenario(server):
+        answer = await server.send(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nSlatechute-Service: plans\r\n"
+            b"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+            b"20\r\n" + b"x" * 32 + b"\r\n0\r\n\r\n"
+        )
+        assert b" 413 " in answer
+        labels = {"service": "plans"}
+        assert server.refused(errors.Reason.BODY_TOO_LARGE, **labels) == 1
+
+    _run(scenario, max_body_bytes=16)
