Measure the start of an entry, and added time by block of calls

On a machine that other work disturbs, one quantile over the whole run says more of the machine than of the entry; blocks of 500 pairs show both.

--- a/slatechute/benches/capacity.py
+++ b/slatechute/benches/capacity.py
@@ -2,10 +2,12 @@
 
 Nothing is sent: the parts of one entry are driven in this process with lists
 of a fleet that does not exist. Times are processor time, memory is what
-`tracemalloc` sees.
+`tracemalloc` sees. The start is measured on real processes, in elapsed time.
 """
 
+import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import gc
 import json
@@ -15,6 +17,8 @@
 import tracemalloc
 from typing import Any, ClassVar
 
+import aiohttp
+
 from slatechute import application
 from slatechute import events
 from slatechute import messages
@@ -24,6 +28,7 @@
 from slatechute.configuration import models
 from slatechute.configuration import spread
 from slatechute.configuration import store
+from slatechute.fakes import platform as platforms
 from slatechute.platforms import base
 
 __all__ = ["CapacityBench", "Plan", "Size"]
@@ -34,6 +39,9 @@
 _REPEATS = 5
 _HEARTBEATS = 2000
 _SERVICES_IN_HEARTBEAT = (1, 5, 20)
+_STARTS = 5
+_POLL_S = 0.005
+_ONE_SERVICE = {"10-services.toml": "[services.plans]\nslots = 2\n"}
 _IMPORTS = ("", "asyncio", "aiohttp", "pydantic", "slatechute.application")
 
 
@@ -84,6 +92,7 @@
                 self._reported(_heartbeat(count))
                 for count in _SERVICES_IN_HEARTBEAT
             ],
+            "start": self._reported(await _started()),
             "imports": [self._reported(_imported(name)) for name in _IMPORTS],
         }
 
@@ -251,6 +260,43 @@
     }
 
 
+async def _started() -> dict:
+    """Return the times from starting a process to its first answers."""
+    answers_ms, ready_ms = [], []
+    platform = platforms.FakePlatform()
+    await platform.start()
+    platform.publish(base.CONFIGURATION, _ONE_SERVICE)
+    async with aiohttp.ClientSession() as session:
+        for _ in range(_STARTS):
+            flags = {"platform-url": platform.url}
+            entry = processes.EntryProcess(_OWN_ID, "dc0", flags)
+            platform.set_entries([entry.row])
+            start = time.monotonic()
+            await entry.start()
+            await _wait_answer(session, entry)
+            answers_ms.append((time.monotonic() - start) * 1000)
+            await entry.wait_ready(session)
+            ready_ms.append((time.monotonic() - start) * 1000)
+            await entry.stop()
+    await platform.stop()
+    return {
+        "starts": _STARTS,
+        "answers_ms": [round(value) for value in sorted(answers_ms)],
+        "ready_ms": [round(value) for value in sorted(ready_ms)],
+    }
+
+
+async def _wait_answer(
+    session: aiohttp.ClientSession, entry: processes.EntryProcess
+) -> None:
+    while True:
+        with contextlib.suppress(aiohttp.ClientError):
+            url = f"http://{entry.admin_address}/ready"
+            async with session.get(url):
+                return
+        await asyncio.sleep(_POLL_S)
+
+
 def _imported(name: str) -> dict:
     """Return memory and time of a new interpreter that imports a module."""
     code = (
--- a/slatechute/benches/overhead.py
+++ b/slatechute/benches/overhead.py
@@ -35,6 +35,7 @@
 _WARM_UP_PAIRS = 200
 # Outlasts the idle time of no connection that the calls use.
 _PAUSE_S = 0.002
+_BLOCK = 500
 _SATURATING_WORKERS = 12
 # Shares of the highest rate at which the slopes are measured.
 _RATE_SHARES = (0.15, 0.3, 0.45, 0.6)
@@ -118,6 +119,7 @@
             "plan": dataclasses.asdict(plan),
             "entries": _ENTRIES,
             "targets": _TARGETS,
+            "load_average": [round(load, 1) for load in os.getloadavg()],
         }
         if plan.pairs:
             result["paired"] = await self._with_fleet(
@@ -304,9 +306,28 @@
             "added_ms": round(of_through - of_direct, 3),
             "paired_difference_ms": round(quantile(differences, share), 3),
         }
+    figures["blocks"] = _added_by_block(direct, through)
     return figures
 
 
+def _added_by_block(direct: list[float], through: list[float]) -> dict:
+    """Return p50 and p99 of blocks of the run, in rising order.
+
+    Other work on the machine disturbs a part of the blocks only.
+    """
+    blocks = [
+        (direct[start : start + _BLOCK], through[start : start + _BLOCK])
+        for start in range(0, len(direct) - _BLOCK + 1, _BLOCK)
+    ]
+    return {
+        f"{name}_added_ms": sorted(
+            round(quantile(late, share) - quantile(early, share), 3)
+            for early, late in blocks
+        )
+        for name, share in (("p50", 0.5), ("p99", 0.99))
+    }
+
+
 def _slopes(found: dict) -> dict:
     """Return processor time for each request and for each slot message."""
     slopes = {}
--- a/slatechute/commands/bench_capacity.py
+++ b/slatechute/commands/bench_capacity.py
@@ -21,9 +21,9 @@
     description = "Measure the cost of plans, lists and heartbeats by size."
     help = """\
 Drives the parts of one entry in this process with lists of fleets of several
-sizes and gives processor time and memory. Sends nothing and uses no random
-numbers. Prints one line of progress a size on standard error and the results as
-JSON.
+sizes and gives processor time and memory; uses no random numbers. Then starts
+entry processes on loopback and gives the time until they answer. Prints one
+line of progress a size on standard error and the results as JSON.
 
 Exit status: 0 when the bench has run; 2 when an option cannot be used."""
     options: ClassVar[list[option.Option]] = [
