--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -645,6 +645,18 @@
             "instances": self._document_status(platforms.INSTANCES),
             "spread": self._spread_status(),
             "peers": peers,
+            "slots": self._slot_status(),
+        }
+
+    def _slot_status(self) -> dict[str, int]:
+        if not isinstance(self.policy, owner.OwnerPolicy):
+            return {}
+        dispatcher = self.policy.dispatcher
+        held, waiting = dispatcher.counts()
+        return {
+            "granted": dispatcher.granted(),
+            "held": held,
+            "waiting": waiting,
         }
 
     def _document_status(self, name: str) -> dict:
--- a/slatechute/benches/capacity.py
+++ b/slatechute/benches/capacity.py
@@ -216,11 +216,34 @@
         "application_plan_ms": _least_ms(app._plan),
         "lost_peer_ms": round(_cpu_ms(lambda: _lose_peer(app)), 3),
         "wanted_peers": len(peers),
+        "hops_from_readers": _hops(entries),
         "readers_ms": _least_ms(lambda: spread.readers("dc0", entries)),
         "state_mb": round((after - before) / 1e6, 2),
     }
 
 
+def _hops(entries: list[instances.Entry]) -> int:
+    """Return the most hops of a document from the readers to an entry."""
+    degree = entry_settings.EntrySettings.model_fields["spread_degree"].default
+    neighbours_by_id = {
+        entry.id: spread.neighbours(
+            entry.id, entry.data_centre, entries, degree
+        )
+        for entry in entries
+    }
+    centres = {entry.data_centre for entry in entries}
+    queue = [r for centre in centres for r in spread.readers(centre, entries)]
+    hops_by_id = dict.fromkeys(queue, 0)
+    for entry_id in queue:
+        for neighbour in neighbours_by_id[entry_id]:
+            if neighbour not in hops_by_id:
+                hops_by_id[neighbour] = hops_by_id[entry_id] + 1
+                queue.append(neighbour)
+    if len(hops_by_id) < len(entries):
+        raise RuntimeError("an entry is not reached by any reader")
+    return max(hops_by_id.values())
+
+
 def _link_group(app: application.Application) -> None:
     """Let all wanted peers count as linked."""
     wanted = app.membership.peer_addresses(app._configuration.services)
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -101,7 +101,12 @@
             except _AttemptError as failure:
                 may_have_run = may_have_run or failure.may_have_run
                 excluded |= failure.target_ids
-                error = self._reason_to_end(request, failure, attempt, retries)
+                error = failure.error
+                # A retry without another target would wait until its deadline.
+                if self._policy.has_target(request.service, excluded):
+                    error = self._reason_to_end(
+                        request, failure, attempt, retries
+                    )
                 if error is failure.error and failure.answered is not None:
                     return failure.answered
                 failure.discard()
@@ -265,7 +270,7 @@
             if elapsed_ms < self._hedge_ms:
                 self._check_later(self._hedge_ms - elapsed_ms)
                 return
-            if self._has_spare() and self._hedges.take():
+            if self._may_hedge(sent) and self._hedges.take():
                 self._executor._counters.hedged()
                 self._start(sent, is_spare=True)
                 return
@@ -274,8 +279,24 @@
         else:
             self._retry_if_allowed(sent)
 
-    def _has_spare(self) -> bool:
-        return self._executor._policy.has_spare(self._request.service)
+    def _may_hedge(self, late: "Attempt") -> bool:
+        policy = self._executor._policy
+        service = self._request.service
+        tried = late.excluded | {late.lease.target.id}
+        return policy.has_target(service, tried) and policy.has_spare(service)
+
+    def _excluded_beside(self, late: "Attempt") -> frozenset[str]:
+        """Return the targets that an attempt beside others must not use.
+
+        With few targets a new connection to one tried before is better than
+        none.
+        """
+        last = frozenset({late.lease.target.id})
+        if len(self._attempts) == 1:
+            last |= late.excluded
+        policy = self._executor._policy
+        has_other = policy.has_target(self._request.service, last)
+        return last if has_other else frozenset()
 
     def _retry_if_allowed(self, silent: "Attempt") -> None:
         if self._request.attempt > 0 or not self._retries.take():
@@ -289,15 +310,10 @@
         self._start(silent, is_spare=False)
 
     def _start(self, late: "Attempt", *, is_spare: bool) -> None:
-        excluded = late.excluded | {late.lease.target.id}
-        if len(self._attempts) > 1:
-            # With few targets a new connection to the first one is better than
-            # none.
-            excluded = frozenset({late.lease.target.id})
         attempt = Attempt(
             self._executor,
             self._request,
-            excluded,
+            self._excluded_beside(late),
             is_first=False,
             is_spare=is_spare,
         )
