Do not count announcements over a link that is lost

Cause: after a freeze an entry may read an announcement from the old link before it reads the end of that link. The peer then counted as heard and the fetch was dropped with the link, so requests were accepted by the old rules.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -415,6 +415,7 @@
             self.policy.dispatcher.peer_lost(event.entry_id, now_ms)
         _LOG.warning("peer_lost", peer=event.entry_id)
         self._spread.on_peer_lost(event.entry_id)
+        self._catch_up.lost(event.entry_id)
         self._peers_changed()
 
     def _on_link_replaced(self, event: events.LinkReplaced) -> None:
--- a/slatechute/configuration/catch_up.py
+++ b/slatechute/configuration/catch_up.py
@@ -32,6 +32,14 @@
         """Take note that a peer has announced its documents."""
         self._heard.add(peer_id)
 
+    def lost(self, peer_id: str) -> None:
+        """Take back what a peer announced over a link that is lost.
+
+        It may have been sent long before it was read, and what was fetched
+        because of it is lost with the link.
+        """
+        self._heard.discard(peer_id)
+
     def poll(
         self, peers: Iterable[str], *, is_fetching: bool, now_ms: float
     ) -> bool:
--- a/tests/configuration/test_catch_up.py
+++ b/tests/configuration/test_catch_up.py
@@ -26,6 +26,17 @@
     assert wait.poll(["e2"], is_fetching=False, now_ms=110)
 
 
+def test_announcement_over_a_lost_link_does_not_count():
+    """Guards against a digest read late from a link closed during a pause."""
+    wait = catch_up.CatchUp()
+    wait.begin(100, 500)
+    wait.heard("e2")
+    wait.lost("e2")
+    assert not wait.poll(["e2"], is_fetching=False, now_ms=110)
+    wait.heard("e2")
+    assert wait.poll(["e2"], is_fetching=False, now_ms=120)
+
+
 def test_silent_peers_do_not_stop_the_entry():
     """Guards against an entry that waits for ever for a dead peer."""
     wait = catch_up.CatchUp()
