--- a/slatechute/commands/bench_reverts.py
+++ b/slatechute/commands/bench_reverts.py
@@ -49,7 +49,7 @@
                 int(self.option("changes")),
                 int(self.option("entries")),
                 int(self.option("seed")),
-                str(self.option("log")),
+                log=str(self.option("log")),
             )
         except ValueError as error:
             raise errors.SettingsError(str(error)) from None
--- a/tests/fakes/test_platform.py
+++ b/tests/fakes/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import pathlib
 
 import aiohttp
 import pytest
@@ -128,6 +129,44 @@
     _with_platform(scenario)
 
 
+def test_folder_changed_during_the_read_is_read_again(tmp_path, monkeypatch):
+    """Guards against files of two states of the folder in one revision."""
+    (tmp_path / "a.toml").write_text("x = 1")
+    (tmp_path / "b.toml").write_text("y = 1")
+    read_text = pathlib.Path.read_text
+    reads = []
+
+    def change_both(path, *args):
+        text = read_text(path, *args)
+        reads.append(path.name)
+        if len(reads) == 1:
+            (tmp_path / "a.toml").write_text("x = 222")
+            (tmp_path / "b.toml").write_text("y = 222")
+        if len(reads) == 3:
+            (tmp_path / "b.toml").unlink()
+        return text
+
+    monkeypatch.setattr(pathlib.Path, "read_text", change_both)
+    fake = platform.FakePlatform()
+    fake.publish_folder(tmp_path)
+    published = fake._newest("configuration")
+    assert published == {"a.toml": "x = 222"}
+
+
+def test_file_removed_and_put_back_gets_new_revisions(tmp_path):
+    """Guards against hosts that miss the second of two opposite changes."""
+    fake = platform.FakePlatform()
+    (tmp_path / "a.toml").write_text("x = 1")
+    (tmp_path / "b.toml").write_text("y = 1")
+    revisions = [fake.publish_folder(tmp_path)]
+    (tmp_path / "b.toml").rename(tmp_path / ".b")
+    revisions.append(fake.publish_folder(tmp_path))
+    (tmp_path / ".b").rename(tmp_path / "b.toml")
+    revisions.append(fake.publish_folder(tmp_path))
+    assert revisions == [1, 2, 3]
+    assert sorted(fake._newest("configuration")) == ["a.toml", "b.toml"]
+
+
 def test_values_above_the_limit_are_refused():
     """Guards against documents that the real platform would not take."""
     fake = platform.FakePlatform()
