Tell a new link what was announced before it

Cause: marks of leaving targets and strikes of crash-making requests were sent once, to the peers with a link at that moment. An entry whose link was down or that started later knew nothing of them, so a request could crash a third target. Ruled out: repeating announcements, which would cost control traffic without need. Expired strikes are dropped as well.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -408,6 +408,7 @@
         _LOG.info("peer_ready", peer=event.entry_id)
         self._peers_changed()
         self._spread.on_peer_linked(event.entry_id)
+        self._share_marks(event.entry_id)
 
     def _on_peer_lost(self, event: events.PeerLost) -> None:
         now_ms = self.clock.now_ms()
@@ -425,6 +426,16 @@
         if isinstance(self.policy, owner.OwnerPolicy):
             now_ms = self.clock.now_ms()
             self.policy.dispatcher.link_replaced(event.entry_id, now_ms)
+        self._share_marks(event.entry_id)
+
+    def _share_marks(self, peer_id: str) -> None:
+        """Tell a peer what was announced while there was no link to it."""
+        for target_id in self.membership.leaving_targets():
+            report = messages.TargetReport(target_id, "leaving")
+            self._links.send(peer_id, report)
+        now_ms = self.clock.now_ms()
+        for strike in self._executor.quarantine.strikes(now_ms):
+            self._links.send(peer_id, messages.CrashStrike(*strike))
 
     def _peers_changed(self) -> None:
         linked = [
@@ -523,7 +534,10 @@
             self._on_target_report(peer_id, message, now_ms)
         elif isinstance(message, messages.CrashStrike):
             self._executor.quarantine.strike(
-                message.fingerprint, message.target_id, now_ms
+                message.fingerprint,
+                message.target_id,
+                now_ms,
+                message.age_ms,
             )
         elif isinstance(self.policy, owner.OwnerPolicy):
             self._on_slot_message(peer_id, message, now_ms)
--- a/slatechute/membership.py
+++ b/slatechute/membership.py
@@ -124,6 +124,10 @@
             del self._leaving[next(iter(self._leaving))]
         return True
 
+    def leaving_targets(self) -> list[str]:
+        """Return the targets on the list that are known to leave."""
+        return [key for key in self._leaving if key in self._listed_targets]
+
     def targets_of(self, service: str) -> list[instances.Target]:
         """Return the targets of a service that may get work."""
         known = self._targets_by_service.get(service, {})
--- a/slatechute/quarantine.py
+++ b/slatechute/quarantine.py
@@ -39,18 +39,45 @@
     def __init__(self):
         self._strikes_by_fingerprint: dict[str, _Strikes] = {}
 
-    def strike(self, key: str, target_id: str, now_ms: float) -> None:
-        """Record that a target died while it ran the request."""
+    def strike(
+        self, key: str, target_id: str, now_ms: float, age_ms: float = 0.0
+    ) -> None:
+        """Record that a target died while it ran the request.
+
+        Args:
+            key: Fingerprint of the request.
+            target_id: The target.
+            now_ms: Current time.
+            age_ms: How long ago that was.
+        """
+        self._drop_expired(now_ms)
         strikes = self._strikes_by_fingerprint.pop(key, None)
         if strikes is None or strikes.until_ms <= now_ms:
             strikes = _Strikes(set(), 0.0)
         strikes.target_ids.add(target_id)
-        strikes.until_ms = now_ms + QUARANTINE_MS
+        until_ms = now_ms - max(0.0, age_ms) + QUARANTINE_MS
+        strikes.until_ms = max(strikes.until_ms, until_ms)
         self._strikes_by_fingerprint[key] = strikes
         if len(self._strikes_by_fingerprint) > _MAX_FINGERPRINTS:
             oldest = next(iter(self._strikes_by_fingerprint))
             del self._strikes_by_fingerprint[oldest]
 
+    def _drop_expired(self, now_ms: float) -> None:
+        while self._strikes_by_fingerprint:
+            key, strikes = next(iter(self._strikes_by_fingerprint.items()))
+            if strikes.until_ms > now_ms:
+                return
+            del self._strikes_by_fingerprint[key]
+
+    def strikes(self, now_ms: float) -> list[tuple[str, str, float]]:
+        """Return fingerprint, target and age in ms of all strikes in force."""
+        self._drop_expired(now_ms)
+        return [
+            (key, target_id, now_ms + QUARANTINE_MS - strikes.until_ms)
+            for key, strikes in self._strikes_by_fingerprint.items()
+            for target_id in sorted(strikes.target_ids)
+        ]
+
     def remaining_ms(self, key: str, now_ms: float) -> float:
         """Return how long the request stays refused, 0 when it is not."""
         strikes = self._strikes_by_fingerprint.get(key)
