--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -337,7 +337,8 @@
         """Find a slot for a request of this entry, now or later."""
         state = self._services.get(ticket.service)
         if state is None:
-            self._port.refused(ticket.number, errors.Reason.UNKNOWN_SERVICE)
+            # Configured, or it would not come this far, but not yet planned.
+            self._port.refused(ticket.number, errors.Reason.STARTING)
             return
         chosen = self._best_target(state, ticket, now_ms)
         if chosen is not None:
