--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -17,6 +17,7 @@
 from slatechute import membership
 from slatechute import messages
 from slatechute import metrics
+from slatechute import relay
 from slatechute import requests
 from slatechute import settings as entry_settings
 from slatechute.configuration import catch_up
@@ -116,7 +117,9 @@
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
         self._platform = platform
-        self._plans: dict[str, membership.ServicePlan] = {}
+        self._plans: dict[
+            str, tuple[membership.ServicePlan, models.Service]
+        ] = {}
         self._build()
         self._wire()
 
@@ -150,6 +153,7 @@
             self.metrics,
         )
         self._store = store.DocumentStore(self.bus)
+        self._relay = relay.AddressRelay(self.clock)
         self.metrics.bind_gauges(
             in_flight=lambda: self._callers.inflight,
             waiting=self._count_waiting,
@@ -331,8 +335,9 @@
         self._adopted_ms_by_name[platforms.CONFIGURATION] = now_ms
         self.metrics.configuration_adopted(event.revision)
         self._executor.set_rules(event.configuration.fleet)
-        if isinstance(self.policy, owner.OwnerPolicy):
-            for service in gone:
+        for service in gone:
+            self._plans.pop(service, None)
+            if isinstance(self.policy, owner.OwnerPolicy):
                 self.policy.dispatcher.remove_service(service)
         _LOG.info("configuration_in_force", revision=event.revision)
         self._set_peers()
@@ -413,6 +418,7 @@
             self.policy.dispatcher.peer_lost(event.entry_id, now_ms)
         _LOG.warning("peer_lost", peer=event.entry_id)
         self._spread.on_peer_lost(event.entry_id)
+        self._catch_up.lost(event.entry_id)
         self._peers_changed()
 
     def _on_link_replaced(self, event: events.LinkReplaced) -> None:
@@ -452,9 +458,14 @@
         if self._state == "starting":
             return
         now_ms = self.clock.now_ms()
-        for name, service in self._configuration.services.items():
+        services = self._configuration.services
+        self.membership.keep_services(services)
+        for name, service in services.items():
             plan = self.membership.plan(name)
-            self._plans[name] = plan
+            known = self._plans.get(name)
+            if known is not None and known == (plan, service):
+                continue
+            self._plans[name] = (plan, service)
             if isinstance(self.policy, owner.OwnerPolicy):
                 self.policy.dispatcher.set_service(
                     name,
@@ -503,6 +514,7 @@
             if (
                 isinstance(message, messages.DocumentDigest)
                 and message.name == platforms.CONFIGURATION
+                and not (message.digest and self._is_news(message))
             ):
                 self._catch_up.heard(peer_id)
         elif isinstance(message, messages.Heartbeat):
@@ -516,6 +528,10 @@
         elif isinstance(self.policy, owner.OwnerPolicy):
             self._on_slot_message(peer_id, message, now_ms)
 
+    def _is_news(self, message: messages.DocumentDigest) -> bool:
+        """Return whether the parts of a summary still have to be asked for."""
+        return self._store.is_wanted(message.name, message.revision)
+
     def _on_heartbeat(self, peer_id: str, message: messages.Heartbeat) -> None:
         if not message.revision:
             # A peer that has no document announces none.
@@ -576,12 +592,23 @@
         """Return the configuration in force."""
         return self._configuration
 
-    def addresses_for(self, service: str) -> list[dict[str, str]]:
+    async def addresses_for(
+        self, service: str, *, may_relay: bool
+    ) -> list[dict[str, str]]:
         """Return addresses with id prefixes, entries with most slots first.
 
-        Entries that start or leave are left out unless there is no other.
+        Entries that start or leave are left out unless there is no other. For
+        a service whose group this entry is not in, an entry of the group is
+        asked.
         """
-        plan = self._plans.get(service)
+        known = self._plans.get(service)
+        plan = known[0] if known else None
+        if may_relay and plan and self.settings.entry_id not in plan.group:
+            found = await self._relay.ask(
+                self._session, service, self._group_addresses(plan)
+            )
+            if found:
+                return found
         dispatching = plan.dispatcher_by_target.values() if plan else ()
         targets_by_entry: dict[str, int] = {}
         for entry_id in dispatching:
@@ -596,6 +623,16 @@
         found = [item for item in found if item is not None]
         return found or [self._address(self.settings.entry_id)]
 
+    def _group_addresses(self, plan: membership.ServicePlan) -> list[str]:
+        """Return the callers' addresses of a group, own data centre first."""
+        known = self.membership.entries()
+        members = [known[key] for key in plan.group if key in known]
+        members = [item for item in members if item.state != membership.LEAVING]
+        self._random.shuffle(members)
+        own = self.settings.data_centre
+        members.sort(key=lambda item: item.data_centre != own)
+        return [item.address for item in members]
+
     def _address(self, entry_id: str) -> dict[str, str] | None:
         if entry_id == self.settings.entry_id:
             prefix = identifiers.issue_prefix(self.boot_id, self.clock.now_ms())
