Work out the wanted peers once for each change

A starting entry ranked all entries for all services in each tick of 10 ms to see whether it had links with its peers.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -109,6 +109,7 @@
         self._catch_up = catch_up.CatchUp()
         self._current = asyncio.Event()
         self._neighbours: frozenset[str] = frozenset()
+        self._wanted: dict[str, str] = {}
         self._unlinked_since_ms: dict[str, float] = {}
         self._review_due_ms = 0.0
         self._cold_ids: frozenset[str] = frozenset()
@@ -298,7 +299,7 @@
         if not self._configuration.services:
             return
         if self._catch_up.poll(
-            self._wanted_peers(),
+            self._wanted,
             is_fetching=self._spread.is_fetching,
             now_ms=now_ms,
         ):
@@ -358,13 +359,11 @@
             self._catch_up.begin(self.clock.now_ms(), _SETTLE_MS)
         self._replan()
 
-    def _wanted_peers(self) -> dict[str, str]:
-        return self.membership.peer_addresses(
+    def _set_peers(self) -> None:
+        self._wanted = self.membership.peer_addresses(
             self._configuration.services, self._neighbours
         )
-
-    def _set_peers(self) -> None:
-        self._links.set_peers(self._wanted_peers())
+        self._links.set_peers(self._wanted)
 
     def _review_neighbours(self) -> None:
         """Choose the neighbours for documents among reachable entries.
