--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -118,7 +118,9 @@
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
         self._platform = platform
-        self._plans: dict[str, membership.ServicePlan] = {}
+        self._plans: dict[
+            str, tuple[membership.ServicePlan, models.Service]
+        ] = {}
         self._build()
         self._wire()
 
@@ -334,8 +336,9 @@
         self._adopted_ms_by_name[platforms.CONFIGURATION] = now_ms
         self.metrics.configuration_adopted(event.revision)
         self._executor.set_rules(event.configuration.fleet)
-        if isinstance(self.policy, owner.OwnerPolicy):
-            for service in gone:
+        for service in gone:
+            self._plans.pop(service, None)
+            if isinstance(self.policy, owner.OwnerPolicy):
                 self.policy.dispatcher.remove_service(service)
         _LOG.info("configuration_in_force", revision=event.revision)
         self._set_peers()
@@ -454,9 +457,14 @@
         if self._state == "starting":
             return
         now_ms = self.clock.now_ms()
-        for name, service in self._configuration.services.items():
+        services = self._configuration.services
+        self.membership.keep_services(services)
+        for name, service in services.items():
             plan = self.membership.plan(name)
-            self._plans[name] = plan
+            known = self._plans.get(name)
+            if known is not None and known == (plan, service):
+                continue
+            self._plans[name] = (plan, service)
             if isinstance(self.policy, owner.OwnerPolicy):
                 self.policy.dispatcher.set_service(
                     name,
@@ -505,6 +513,7 @@
             if (
                 isinstance(message, messages.DocumentDigest)
                 and message.name == platforms.CONFIGURATION
+                and not (message.digest and self._is_news(message))
             ):
                 self._catch_up.heard(peer_id)
         elif isinstance(message, messages.Heartbeat):
@@ -518,6 +527,10 @@
         elif isinstance(self.policy, owner.OwnerPolicy):
             self._on_slot_message(peer_id, message, now_ms)
 
+    def _is_news(self, message: messages.DocumentDigest) -> bool:
+        """Return whether the parts of a summary still have to be asked for."""
+        return self._store.is_wanted(message.name, message.revision)
+
     def _on_heartbeat(self, peer_id: str, message: messages.Heartbeat) -> None:
         if not message.revision:
             # A peer that has no document announces none.
@@ -587,7 +600,8 @@
         a service whose group this entry is not in, an entry of the group is
         asked.
         """
-        plan = self._plans.get(service)
+        known = self._plans.get(service)
+        plan = known[0] if known else None
         if may_relay and plan and self.settings.entry_id not in plan.group:
             found = await self._relay.ask(
                 self._session, service, self._group_addresses(plan)
@@ -659,6 +673,18 @@
             "instances": self._document_status(platforms.INSTANCES),
             "spread": self._spread_status(),
             "peers": peers,
+            "slots": self._slot_status(),
+        }
+
+    def _slot_status(self) -> dict[str, int]:
+        if not isinstance(self.policy, owner.OwnerPolicy):
+            return {}
+        dispatcher = self.policy.dispatcher
+        held, waiting = dispatcher.counts()
+        return {
+            "granted": dispatcher.granted(),
+            "held": held,
+            "waiting": waiting,
         }
 
     def _document_status(self, name: str) -> dict:
--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -1,5 +1,6 @@
 """HTTP server towards callers: addresses to use, and requests."""
 
+import asyncio
 import json
 import math
 from typing import Protocol
@@ -11,6 +12,7 @@
 from slatechute import exchange
 from slatechute import execution
 from slatechute import leases
+from slatechute import listener
 from slatechute import metrics
 from slatechute import relay
 from slatechute import requests
@@ -32,7 +34,13 @@
     "content-length",
 }
 _MAX_HEADER_BYTES = 16 * 1024
+# At `_MAX_HEADER_BYTES` each, the headers of a request take at most 1 MiB.
+_MAX_HEADERS = 64
 _KEEPALIVE_S = 75.0
+_BODY_LIMIT_S = 10.0
+# How long the rest of a refused body is read, so that the caller gets to see
+# the refusal.
+_LINGERING_S = 2.0
 _MAX_DEADLINE_MS = 600_000
 
 
@@ -90,13 +98,19 @@
         Raises:
             OSError: The address cannot be used.
         """
-        server = web.Server(
+        server = listener.CallerListener(
             self._handle,
+            max_connections=self._settings.max_connections,
+            refused=lambda reason: self._counters.refused(
+                reason, errors.Outcome.NOT_RUN, ""
+            ),
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=_KEEPALIVE_S,
             max_field_size=_MAX_HEADER_BYTES,
             max_line_size=_MAX_HEADER_BYTES,
+            max_headers=_MAX_HEADERS,
+            lingering_time=_LINGERING_S,
         )
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
@@ -109,29 +123,52 @@
             await self._runner.cleanup()
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
-        if http.path == "/entries" and _SERVICE_HEADER not in http.headers:
-            return await self._addresses(http)
-        service = _service_of(http)
-        self.inflight += 1
+        connection = http.protocol
+        connection.is_serving = True
+        connection.head_since_s = 0.0
+        service = ""
         try:
-            return await self._serve(http, service)
+            if connection.is_refused:
+                raise errors.RequestError(
+                    errors.Reason.OVERLOAD, errors.Step.ACCEPTED
+                )
+            if http.path == "/entries" and _SERVICE_HEADER not in http.headers:
+                service = http.query.get("service", "")
+                return await self._addresses(http, service)
+            service = _service_of(http)
+            self.inflight += 1
+            try:
+                return await self._serve(http, service)
+            finally:
+                self.inflight -= 1
         except errors.RequestError as error:
-            self._counters.refused(error.reason, error.outcome, service)
-            return _refusal(error)
+            return self._refuse(error, service, connection)
         finally:
-            self.inflight -= 1
+            connection.is_serving = False
+
+    def _refuse(
+        self,
+        error: errors.RequestError,
+        service: str,
+        connection: listener.Connection,
+    ) -> web.Response:
+        self._counters.refused(error.reason, error.outcome, service)
+        if error.reason is errors.Reason.DUPLICATE_REQUEST_ID:
+            self._counters.duplicate_refused()
+        response = _refusal(error)
+        if (
+            connection.is_refused
+            or error.reason is errors.Reason.REQUEST_TOO_SLOW
+        ):
+            response.force_close()
+        return response
 
-    async def _addresses(self, http: web.BaseRequest) -> web.Response:
-        service = http.query.get("service", "")
+    async def _addresses(
+        self, http: web.BaseRequest, service: str
+    ) -> web.Response:
         configuration = self._directory.configuration()
         if service not in configuration.services:
-            return _refusal(
-                errors.RequestError(
-                    errors.Reason.UNKNOWN_SERVICE,
-                    errors.Step.ADDRESS,
-                    status=404,
-                )
-            )
+            raise _unknown(configuration, errors.Step.ADDRESS)
         answer = {
             "service": service,
             "keep_ms": configuration.fleet.keep_ms,
@@ -162,16 +199,16 @@
         now_ms = self._clock.now_ms()
         if not self._directory.is_current():
             await self._directory.wait_current()
-        rules = self._directory.configuration().services.get(service)
+        configuration = self._directory.configuration()
+        rules = configuration.services.get(service)
         if rules is None:
-            raise errors.RequestError(
-                errors.Reason.UNKNOWN_SERVICE, errors.Step.ACCEPTED, status=404
-            )
+            raise _unknown(configuration, errors.Step.ACCEPTED)
         rule = rules.rule_for(http.method, http.path)
         headers = http.headers
         deadline_ms = _number(headers, _DEADLINE_HEADER, rule.deadline_ms)
         attempt = _number(headers, _ATTEMPT_HEADER, 0)
-        body = await self._body(http)
+        total_ms = min(deadline_ms, _MAX_DEADLINE_MS)
+        body = await self._body_until(http, total_ms)
         text = headers.get(_ID_HEADER, "")
         request_id = self._table.admit(text, rule.repeatable, now_ms)
         return requests.Request(
@@ -183,27 +220,40 @@
             body,
             rule,
             now_ms,
-            now_ms + min(deadline_ms, _MAX_DEADLINE_MS),
+            now_ms + total_ms,
             attempt,
         )
 
-    async def _body(self, http: web.BaseRequest) -> bytes:
-        limit = self._settings.max_body_bytes
+    async def _body_until(
+        self, http: web.BaseRequest, limit_ms: float
+    ) -> bytes:
+        """Read the body; a caller that stops sending must not stay for ever."""
         if not http.body_exists:
             return b""
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                return await self._body(http)
+        except TimeoutError as err:
+            raise errors.RequestError(
+                errors.Reason.DEADLINE, errors.Step.ACCEPTED, status=504
+            ) from err
+
+    async def _body(self, http: web.BaseRequest) -> bytes:
+        limit = self._settings.max_body_bytes
         too_large = errors.RequestError(
             errors.Reason.BODY_TOO_LARGE, errors.Step.ACCEPTED, status=413
         )
         if http.content_length is not None and http.content_length > limit:
             raise too_large
-        parts = []
-        size = 0
-        async for chunk in http.content.iter_any():
-            size += len(chunk)
-            if size > limit:
-                raise too_large
-            parts.append(chunk)
-        return b"".join(parts)
+        try:
+            async with asyncio.timeout(_BODY_LIMIT_S):
+                return await _read_body(http, limit, too_large)
+        except TimeoutError:
+            raise errors.RequestError(
+                errors.Reason.REQUEST_TOO_SLOW,
+                errors.Step.ACCEPTED,
+                status=408,
+            ) from None
 
     async def _pass_on(
         self,
@@ -221,17 +271,20 @@
             )
         response = web.StreamResponse(status=answer.status, headers=headers)
         result = leases.Result.CANCELLED
+        remaining_ms = request.deadline_ms - self._clock.now_ms()
         try:
-            await response.prepare(http)
-            async for chunk in answer.chunks():
-                await response.write(chunk)
-            await response.write_eof()
+            async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
+                await response.prepare(http)
+                async for chunk in answer.chunks():
+                    await response.write(chunk)
+                await response.write_eof()
             result = leases.Result.OK
         except exchange.ExchangeError:
-            # The caller must not take a cut answer for a whole one.
             result = leases.Result.FAILED
-            if http.transport is not None:
-                http.transport.abort()
+            self._cut(http, request, errors.Reason.CONNECTION_LOST)
+        except TimeoutError:
+            # The target is silent, or the caller does not read.
+            self._cut(http, request, errors.Reason.DEADLINE)
         finally:
             answer.close()
             run.finish(result)
@@ -239,6 +292,21 @@
             self._count_served(request, run)
         return response
 
+    def _cut(
+        self,
+        http: web.BaseRequest,
+        request: requests.Request,
+        reason: errors.Reason,
+    ) -> None:
+        """Close the caller's connection in the middle of an answer.
+
+        The caller must not take a cut answer for a whole one.
+        """
+        outcome = errors.Outcome.UNKNOWN
+        self._counters.refused(reason, outcome, request.service)
+        if http.transport is not None:
+            http.transport.abort()
+
     def _count_served(
         self, request: requests.Request, run: execution.Attempt
     ) -> None:
@@ -247,6 +315,29 @@
         self._counters.answered(total_ms / 1e3, added_ms / 1e3)
 
 
+def _unknown(
+    configuration: models.Configuration, step: errors.Step
+) -> errors.RequestError:
+    """Return the refusal of a service that is not configured."""
+    if not configuration.services:
+        # Restarted at an address that callers still keep.
+        return errors.RequestError(errors.Reason.STARTING, step)
+    return errors.RequestError(errors.Reason.UNKNOWN_SERVICE, step, status=404)
+
+
+async def _read_body(
+    http: web.BaseRequest, limit: int, too_large: errors.RequestError
+) -> bytes:
+    parts = []
+    size = 0
+    async for chunk in http.content.iter_any():
+        size += len(chunk)
+        if size > limit:
+            raise too_large
+        parts.append(chunk)
+    return b"".join(parts)
+
+
 def _service_of(http: web.BaseRequest) -> str:
     named = http.headers.get(_SERVICE_HEADER)
     return named or (http.host or "").split(".", 1)[0].split(":", 1)[0]
@@ -287,6 +378,8 @@
         "peer": error.peer,
         "retry_after_ms": error.retry_after_ms,
     }
+    if error.first_status is not None:
+        content["first_status"] = error.first_status
     headers = {
         exchange.OUTCOME_HEADER: error.outcome,
         "Slatechute-Reason": error.reason,
--- a/slatechute/configuration/store.py
+++ b/slatechute/configuration/store.py
@@ -145,6 +145,7 @@
     """Holds the documents in force and decides on offers; does no I/O."""
 
     def __init__(self, bus: events.EventBus):
+        self._instances_parser = instances.Parser()
         self._bus = bus
         self._slot_by_name = {name: _Slot() for name in NAMES}
 
@@ -162,6 +163,10 @@
         """Return the document in force."""
         return self._slot_by_name[name].document
 
+    def digest(self, name: str) -> str:
+        """Return the digest of the whole document in force."""
+        return self._slot_by_name[name].digest
+
     def digest_by_part(self, name: str) -> dict[str, str]:
         """Return the digests of the document in force."""
         return self._slot_by_name[name].digest_by_part
@@ -281,7 +286,7 @@
             if document.name == base.CONFIGURATION:
                 content = folder.build(document.text_by_part)
             else:
-                content = instances.parse(document)
+                content = self._instances_parser.parse(document)
         except errors.ConfigurationError as err:
             refusal = Refusal(
                 document.revision,
