Tell targets of further exchanges, and believe not-run on refusals only

Found by reading. A retry or hedge carried the attempt number of its caller, so services further down that pass the number on could not know of it, and their entries sent their calls again as well. And any answer with the header Slatechute-Outcome: not-run counted as not run, also a 200 of a target that passed on the headers of a refusal from further down; such a request could be sent a second time. Only 429 and 503 are refusals now.

--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -42,6 +42,9 @@
 BUFFERED_ANSWER_BYTES = 64 * 1024
 CONNECT_LIMIT_S = 0.25
 _CHUNK_BYTES = 64 * 1024
+# A target may pass on the headers of a refusal that it got itself from further
+# down; with another status it has run the request.
+_REFUSAL_STATUS = frozenset({429, 503})
 _IDLE_REPEATABLE_S = 15.0
 # A request that must not run twice only uses a connection that has answered
 # this short a time ago: an older one may have gone silent meanwhile.
@@ -204,7 +207,7 @@
         request: requests.Request,
         remaining_ms: float,
         *,
-        fresh: bool = False,
+        is_first: bool = True,
     ) -> Answer:
         """Send a request and return its answer once the headers are there.
 
@@ -212,19 +215,20 @@
             address: Host and port of the target.
             request: The request.
             remaining_ms: Time left until its deadline.
-            fresh: Use no connection that may have gone silent, also when the
-                request may run twice.
+            is_first: Whether this is the first exchange of the request. Others
+                use no connection that may have gone silent, and tell the
+                target, so that its own calls are not sent again as well.
 
         Raises:
             ExchangeError: There was no answer, or a short one was cut.
         """
-        may_be_silent = request.rule.repeatable and not fresh
+        may_be_silent = request.rule.repeatable and is_first
         session = self._kept if may_be_silent else self._fresh
         headers = [
             *request.headers,
             ("Slatechute-Request-Id", request.id),
             ("Slatechute-Deadline-Ms", str(max(1, int(remaining_ms)))),
-            ("Slatechute-Attempt", str(request.attempt)),
+            ("Slatechute-Attempt", str(request.attempt + (not is_first))),
         ]
         response = await session.request(
             request.method,
@@ -246,7 +250,8 @@
         response.status,
         [(k, v) for k, v in headers.items() if k.lower() not in HOP_BY_HOP],
         body,
-        headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN,
+        response.status in _REFUSAL_STATUS
+        and headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN,
         headers.get(TARGET_STATE_HEADER) == "leaving",
         response,
     )
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -497,7 +497,7 @@
                 self.lease.target.address,
                 self.request,
                 self.request.deadline_ms - now_ms,
-                fresh=not self.is_first,
+                is_first=self.is_first,
             )
         except exchange.ExchangeError as err:
             raise self._exchange_failed(err) from err
