--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 import multidict
 
+from slatechute import attempts
 from slatechute import errors
 from slatechute import exchange
 from slatechute import execution
@@ -259,7 +260,7 @@
         self,
         http: web.BaseRequest,
         request: requests.Request,
-        run: execution.Attempt,
+        run: attempts.Attempt,
     ) -> web.StreamResponse:
         answer = run.answer
         headers = multidict.CIMultiDict(answer.headers)
@@ -308,7 +309,7 @@
             http.transport.abort()
 
     def _count_served(
-        self, request: requests.Request, run: execution.Attempt
+        self, request: requests.Request, run: attempts.Attempt
     ) -> None:
         total_ms = self._clock.now_ms() - request.accepted_ms
         added_ms = max(0.0, total_ms - run.service_ms)
