--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -144,6 +144,11 @@
                 self.inflight -= 1
         except errors.RequestError as error:
             return self._refuse(error, service, connection)
+        except asyncio.CancelledError:
+            self._counters.refused(
+                errors.Reason.CALLER_GONE, errors.Outcome.UNKNOWN, service
+            )
+            raise
         finally:
             connection.is_serving = False
 
--- a/tests/faults/test_callers.py
+++ b/tests/faults/test_callers.py
@@ -30,6 +30,14 @@
         yield fleet
 
 
+async def _until_running(fleet, count):
+    async with asyncio.timeout(2):
+        while True:
+            if sum(t.running for t in fleet.all_targets) == count:
+                return
+            await asyncio.sleep(0.01)
+
+
 def _raw(fleet):
     host, port = fleet.entry_addresses[0].split(":")
     return asyncio.open_connection(host, int(port), limit=1 << 24)
@@ -85,6 +93,26 @@
     asyncio.run(scenario())
 
 
+def test_caller_that_leaves_cancels_its_request():
+    """Guards against work that goes on for a caller that is gone."""
+
+    async def scenario():
+        async with _one_entry() as fleet:
+            reader, writer = await _raw(fleet)
+            writer.write(f"{_POST}X-Work-Ms: 5000\r\n\r\n".encode())
+            await _until_running(fleet, 1)
+            writer.close()
+            await _until_running(fleet, 0)
+            metrics = fleet.applications[0].metrics
+            labels = {"outcome": "unknown", "service": "kit"}
+            assert (
+                metrics.value("refusals_total", reason="caller_gone", **labels)
+                == 1
+            )
+
+    asyncio.run(scenario())
+
+
 def test_body_that_stops_ends_at_the_deadline():
     """Guards against a silent caller that holds up a planned stop."""
 
