Give the two-choices baseline the reported load, and split status reports

The poller read a field that load reports do not have, and its task ended with the first answer, so the baseline compared its own exchanges only.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -18,6 +18,7 @@
 from slatechute import messages
 from slatechute import metrics
 from slatechute import relay
+from slatechute import reports
 from slatechute import requests
 from slatechute import settings as entry_settings
 from slatechute.configuration import catch_up
@@ -31,6 +32,7 @@
 from slatechute.platforms import http as http_platform
 from slatechute.policies import base as policies
 from slatechute.policies import baselines
+from slatechute.policies import load_poller
 from slatechute.policies import owner
 from slatechute.util import clock as clocks
 
@@ -57,7 +59,6 @@
 # A peer without a link for this long is no longer a neighbour for documents.
 _UNREACHABLE_MS = 1000.0
 _REVIEW_MS = 500.0
-_LOAD_POLL_S = 0.5
 
 
 class Application:
@@ -164,6 +165,13 @@
             settings, self.metrics, self.readiness, self.status
         )
 
+    def _all_targets(self) -> list[instances.Target]:
+        return [
+            target
+            for service in self._configuration.services
+            for target in self.membership.targets_of(service)
+        ]
+
     def _make_policy(self) -> policies.Policy:
         if self.settings.policy == "owner":
             return owner.OwnerPolicy(
@@ -219,7 +227,10 @@
         await self._spread.start()
         self._tasks.append(asyncio.create_task(self._tick()))
         if isinstance(self.policy, baselines.TwoChoices):
-            self._tasks.append(asyncio.create_task(self._poll_loads()))
+            poller = load_poller.LoadPoller(
+                self.policy, self._session, self.metrics, self._all_targets
+            )
+            self._tasks.append(asyncio.create_task(poller.run()))
         _LOG.info("entry_started", boot_id=self.boot_id)
 
     async def drain(self) -> bool:
@@ -669,15 +680,6 @@
 
     def status(self) -> dict:
         """Return what operators see of this entry."""
-        peers = [
-            {
-                "entry_id": peer.entry_id,
-                "reachable": peer.reachable,
-                "revision": peer.heartbeat.revision if peer.heartbeat else 0,
-                "digest": peer.heartbeat.digest if peer.heartbeat else "",
-            }
-            for peer in self._links.peers().values()
-        ]
         return {
             "entry_id": self.settings.entry_id,
             "boot_id": self.boot_id,
@@ -685,76 +687,22 @@
             "state": self._state,
             "configuration": self._document_status(platforms.CONFIGURATION),
             "instances": self._document_status(platforms.INSTANCES),
-            "spread": self._spread_status(),
-            "peers": peers,
+            "spread": reports.spread_report(self._spread.status()),
+            "peers": reports.peer_reports(self._links.peers().values()),
             "slots": self._slot_status(),
         }
 
-    def _slot_status(self) -> dict[str, int]:
-        if not isinstance(self.policy, owner.OwnerPolicy):
-            return {}
-        dispatcher = self.policy.dispatcher
-        held, waiting = dispatcher.counts()
-        return {
-            "granted": dispatcher.granted(),
-            "held": held,
-            "waiting": waiting,
-        }
-
     def _document_status(self, name: str) -> dict:
-        status = self._store.status()[name]
         adopted_ms = self._adopted_ms_by_name.get(name)
         age_s = None
         if adopted_ms is not None:
             age_s = round((self.clock.now_ms() - adopted_ms) / 1000, 3)
-        return {
-            "revision": status.revision or 0,
-            "digest": status.digest,
-            "newest_seen": status.highest_revision or 0,
-            "age_s": age_s,
-            "unconfirmed": status.unconfirmed,
-            "source": status.source,
-            "refused": [
-                {
-                    "revision": item.revision,
-                    "source": item.source,
-                    "problems": list(item.problems),
-                }
-                for item in status.refusals
-            ],
-            "offers": dict(status.count_by_verdict),
-        }
-
-    def _spread_status(self) -> dict:
-        status = self._spread.status()
-        return {
-            "is_reader": status.is_reader,
-            "neighbours": list(status.neighbours),
-            "platform_failures": status.failures_by_name,
-            "fetches": status.fetches,
-            "faults": status.count_by_fault,
-        }
-
-    # Baselines.
+        return reports.document_report(self._store.status()[name], age_s)
 
-    async def _poll_loads(self) -> None:
-        """Ask each target for its load, as entries without leases must."""
-        while True:
-            await asyncio.sleep(_LOAD_POLL_S)
-            for service in self._configuration.services:
-                for target in self.membership.targets_of(service):
-                    await self._poll_load(target)
-
-    async def _poll_load(self, target: instances.Target) -> None:
-        url = f"http://{target.address}/-/load"
-        try:
-            async with self._session.get(url) as response:
-                text = await response.text()
-                report = await response.json()
-        except (aiohttp.ClientError, TimeoutError):
-            return
-        self.metrics.probed(len(text))
-        self.policy.load_by_target[target.id] = float(report["load"])
+    def _slot_status(self) -> dict[str, int]:
+        if not isinstance(self.policy, owner.OwnerPolicy):
+            return {}
+        return reports.slot_report(self.policy.dispatcher)
 
 
 def _entry_of(peer: peers.Peer) -> instances.Entry:
