--- a/slatechute/fakes/platform.py
+++ b/slatechute/fakes/platform.py
@@ -9,8 +9,8 @@
 import time
 
 from aiohttp import web
-import logbook
 
+from slatechute import logs
 from slatechute.platforms import base
 
 __all__ = ["FakePlatform", "Instance"]
@@ -21,7 +21,7 @@
 _HISTORY_LENGTH = 64
 _CALLS_KEPT = 100_000
 
-_log = logbook.Logger(__name__)
+_log = logs.get_logger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,7 +210,9 @@
                 previous = None
                 if problem != str(err):
                     problem = str(err)
-                    _log.warning("folder {} not published: {}", path, err)
+                    _log.warning(
+                        "folder_not_published", path=str(path), error=str(err)
+                    )
             await asyncio.sleep(_POLL_S)
 
     def _set_part(self, part: str, rows: list[dict]) -> None:
