Count crashes that come together once, and bound saved-up retries

Crash-making requests. A kept connection that closes under a request, and a rack that takes down several targets at once, counted as strikes of whatever popular request ran there: two of them refused it everywhere for 60 s. A further target now only counts when its exchange began after the last strike, and an answer to the request clears its strikes.

Doubtful targets. With service times under 1 ms any delay of the process made all targets doubtful, so that requests waited 20 ms for nothing; there is a floor of 20 ms now.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -547,7 +547,8 @@
                 message.fingerprint,
                 message.target_id,
                 now_ms,
-                message.age_ms,
+                age_ms=message.age_ms,
+                duration_ms=message.duration_ms,
             )
         elif isinstance(self.policy, owner.OwnerPolicy):
             self._on_slot_message(peer_id, message, now_ms)
--- a/slatechute/benches/faults.py
+++ b/slatechute/benches/faults.py
@@ -550,8 +550,8 @@
             "runs": runs,
             "retries": tokens,
             "retries_over_requests": round(tokens / requests, 4),
-            # A budget holds the tokens of at most 200 requests at the start.
-            "bound": round(0.1 + 20 * self._plan.entries / requests, 4),
+            # 10% and the tokens that a budget starts with.
+            "bound": round(0.1 + 3 * self._plan.entries / requests, 4),
         }
 
     async def _measuring(
--- a/slatechute/budgets.py
+++ b/slatechute/budgets.py
@@ -7,8 +7,9 @@
     """Allow actions as a share of recent requests.
 
     Each request adds `ratio` tokens and each action takes one. The bucket holds
-    at most the tokens of `window` requests, so a quiet period does not save up
-    a burst. A few tokens at the start let the first requests be retried.
+    at most the tokens of `window` requests: with more, the time before a fault
+    saves up a burst, and retries exceed their share while it lasts. A few
+    tokens at the start let the first requests be retried.
 
     >>> budget = RatioBudget(0.5, initial=0)
     >>> budget.take()
@@ -18,7 +19,7 @@
     (True, False)
     """
 
-    def __init__(self, ratio: float, *, window: int = 200, initial: int = 3):
+    def __init__(self, ratio: float, *, window: int = 30, initial: int = 3):
         self.ratio = ratio
         self._window = window
         self._initial = initial
--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -150,15 +150,24 @@
         return None
 
     def _note_crash(
-        self, request: requests.Request, failure: attempts.AttemptError
+        self, run: attempts.Attempt, failure: attempts.AttemptError
     ) -> None:
         if not failure.crashed:
             return
-        key = request.fingerprint
+        key = run.request.fingerprint
         now_ms = self._clock.now_ms()
         for target_id in failure.target_ids:
-            self.quarantine.strike(key, target_id, now_ms)
-            self._announce(messages.CrashStrike(key, target_id))
+            self.quarantine.strike(
+                key, target_id, now_ms, duration_ms=run.service_ms
+            )
+            strike = messages.CrashStrike(
+                key, target_id, duration_ms=run.service_ms
+            )
+            self._announce(strike)
+
+    def _note_answer(self, run: attempts.Attempt) -> None:
+        if not self.quarantine.is_empty and run.answer.status < 500:
+            self.quarantine.clear(run.request.fingerprint)
 
     # One attempt.
 
@@ -168,14 +177,16 @@
         remaining_ms = request.deadline_ms - self._clock.now_ms()
         try:
             async with asyncio.timeout(max(0.0, remaining_ms) / 1000):
-                return await run.execute()
+                await run.execute()
         except attempts.AttemptError as failure:
-            self._note_crash(request, failure)
+            self._note_crash(run, failure)
             raise
         except TimeoutError as err:
             raise run.failed(
                 errors.Reason.DEADLINE, leases.Result.CANCELLED, status=504
             ) from err
+        self._note_answer(run)
+        return run
 
     async def _run_hedged(
         self,
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -203,6 +203,7 @@
     fingerprint: str
     target_id: str
     age_ms: float = 0.0
+    duration_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/slatechute/quarantine.py
+++ b/slatechute/quarantine.py
@@ -1,6 +1,7 @@
 """Requests that crash the targets that run them."""
 
 import dataclasses
+import math
 
 import xxhash
 
@@ -22,16 +23,21 @@
 class _Strikes:
     target_ids: set[str]
     until_ms: float
+    last_ms: float
 
 
 class Quarantine:
     """Counts targets that died under a request, by its fingerprint.
 
+    A rack that fails takes down several targets that run the same popular
+    request. So a further target only counts when the exchange with it began
+    after the last strike, and an answer to the request clears its strikes.
+
     >>> quarantine = Quarantine()
     >>> quarantine.strike("f", "t1", now_ms=0)
     >>> quarantine.remaining_ms("f", now_ms=1)
     0.0
-    >>> quarantine.strike("f", "t2", now_ms=10.0)
+    >>> quarantine.strike("f", "t2", now_ms=10.0, duration_ms=5.0)
     >>> quarantine.remaining_ms("f", now_ms=10.0)
     60000.0
     """
@@ -40,7 +46,13 @@
         self._strikes_by_fingerprint: dict[str, _Strikes] = {}
 
     def strike(
-        self, key: str, target_id: str, now_ms: float, age_ms: float = 0.0
+        self,
+        key: str,
+        target_id: str,
+        now_ms: float,
+        *,
+        age_ms: float = 0.0,
+        duration_ms: float = 0.0,
     ) -> None:
         """Record that a target died while it ran the request.
 
@@ -49,13 +61,17 @@
             target_id: The target.
             now_ms: Current time.
             age_ms: How long ago that was.
+            duration_ms: How long the exchange had lasted then.
         """
         self._drop_expired(now_ms)
+        struck_ms = now_ms - max(0.0, age_ms)
         strikes = self._strikes_by_fingerprint.pop(key, None)
         if strikes is None or strikes.until_ms <= now_ms:
-            strikes = _Strikes(set(), 0.0)
-        strikes.target_ids.add(target_id)
-        until_ms = now_ms - max(0.0, age_ms) + QUARANTINE_MS
+            strikes = _Strikes(set(), 0.0, -math.inf)
+        if struck_ms - duration_ms > strikes.last_ms:
+            strikes.target_ids.add(target_id)
+            strikes.last_ms = struck_ms
+        until_ms = strikes.last_ms + QUARANTINE_MS
         strikes.until_ms = max(strikes.until_ms, until_ms)
         self._strikes_by_fingerprint[key] = strikes
         if len(self._strikes_by_fingerprint) > _MAX_FINGERPRINTS:
@@ -70,14 +86,24 @@
             del self._strikes_by_fingerprint[key]
 
     def strikes(self, now_ms: float) -> list[tuple[str, str, float]]:
-        """Return fingerprint, target and age in ms of all strikes in force."""
+        """Return fingerprint, target and age in ms of all strikes in force.
+
+        The ages of one request differ by 1 ms, so that the receiver takes each
+        strike for a later one.
+        """
         self._drop_expired(now_ms)
         return [
-            (key, target_id, now_ms + QUARANTINE_MS - strikes.until_ms)
+            (key, target_id, now_ms - strikes.last_ms + further)
             for key, strikes in self._strikes_by_fingerprint.items()
-            for target_id in sorted(strikes.target_ids)
+            for further, target_id in reversed(
+                list(enumerate(sorted(strikes.target_ids)))
+            )
         ]
 
+    def clear(self, key: str) -> None:
+        """Forget the strikes of a request that a target has answered."""
+        self._strikes_by_fingerprint.pop(key, None)
+
     def remaining_ms(self, key: str, now_ms: float) -> float:
         """Return how long the request stays refused, 0 when it is not."""
         strikes = self._strikes_by_fingerprint.get(key)
--- a/slatechute/targets.py
+++ b/slatechute/targets.py
@@ -21,6 +21,9 @@
 # An exchange that lasts this many medians speaks for a slow target before any
 # average can: slow phases are shorter than a few exchanges.
 _OVERDUE_FACTOR = 4.0
+# Below this a delay says more of this process than of the target: with service
+# times under 1 ms all targets were doubted, and requests waited for nothing.
+_MIN_OVERDUE_MS = 20.0
 _MIN_HOLD_MS = 5.0
 _FAILURES_TO_EJECT = 3
 _EJECT_MS = 1000.0
@@ -96,7 +99,8 @@
         oldest = next(iter(self.leases_by_id.values()), None)
         if oldest is None or oldest.bulk:
             return False
-        return now_ms - oldest.granted_ms > _OVERDUE_FACTOR * median_ms
+        limit_ms = max(_MIN_OVERDUE_MS, _OVERDUE_FACTOR * median_ms)
+        return now_ms - oldest.granted_ms > limit_ms
 
     def is_doubtful(self, now_ms: float, median_ms: float) -> bool:
         """Return whether other targets should be used first."""
