Try a target again when all others have refused as not run

The first exchange ran into the connect limit of 250 ms, the second was shed, and the request ended as not run although the first target had connected again: a target was excluded for the rest of the request. The new test fails without the change.

--- a/slatechute/execution.py
+++ b/slatechute/execution.py
@@ -83,8 +83,12 @@
                 may_have_run = may_have_run or failure.may_have_run
                 excluded |= failure.target_ids
                 error = failure.error
+                has_target = self._parts.policy.has_target
+                if not has_target(request.service, excluded):
+                    # All were tried; the earlier ones may do by now.
+                    excluded = set(failure.target_ids)
                 # A retry without another target would wait until its deadline.
-                if self._parts.policy.has_target(request.service, excluded):
+                if has_target(request.service, excluded):
                     error = self._reason_to_end(
                         request, failure, attempt, retries
                     )
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -127,6 +127,24 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_target_that_did_not_connect_is_tried_again(repeatable):
+    """Guards against giving up while the first of two targets works again."""
+
+    async def scenario(setup):
+        await setup.proxies[0].refuse(True)
+        setup.targets[1].shedding = True
+        setup.proxies[1].to_upstream.latency_ms = 100
+        request = setup.request(repeatable=repeatable)
+        attempt = asyncio.create_task(setup.executor.execute(request))
+        await asyncio.sleep(0.03)
+        await setup.proxies[0].refuse(False)
+        assert (await attempt).answer.status == 200
+        assert setup.runs() == 1
+
+    _run(scenario)
+
+
 def test_lost_answer_does_not_run_a_request_twice():
     """Guards against a retry of what may have run."""
 
