--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -506,8 +506,12 @@
             # Neither data nor the end of the connection passes any more.
             silent.transport.pause_reading()
             silent.transport.write = lambda data: None
+            # The other end finds the silence in the same beat and would end the
+            # connection first.
+            abort, silent.transport.abort = silent.transport.abort, lambda: None
             await _until(lambda: events.PeerLost("e2") in one.events, 1.0)
             assert one.failures(_Fault.SILENT) == 1
+            abort()
             await _linked(one, two)
             assert one.events[-1] == events.PeerReady("e2")
             assert two.links._connection_by_id["e1"] is not silent
