End the processes of a bench on SIGTERM

asyncio handles SIGINT only, so a bench that was ended left its entries and targets behind, where they disturbed the next measurement.

--- a/slatechute/commands/base.py
+++ b/slatechute/commands/base.py
@@ -1,13 +1,19 @@
 """Behaviour that the commands share."""
 
+import asyncio
+from collections.abc import Coroutine
 import enum
 import json
-from typing import Any
+import signal
+import sys
+from typing import Any, TypeVar
 
 from cleo.commands import command as cleo_command
 from cleo.io.outputs import output
 
-__all__ = ["Command", "ExitStatus"]
+__all__ = ["Command", "ExitStatus", "run_cancellable"]
+
+_T = TypeVar("_T")
 
 
 class ExitStatus(enum.IntEnum):
@@ -54,3 +60,18 @@
                 for cell, width in zip(row, widths, strict=True)
             )
             self.print("  ".join(cells).rstrip())
+
+
+def run_cancellable(work: Coroutine[Any, Any, _T]) -> _T:
+    """Run work that SIGTERM cancels, so that it ends its own processes."""
+
+    async def main() -> _T:
+        cancel = asyncio.current_task().cancel
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, cancel)
+        return await work
+
+    try:
+        return asyncio.run(main())
+    except asyncio.CancelledError:
+        sys.exit(ExitStatus.NEGATIVE)
--- a/slatechute/commands/bench_capacity.py
+++ b/slatechute/commands/bench_capacity.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench capacity`."""
 
-import asyncio
 import json
 from typing import ClassVar
 
@@ -56,7 +55,7 @@
         ):
             raise errors.SettingsError("sizes out of range")
         bench = capacity.CapacityBench(capacity.Plan(sizes), self._report)
-        self.print(json.dumps(asyncio.run(bench.run())))
+        self.print(json.dumps(base.run_cancellable(bench.run())))
         return base.ExitStatus.OK
 
     def _report(self, figures: dict) -> None:
--- a/slatechute/commands/bench_dispatch.py
+++ b/slatechute/commands/bench_dispatch.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench dispatch`."""
 
-import asyncio
 import dataclasses
 import json
 from typing import ClassVar
@@ -83,7 +82,7 @@
         if not 1 <= plan.entries <= 64 or not 1 <= plan.seconds <= 600:
             raise errors.SettingsError("entries or seconds out of range")
         bench = dispatch.DispatchBench(plan, self._report)
-        self.print_json(asyncio.run(bench.run()))
+        self.print_json(base.run_cancellable(bench.run()))
         return base.ExitStatus.OK
 
     def _report(self, run: dispatch.Run) -> None:
--- a/slatechute/commands/bench_faults.py
+++ b/slatechute/commands/bench_faults.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench faults`."""
 
-import asyncio
 import json
 from typing import ClassVar
 
@@ -97,10 +96,10 @@
             raise errors.SettingsError(f"no measurement {only!r}")
         if only:
             measurement = faults.Measurements(plan, seconds)
-            self.print(json.dumps(asyncio.run(measurement.run(only))))
+            self.print(json.dumps(base.run_cancellable(measurement.run(only))))
             return base.ExitStatus.OK
         bench = faults.FaultsBench(plan, self._report)
-        found = asyncio.run(bench.run())
+        found = base.run_cancellable(bench.run())
         self.print(json.dumps(found))
         ok = found["ok"]
         return base.ExitStatus.OK if ok else base.ExitStatus.NEGATIVE
--- a/slatechute/commands/bench_overhead.py
+++ b/slatechute/commands/bench_overhead.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench overhead`."""
 
-import asyncio
 import json
 from typing import ClassVar
 
@@ -65,7 +64,7 @@
         if not 0 <= plan.work_ms <= 1000:
             raise errors.SettingsError("work-ms out of range")
         bench = overhead.OverheadBench(plan, self._report)
-        self.print(json.dumps(asyncio.run(bench.run())))
+        self.print(json.dumps(base.run_cancellable(bench.run())))
         return base.ExitStatus.OK
 
     def _report(self, run: dict) -> None:
--- a/slatechute/commands/bench_reverts.py
+++ b/slatechute/commands/bench_reverts.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench reverts`."""
 
-import asyncio
 import json
 from typing import ClassVar
 
@@ -55,7 +54,9 @@
             raise errors.SettingsError(str(error)) from None
         if not 2 <= plan.entries <= 32 or not 1 <= plan.changes <= 2000:
             raise errors.SettingsError("entries or changes out of range")
-        result = asyncio.run(reverts.RevertsBench(plan, self._report).run())
+        result = base.run_cancellable(
+            reverts.RevertsBench(plan, self._report).run()
+        )
         self.print_json(result)
         if result["clean"]:
             return base.ExitStatus.OK
--- a/slatechute/commands/bench_spread.py
+++ b/slatechute/commands/bench_spread.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench spread`."""
 
-import asyncio
 import json
 from typing import ClassVar
 
@@ -81,7 +80,7 @@
         if not 1 <= plan.changes <= 500 or not 1 <= plan.seconds <= 120:
             raise errors.SettingsError("changes or seconds out of range")
         bench = spread.SpreadBench(plan, self._report)
-        self.print_json(asyncio.run(bench.run()))
+        self.print_json(base.run_cancellable(bench.run()))
         return base.ExitStatus.OK
 
     def _report(self, result: dict) -> None:
--- a/slatechute/commands/demo.py
+++ b/slatechute/commands/demo.py
@@ -1,6 +1,5 @@
 """Command `slatechute demo`."""
 
-import asyncio
 from typing import ClassVar
 
 from cleo import helpers
@@ -55,7 +54,7 @@
         entries = self._number("entries", 1, 24)
         seed = self._number("seed", 0, 10**6)
         logs.setup(level="error")
-        summary = asyncio.run(self._run(seconds, rate, entries, seed))
+        summary = base.run_cancellable(self._run(seconds, rate, entries, seed))
         self._print_summary(summary)
         if summary.is_clean:
             return base.ExitStatus.OK
