Keep to the configured connections of a target, drop settings without effect

services.*.connections was read by nobody: each entry held up to 9 connections in each of two pools, whatever the service allowed, so 18 entries could hold 324 of 220. The share of an entry is now the limit by the size of the entry group, half for each pool; the setting target_connections is gone.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -137,7 +137,7 @@
             metrics=self.metrics,
         )
         self.policy = self._make_policy()
-        self._client = exchange.TargetClient(settings.target_connections)
+        self._client = exchange.TargetClient(self._connection_share)
         self._executor = execution.Executor(
             self.policy,
             self._client,
@@ -165,6 +165,14 @@
             settings, self.metrics, self.readiness, self.status
         )
 
+    def _connection_share(self, service: str) -> int:
+        """Return the connections to a target that fall to this entry."""
+        known = self._plans.get(service)
+        rules = self._configuration.services.get(service)
+        if known is None or rules is None:
+            return 1
+        return rules.connections // max(1, len(known[0].group))
+
     def _all_targets(self) -> list[instances.Target]:
         return [
             target
@@ -207,7 +215,6 @@
         Raises:
             OSError: An address cannot be used.
         """
-        await self._client.start()
         self._session = aiohttp.ClientSession()
         if self._platform is None:
             self._platform = http_platform.HttpPlatform(
--- a/slatechute/benches/overhead.py
+++ b/slatechute/benches/overhead.py
@@ -132,7 +132,6 @@
     async def _with_fleet(self, work_ms: float, part: Callable) -> dict:
         fleet = processes.ProcessFleet(
             self._deployment,
-            flags={"target-connections": str(_SLOTS)},
             work_ms=work_ms,
             fixed_work=True,
             seed=self._plan.seed,
--- a/slatechute/budgets.py
+++ b/slatechute/budgets.py
@@ -1,6 +1,6 @@
-"""Budgets that bound retries, hedges and probes."""
+"""Budgets that bound retries and hedges."""
 
-__all__ = ["RateBudget", "RatioBudget"]
+__all__ = ["RatioBudget"]
 
 
 class RatioBudget:
@@ -36,28 +36,3 @@
             return False
         self._tokens -= 1
         return True
-
-
-class RateBudget:
-    """Allow actions at a rate; starts empty, so a restart gives no burst.
-
-    >>> budget = RateBudget(per_s=2, now_ms=0)
-    >>> budget.take(100), budget.take(500), budget.take(600)
-    (False, True, False)
-    """
-
-    def __init__(self, per_s: float, now_ms: float, *, burst: float = 1.0):
-        self.per_s = per_s
-        self._burst = burst
-        self._tokens = 0.0
-        self._updated_ms = now_ms
-
-    def take(self, now_ms: float) -> bool:
-        """Use one token; return whether there was one."""
-        elapsed_s = max(0.0, now_ms - self._updated_ms) / 1000
-        self._updated_ms = now_ms
-        self._tokens = min(self._burst, self._tokens + elapsed_s * self.per_s)
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
--- a/slatechute/configuration/models.py
+++ b/slatechute/configuration/models.py
@@ -39,13 +39,11 @@
         keep_ms: How long callers may keep an address answer.
         retry_ratio: Retries allowed for each recent request.
         hedge_ratio: Hedged exchanges allowed for each recent request.
-        measure_per_target_s: Probes a second for each target, whole fleet.
     """
 
     keep_ms: int = pydantic.Field(default=2000, ge=100, le=60_000)
     retry_ratio: float = pydantic.Field(default=0.1, ge=0, le=1)
     hedge_ratio: float = pydantic.Field(default=0.05, ge=0, le=1)
-    measure_per_target_s: float = pydantic.Field(default=0.2, ge=0, le=10)
 
 
 class Route(_Model):
--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -1,7 +1,7 @@
 """HTTP exchanges with targets over aiohttp."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 import dataclasses
 import socket
 
@@ -150,27 +150,40 @@
 class TargetClient:
     """Connections of this entry to all targets."""
 
-    def __init__(self, connections_per_target: int):
-        self._limit = connections_per_target
-        self._kept: aiohttp.ClientSession | None = None
-        self._fresh: aiohttp.ClientSession | None = None
-        self._url_by_address: dict[str, yarl.URL] = {}
+    def __init__(self, share_of: Callable[[str], int]):
+        """Create the client.
 
-    async def start(self) -> None:
-        """Open the connection pools."""
-        self._kept = self._session(_IDLE_REPEATABLE_S)
-        self._fresh = self._session(_IDLE_ONCE_S)
+        Args:
+            share_of: Returns how many connections to each target of a service
+                this entry may hold.
+        """
+        self._share_of = share_of
+        # Pools by idle time and limit: services with the same share, nearly
+        # always all of a deployment, have theirs in common.
+        self._session_by_kind: dict[
+            tuple[float, int], aiohttp.ClientSession
+        ] = {}
+        self._url_by_address: dict[str, yarl.URL] = {}
 
     async def stop(self) -> None:
         """Close all connections."""
-        for session in (self._kept, self._fresh):
-            if session is not None:
-                await session.close()
-
-    def _session(self, idle_s: float) -> aiohttp.ClientSession:
+        for session in self._session_by_kind.values():
+            await session.close()
+
+    def _session(self, service: str, idle_s: float) -> aiohttp.ClientSession:
+        # Repeatable requests and others have pools of their own, which share
+        # what this entry may hold.
+        limit = max(1, self._share_of(service) // 2)
+        session = self._session_by_kind.get((idle_s, limit))
+        if session is None:
+            session = self._new_session(idle_s, limit)
+            self._session_by_kind[idle_s, limit] = session
+        return session
+
+    def _new_session(self, idle_s: float, limit: int) -> aiohttp.ClientSession:
         connector = aiohttp.TCPConnector(
             limit=0,
-            limit_per_host=self._limit,
+            limit_per_host=limit,
             keepalive_timeout=idle_s,
             use_dns_cache=False,
             socket_factory=_socket,
@@ -223,7 +236,8 @@
             ExchangeError: There was no answer, or a short one was cut.
         """
         may_be_silent = request.rule.repeatable and is_first
-        session = self._kept if may_be_silent else self._fresh
+        idle_s = _IDLE_REPEATABLE_S if may_be_silent else _IDLE_ONCE_S
+        session = self._session(request.service, idle_s)
         headers = [
             *request.headers,
             ("Slatechute-Request-Id", request.id),
--- a/slatechute/settings.py
+++ b/slatechute/settings.py
@@ -100,7 +100,6 @@
         spread_degree: Neighbours that documents are sent to.
         max_body_bytes: Largest request body.
         max_connections: Callers' connections accepted at a time.
-        target_connections: Connections of this entry to one target.
         request_table_size: Request ids kept to recognise resends.
         drain_limit_ms: Longest time a planned stop waits for work in flight.
         log_level: Lowest level of the log lines on standard error.
@@ -132,7 +131,6 @@
     spread_degree: int = pydantic.Field(default=6, ge=1, le=64)
     max_body_bytes: int = pydantic.Field(default=1 << 20, ge=0, le=1 << 28)
     max_connections: int = pydantic.Field(default=10_000, ge=1)
-    target_connections: int = pydantic.Field(default=9, ge=1, le=10_000)
     request_table_size: int = pydantic.Field(default=200_000, ge=1)
     drain_limit_ms: int = pydantic.Field(default=600_000, ge=0)
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,6 +8,7 @@
 from slatechute import exchange
 from slatechute import requests
 from slatechute.configuration import models
+from slatechute.fakes import target as fakes
 
 
 def _exchange(status: int, *, is_first: bool) -> tuple[exchange.Answer, dict]:
@@ -24,8 +25,7 @@
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         host, port = runner.addresses[0]
-        client = exchange.TargetClient(2)
-        await client.start()
+        client = exchange.TargetClient(lambda service: 4)
         rule = models.RequestRule(True, False, 1000)
         request = requests.Request(
             "e.1.1", "plans", "GET", "/", [], b"", rule, 0.0, 1000.0, 2
@@ -56,3 +56,34 @@
     """Guards against headers that a target passes on from further down."""
     answer, _ = _exchange(status, is_first=True)
     assert answer.not_run is not_run
+
+
+@pytest.mark.parametrize("share", [4, 10])
+def test_entry_keeps_to_its_share_of_connections(share):
+    """Guards against more connections than a target accepts from the fleet."""
+    most = 0
+
+    async def main() -> None:
+        nonlocal most
+        target = fakes.FakeTarget(
+            fakes.TargetSettings(slots=50, work_ms=20, fixed_work=True)
+        )
+        await target.start()
+        client = exchange.TargetClient(lambda service: share)
+        sends = []
+        for number in range(40):
+            rule = models.RequestRule(number % 2 == 0, False, 5000)
+            request = requests.Request(
+                f"e.1.{number}", "s", "GET", "/", [], b"", rule, 0.0, 5000.0
+            )
+            sends.append(client.send(target.address, request, 5000.0))
+        done = asyncio.gather(*sends)
+        while not done.done():
+            most = max(most, target.connections)
+            await asyncio.sleep(0.002)
+        await done
+        await client.stop()
+        await target.stop()
+
+    asyncio.run(main())
+    assert 2 <= most <= share
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -84,8 +84,7 @@
                 )
             )
         clock = clocks.MonotonicClock()
-        client = exchange.TargetClient(10)
-        await client.start()
+        client = exchange.TargetClient(lambda service: 20)
         stack.push_async_callback(client.stop)
         counters = metrics.Metrics()
         executor = execution.Executor(
