Match the answers of a bench node with the calls

It cancels its task that asks for the list of targets; when that was between command and answer, the next call took the list for its own answer. Calls are numbered now and late answers are dropped. Ruled out: a fault of the entries.

--- a/slatechute/benches/node.py
+++ b/slatechute/benches/node.py
@@ -1,7 +1,7 @@
 """Process of a bench: targets or callers, driven by JSON lines.
 
 Commands arrive on standard input, one JSON object a line; each is answered by
-one line on standard output. The process ends with its input.
+one line on standard output with its number. The process ends with its input.
 """
 
 import asyncio
@@ -290,11 +290,12 @@
     )
     while line := await reader.readline():
         command = json.loads(line)
+        number = command.pop("call")
         method = getattr(node, command.pop("op"))
         answer = method(**command)
         if asyncio.iscoroutine(answer):
             answer = await answer
-        print(json.dumps(answer), flush=True)
+        print(json.dumps([number, answer]), flush=True)
 
 
 def main(kind: str) -> None:
--- a/slatechute/benches/processes.py
+++ b/slatechute/benches/processes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import signal
@@ -41,6 +42,7 @@
         self._kind = kind
         self._process: asyncio.subprocess.Process | None = None
         self._lock = asyncio.Lock()
+        self._numbers = itertools.count(1)
 
     async def start(self) -> None:
         """Start the process."""
@@ -61,13 +63,18 @@
             EOFError: The process has ended.
         """
         async with self._lock:
-            line = json.dumps({"op": op, **arguments}) + "\n"
+            number = next(self._numbers)
+            line = json.dumps({"op": op, "call": number, **arguments}) + "\n"
             self._process.stdin.write(line.encode())
             await self._process.stdin.drain()
-            answer = await self._process.stdout.readline()
-            if not answer:
-                raise EOFError(f"bench node {self._kind} has ended")
-            return json.loads(answer)
+            while True:
+                answer = await self._process.stdout.readline()
+                if not answer:
+                    raise EOFError(f"bench node {self._kind} has ended")
+                answered, result = json.loads(answer)
+                # The answer to a call that was cancelled comes first.
+                if answered == number:
+                    return result
 
     async def stop(self) -> None:
         """End the process."""
