--- a/slatechute/dispatcher.py
+++ b/slatechute/dispatcher.py
@@ -81,7 +81,6 @@
         self._port = port
         self._services: dict[str, service_slots.ServiceSlots] = {}
         self._ticket_by_key: dict[tuple[str, int], tickets.Ticket] = {}
-        self._service_by_lease: dict[int, str] = {}
         self._held_by_id: dict[int, leases.Lease] = {}
         self._dispatcher_by_target: dict[str, str] = {}
         self._target_by_id: dict[str, instances.Target] = {}
