--- a/slatechute/commands/base.py
+++ b/slatechute/commands/base.py
@@ -51,6 +51,10 @@
         for line in json.dumps(value, indent=1).splitlines():
             self.print(line)
 
+    def report(self, value: Any) -> None:
+        """Write progress as a line of JSON to standard error."""
+        self.line_error(json.dumps(value))
+
     def print_columns(self, rows: list[list[str]]) -> None:
         """Write rows as aligned columns."""
         widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
--- a/slatechute/commands/bench_capacity.py
+++ b/slatechute/commands/bench_capacity.py
@@ -54,9 +54,6 @@
             for size in sizes
         ):
             raise errors.SettingsError("sizes out of range")
-        bench = capacity.CapacityBench(capacity.Plan(sizes), self._report)
+        bench = capacity.CapacityBench(capacity.Plan(sizes), self.report)
         self.print(json.dumps(base.run_cancellable(bench.run())))
         return base.ExitStatus.OK
-
-    def _report(self, figures: dict) -> None:
-        self.line_error(json.dumps(figures))
--- a/slatechute/commands/bench_dispatch.py
+++ b/slatechute/commands/bench_dispatch.py
@@ -1,7 +1,6 @@
 """Command `slatechute bench dispatch`."""
 
 import dataclasses
-import json
 from typing import ClassVar
 
 from cleo import helpers
@@ -86,4 +85,4 @@
         return base.ExitStatus.OK
 
     def _report(self, run: dispatch.Run) -> None:
-        self.line_error(json.dumps(dataclasses.asdict(run)))
+        self.report(dataclasses.asdict(run))
--- a/slatechute/commands/bench_faults.py
+++ b/slatechute/commands/bench_faults.py
@@ -98,11 +98,8 @@
             measurement = faults.Measurements(plan, seconds)
             self.print(json.dumps(base.run_cancellable(measurement.run(only))))
             return base.ExitStatus.OK
-        bench = faults.FaultsBench(plan, self._report)
+        bench = faults.FaultsBench(plan, self.report)
         found = base.run_cancellable(bench.run())
         self.print(json.dumps(found))
         ok = found["ok"]
         return base.ExitStatus.OK if ok else base.ExitStatus.NEGATIVE
-
-    def _report(self, run: dict) -> None:
-        self.line_error(json.dumps(run))
--- a/slatechute/commands/bench_overhead.py
+++ b/slatechute/commands/bench_overhead.py
@@ -63,9 +63,6 @@
             raise errors.SettingsError("pairs or seconds out of range")
         if not 0 <= plan.work_ms <= 1000:
             raise errors.SettingsError("work-ms out of range")
-        bench = overhead.OverheadBench(plan, self._report)
+        bench = overhead.OverheadBench(plan, self.report)
         self.print(json.dumps(base.run_cancellable(bench.run())))
         return base.ExitStatus.OK
-
-    def _report(self, run: dict) -> None:
-        self.line_error(json.dumps(run))
--- a/slatechute/commands/bench_reverts.py
+++ b/slatechute/commands/bench_reverts.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench reverts`."""
 
-import json
 from typing import ClassVar
 
 from cleo import helpers
@@ -55,12 +54,9 @@
         if not 2 <= plan.entries <= 32 or not 1 <= plan.changes <= 2000:
             raise errors.SettingsError("entries or changes out of range")
         result = base.run_cancellable(
-            reverts.RevertsBench(plan, self._report).run()
+            reverts.RevertsBench(plan, self.report).run()
         )
         self.print_json(result)
         if result["clean"]:
             return base.ExitStatus.OK
         return base.ExitStatus.NEGATIVE
-
-    def _report(self, progress: dict) -> None:
-        self.line_error(json.dumps(progress))
--- a/slatechute/commands/bench_spread.py
+++ b/slatechute/commands/bench_spread.py
@@ -1,6 +1,5 @@
 """Command `slatechute bench spread`."""
 
-import json
 from typing import ClassVar
 
 from cleo import helpers
@@ -79,9 +78,6 @@
             raise errors.SettingsError("entries or sizes out of range")
         if not 1 <= plan.changes <= 500 or not 1 <= plan.seconds <= 120:
             raise errors.SettingsError("changes or seconds out of range")
-        bench = spread.SpreadBench(plan, self._report)
+        bench = spread.SpreadBench(plan, self.report)
         self.print_json(base.run_cancellable(bench.run()))
         return base.ExitStatus.OK
-
-    def _report(self, result: dict) -> None:
-        self.line_error(json.dumps(result))
