Serve the users' platform through a gateway entry and an adapter

Cause: callers of the platform choose an entry by themselves and name a host and a path; the store lists targets but no entries.

The package slatechute.gateway holds routes by host and prefix, the view of what is published, target loads, the balancer, forwarding with retries and hedges, peers by datagrams and probes. platform/ translates the settings file, the store, headers and entries, and decides nothing.

Ruled out: slot leases between entries (a frozen dispatcher holds up requests, and callers of one data centre see only its few entries, which can tell each other of each send within 3 ms); the client of aiohttp for targets (it feeds stray bytes of an idle connection to the next exchange).

--- a/slatechute/budgets.py
+++ b/slatechute/budgets.py
@@ -30,9 +30,13 @@
         limit = max(self._initial, self.ratio * self._window)
         self._tokens = min(limit, self._tokens + self.ratio)
 
+    def has_token(self) -> bool:
+        """Return whether `take` would succeed."""
+        return self.ratio > 0 and self._tokens >= 1
+
     def take(self) -> bool:
         """Use one token; return whether there was one."""
-        if self.ratio <= 0 or self._tokens < 1:
+        if not self.has_token():
             return False
         self._tokens -= 1
         return True
--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 import dataclasses
-import socket
 
 import aiohttp
 import yarl
 
 from slatechute import errors
 from slatechute import requests
+from slatechute.util import sockets
 
 __all__ = [
     "Answer",
@@ -49,10 +49,6 @@
 # A request that must not run twice only uses a connection that has answered
 # this short a time ago: an older one may have gone silent meanwhile.
 _IDLE_ONCE_S = 0.25
-_USER_TIMEOUT_MS = 1000
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 3
 
 
 class ExchangeError(errors.SlatechuteError):
@@ -113,22 +109,6 @@
         self._response.close()
 
 
-def _socket(address: tuple) -> socket.socket:
-    """Return a socket whose kernel notices a path that lost track of it."""
-    family, kind, protocol, _, _ = address
-    sock = socket.socket(family, kind, protocol)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    return sock
-
-
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -186,7 +166,7 @@
             limit_per_host=limit,
             keepalive_timeout=idle_s,
             use_dns_cache=False,
-            socket_factory=_socket,
+            socket_factory=sockets.keepalive_socket,
         )
         return aiohttp.ClientSession(
             connector=connector,
--- /dev/null
+++ b/slatechute/gateway/connections.py
@@ -0,0 +1,353 @@
+"""HTTP connections to targets.
+
+The client of `aiohttp`, which the rest of the product uses, feeds bytes that
+arrive on an idle connection to the next exchange. Here they end the connection:
+a faulty target may send an answer twice. `h11` does the parsing.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import math
+
+import h11
+
+from slatechute import errors
+from slatechute.util import clock as clocks
+from slatechute.util import sockets
+
+__all__ = ["Answer", "ConnectionPool", "ExchangeError", "TargetConnection"]
+
+# Targets are a few milliseconds away; a lost packet of the handshake is only
+# sent again after a second, and another target is better than that.
+CONNECT_LIMIT_S = 0.3
+# Larger answers would not leave memory for the other requests of this entry.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_MAX_HEAD_BYTES = 64 * 1024
+_READ_ERROR = "the target closed the connection"
+# Without a stated limit, idle connections are given up before usual servers do.
+_IDLE_S = 8.0
+# Margin between the target's idle limit and ours: both ends measure apart.
+_IDLE_MARGIN_S = 1.0
+# A request that must not run twice uses no connection that was idle longer:
+# it may have gone silent, and then the request cannot be sent again.
+_IDLE_ONCE_S = 1.0
+_MAX_IDLE_PER_TARGET = 8
+
+
+class ExchangeError(errors.SlatechuteError):
+    """An exchange ended without a whole answer.
+
+    Attributes:
+        step: Step at which it ended.
+        not_run: Whether the target certainly did not run the request.
+        began: Whether the answer had begun.
+    """
+
+    def __init__(
+        self,
+        step: errors.Step,
+        detail: str,
+        *,
+        not_run: bool = False,
+        began: bool = False,
+    ):
+        super().__init__(f"{step}: {detail}")
+        self.step = step
+        self.not_run = not_run
+        self.began = began
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """A whole answer of a target.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers in order, names as received.
+        body: Whole body.
+        header_by_name: The same headers by lower-case name.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    header_by_name: dict[str, str]
+
+
+class TargetConnection(asyncio.Protocol):
+    """One connection; one exchange at a time.
+
+    Attributes:
+        used: Whether an exchange was made on it.
+        idle_since_s: Loop time at which it became idle.
+        idle_limit_s: How long it may stay idle.
+    """
+
+    def __init__(self):
+        self.used = False
+        self.idle_since_s = 0.0
+        self.idle_limit_s = _IDLE_S
+        self._transport: asyncio.Transport | None = None
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        self._answer: asyncio.Future[Answer] | None = None
+        self._head: h11.Response | None = None
+        self._body: list[bytes] = []
+        self._size = 0
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Feed an answer, or give up the connection on stray bytes."""
+        if self._answer is None or self._answer.done():
+            self.close()
+            return
+        self._feed(data)
+
+    def eof_received(self) -> None:
+        """End an answer without a length."""
+        if self._answer is not None and not self._answer.done():
+            self._feed(b"")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange under way."""
+        self._transport = None
+        self._fail(str(exc) if exc else _READ_ERROR)
+
+    # Exchanges.
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another exchange can start."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._http.our_state is h11.IDLE
+            and self._answer is None
+        )
+
+    def close(self) -> None:
+        """Close at once; a target drops the request that it runs."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def exchange(
+        self,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> Answer:
+        """Send a request and return the whole answer.
+
+        Raises:
+            ExchangeError: There was no whole answer.
+        """
+        self.used = True
+        try:
+            data = self._http.send(
+                h11.Request(method=method, target=path, headers=headers)
+            )
+            if body:
+                data += self._http.send(h11.Data(data=body))
+            data += self._http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            self.close()
+            raise ExchangeError(
+                errors.Step.WRITING, str(error), not_run=True
+            ) from error
+        if self._transport is None:
+            raise ExchangeError(
+                errors.Step.CONNECTING, _READ_ERROR, not_run=True
+            )
+        self._answer = asyncio.get_running_loop().create_future()
+        self._head, self._body, self._size = None, [], 0
+        self._transport.write(data)
+        try:
+            answer = await self._answer
+        except BaseException:
+            self.close()
+            raise
+        self._answer = None
+        self._finish(answer)
+        return answer
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            while True:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if self._take(event):
+                    return
+        except h11.RemoteProtocolError as error:
+            self._fail(str(error))
+            self.close()
+
+    def _take(self, event: object) -> bool:
+        """Take in a parsed event; return whether the exchange has ended."""
+        if isinstance(event, h11.Response):
+            self._head = event
+        elif isinstance(event, h11.Data):
+            self._size += len(event.data)
+            if self._size > MAX_ANSWER_BYTES:
+                self._fail("the answer is too large")
+                self.close()
+                return True
+            self._body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._complete()
+            return True
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail(_READ_ERROR)
+            return True
+        return False
+
+    def _complete(self) -> None:
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in self._head.headers.raw_items()
+        ]
+        by_name = {name.lower(): value for name, value in headers}
+        answer = Answer(
+            self._head.status_code, headers, b"".join(self._body), by_name
+        )
+        self._body = []
+        self._answer.set_result(answer)
+
+    def _fail(self, detail: str) -> None:
+        if self._answer is None or self._answer.done():
+            return
+        began = self._head is not None
+        step = errors.Step.READING if began else errors.Step.WRITTEN
+        self._answer.set_exception(ExchangeError(step, detail, began=began))
+
+    def _finish(self, answer: Answer) -> None:
+        """Make the connection ready for the next exchange, or close it."""
+        http = self._http
+        transport = self._transport
+        is_reusable = (
+            transport is not None
+            and http.our_state is h11.DONE
+            and http.their_state is h11.DONE
+            and not http.trailing_data[0]
+            and not transport.get_write_buffer_size()
+        )
+        if not is_reusable:
+            self.close()
+            return
+        http.start_next_cycle()
+        self.idle_since_s = asyncio.get_running_loop().time()
+        limit_s = _stated_idle_s(answer.header_by_name.get("keep-alive", ""))
+        self.idle_limit_s = min(_IDLE_S, limit_s - _IDLE_MARGIN_S)
+
+
+def _stated_idle_s(keep_alive: str) -> float:
+    """Return the idle limit of a Keep-Alive header.
+
+    >>> _stated_idle_s("timeout=5, max=100"), _stated_idle_s("")
+    (5.0, inf)
+    """
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return float(value)
+    return math.inf
+
+
+class ConnectionPool:
+    """Connections of this entry to all targets, by address.
+
+    Attributes:
+        opened: Connections opened so far.
+    """
+
+    def __init__(self, clock: clocks.Clock):
+        self.opened = 0
+        self._clock = clock
+        self._idle_by_address: dict[
+            str, collections.deque[TargetConnection]
+        ] = {}
+
+    def _idle(self, address: str, max_idle_s: float) -> TargetConnection | None:
+        idle = self._idle_by_address.get(address)
+        now_s = asyncio.get_running_loop().time()
+        while idle:
+            # The one used last is the least likely to have been closed.
+            connection = idle.pop()
+            age_s = now_s - connection.idle_since_s
+            if not connection.is_open:
+                continue
+            if age_s < min(max_idle_s, connection.idle_limit_s):
+                return connection
+            if age_s < connection.idle_limit_s:
+                idle.append(connection)
+                return None
+            connection.close()
+        return None
+
+    async def connect(
+        self, address: str, *, repeatable: bool
+    ) -> TargetConnection:
+        """Return an idle connection or a new one.
+
+        Args:
+            address: Host and port of the target.
+            repeatable: Whether the request may run more than once.
+
+        Raises:
+            ExchangeError: No connection was made.
+        """
+        max_idle_s = math.inf if repeatable else _IDLE_ONCE_S
+        connection = self._idle(address, max_idle_s)
+        if connection is not None:
+            return connection
+        return await self.open(address)
+
+    async def open(self, address: str) -> TargetConnection:
+        """Return a new connection.
+
+        Raises:
+            ExchangeError: No connection was made.
+        """
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                transport, connection = await loop.create_connection(
+                    TargetConnection, host, int(port)
+                )
+        except (OSError, ValueError, TimeoutError) as error:
+            raise ExchangeError(
+                errors.Step.CONNECTING, repr(error), not_run=True
+            ) from error
+        sockets.set_keepalive(transport.get_extra_info("socket"))
+        return connection
+
+    def release(self, address: str, connection: TargetConnection) -> None:
+        """Keep a connection for the next request if it can be used again."""
+        if not connection.is_open:
+            connection.close()
+            return
+        idle = self._idle_by_address.setdefault(address, collections.deque())
+        idle.append(connection)
+        if len(idle) > _MAX_IDLE_PER_TARGET:
+            idle.popleft().close()
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_by_address):
+            self.drop(address)
--- /dev/null
+++ b/slatechute/gateway/loads.py
@@ -0,0 +1,307 @@
+"""Load and speed of each target, from all evidence that an entry has."""
+
+import dataclasses
+import math
+
+from slatechute.gateway import dialects
+
+__all__ = ["Exchange", "ServiceModel", "TargetLoad"]
+
+# Reported slowdowns of a host last a few hundred milliseconds; after this time
+# a report says little more than the average of the service.
+_SLOWDOWN_MEMORY_MS = 300.0
+# Share of the slots above which a target counts as crowded: the targets of both
+# deployments slow down when they are nearly full.
+_CROWDED_SHARE = 0.8
+_FIRST_CROWDED_FACTOR = 1.6
+# Weight of a new sample in the averages of work and slowdown.
+_AVERAGE_WEIGHT = 0.05
+# Weight of a new sample in the slowness of one target: a target that turns slow
+# must show after a few answers.
+_SLOWNESS_WEIGHT = 0.25
+_MIN_SLOWNESS = 0.4
+_MAX_SLOWNESS = 10.0
+# A target that has just started takes this multiple of the usual time.
+_COLD_FACTOR = 2.0
+_FIRST_WORK_MS = 60.0
+# An exchange this many times longer than expected makes its target suspect.
+_OVERDUE_FACTOR = 1.5
+_FAILURE_WEIGHT = 0.3
+# Above this share of failures a target gets only trials.
+_EJECT_FAILURES = 0.55
+_FIRST_EJECT_MS = 300.0
+_MAX_EJECT_MS = 4_000.0
+# A refusal shows a full queue, which empties within one request.
+_SHED_PAUSE_MS = 25.0
+# A new target that got no request after this time is preferred once, so that
+# it warms up before it is needed.
+_UNUSED_MS = 1_000.0
+_UNUSED_FACTOR = 0.4
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Exchange:
+    """One request at a target.
+
+    Attributes:
+        load: The target.
+        started_ms: When it was sent.
+        expected_ms: How long it was expected to take.
+        factor: The part of that which is not the work itself.
+        is_crowded: Whether the target was nearly full.
+        work_key: Kind of work, by which its time is averaged.
+    """
+
+    load: "TargetLoad"
+    started_ms: float
+    expected_ms: float
+    factor: float
+    is_crowded: bool
+    work_key: str
+
+
+class ServiceModel:
+    """How long the work of a service takes.
+
+    Attributes:
+        crowded_factor: Multiple of the usual time at a crowded target.
+        slowdown: Average reported slowdown over the targets.
+    """
+
+    def __init__(self):
+        self.crowded_factor = _FIRST_CROWDED_FACTOR
+        self.slowdown = 1.0
+        self._work_ms_by_key: dict[str, float] = {}
+        self._calm_ratio = 1.0
+        self._crowded_ratio = _FIRST_CROWDED_FACTOR
+
+    def work_ms(self, key: str) -> float:
+        """Return the time of one request on a host of usual speed."""
+        return self._work_ms_by_key.get(key, _FIRST_WORK_MS)
+
+    def add_work(self, exchange: Exchange, elapsed_ms: float) -> None:
+        """Take in the time of a successful exchange."""
+        work_ms = elapsed_ms / exchange.factor
+        known_ms = self._work_ms_by_key.get(exchange.work_key)
+        if known_ms is None:
+            self._work_ms_by_key[exchange.work_key] = work_ms
+            return
+        self._work_ms_by_key[exchange.work_key] += _AVERAGE_WEIGHT * (
+            min(work_ms, 4 * known_ms) - known_ms
+        )
+        ratio = min(4.0, work_ms / known_ms)
+        if exchange.is_crowded:
+            ratio *= self.crowded_factor
+            self._crowded_ratio += _AVERAGE_WEIGHT * (
+                ratio - self._crowded_ratio
+            )
+        else:
+            self._calm_ratio += _AVERAGE_WEIGHT * (ratio - self._calm_ratio)
+        factor = self._crowded_ratio / max(0.1, self._calm_ratio)
+        self.crowded_factor = min(3.0, max(1.0, factor))
+
+    def add_slowdown(self, slowdown: float) -> None:
+        """Take in a reported slowdown."""
+        self.slowdown += _AVERAGE_WEIGHT * (slowdown - self.slowdown)
+
+    def useful_slots(self, slots: int) -> int:
+        """Return how many requests at a time a target answers most of.
+
+        Beyond the crowded share all of them take longer; with few slots the
+        further ones still add to the throughput, with many they do not.
+        """
+        calm = max(1, math.floor(slots * _CROWDED_SHARE))
+        return slots if slots / self.crowded_factor > calm else calm
+
+
+class TargetLoad:
+    """What an entry knows of one target.
+
+    Attributes:
+        target: The target as listed.
+        own: Requests of this entry at the target.
+        peers_by_id: Requests of peers at the target, by entry id.
+        load: Last reported load, None when there was none.
+        failures: Average share of failed exchanges.
+        sent: Requests that any entry is known to have sent.
+    """
+
+    def __init__(
+        self,
+        target: dialects.PublishedTarget,
+        model: ServiceModel,
+        now_ms: float,
+    ):
+        self.target = target
+        self.own = 0
+        self.peers_by_id: dict[str, int] = {}
+        self.load: dialects.Load | None = None
+        self.reported_ms = -math.inf
+        self.failures = 0.0
+        self.sent = 0
+        self.slowness = 1.0
+        self.paused_until_ms = 0.0
+        self._model = model
+        self._peers = 0
+        self._known_at_report = 0
+        self._listed_ms = now_ms
+        self._warm_ms = now_ms + target.cold_ms
+        self._eject_ms = _FIRST_EJECT_MS
+        self._exchanges: dict[Exchange, None] = {}
+
+    def update(self, target: dialects.PublishedTarget, now_ms: float) -> None:
+        """Take in a changed entry of the same process."""
+        self.target = target
+        self._warm_ms = max(self._warm_ms, now_ms + target.cold_ms)
+
+    @property
+    def slots(self) -> int:
+        """Requests that the target runs at a time."""
+        return self.load.slots if self.load else self.target.slots
+
+    def set_peer(self, entry_id: str, count: int) -> None:
+        """Take in how many requests a peer has at the target."""
+        self._peers += count - self.peers_by_id.get(entry_id, 0)
+        if count:
+            if count > self.peers_by_id.get(entry_id, 0):
+                self.sent += 1
+            self.peers_by_id[entry_id] = count
+        else:
+            self.peers_by_id.pop(entry_id, None)
+
+    def report(self, load: dialects.Load, reported_ms: float) -> bool:
+        """Take in a reported load; return whether it is news."""
+        if reported_ms <= self.reported_ms:
+            return False
+        self.load = load
+        self.reported_ms = reported_ms
+        self._known_at_report = self.own + self._peers
+        self._model.add_slowdown(load.slowdown)
+        return True
+
+    def occupancy(self) -> int:
+        """Return how many requests are at the target now."""
+        known = self.own + self._peers
+        if self.load is None:
+            return known
+        told = self.load.running + self.load.waiting
+        return max(known, told + known - self._known_at_report)
+
+    def slowdown(self, now_ms: float) -> float:
+        """Return the expected slowdown of the target's host."""
+        usual = self._model.slowdown
+        if self.load is None:
+            return usual
+        age_ms = max(0.0, now_ms - self.reported_ms)
+        weight = math.exp(-age_ms / _SLOWDOWN_MEMORY_MS)
+        return usual + weight * (self.load.slowdown - usual)
+
+    def is_paused(self, now_ms: float) -> bool:
+        """Return whether the target gets no request for the moment."""
+        return now_ms < self.paused_until_ms
+
+    def has_room(self) -> bool:
+        """Return whether a further request would not slow the others down."""
+        return self.occupancy() < self._model.useful_slots(self.slots)
+
+    def factor(self, now_ms: float) -> float:
+        """Return the expected time of a request as a multiple of its work."""
+        place = self.occupancy() + 1
+        slots = max(1, self.slots)
+        factor = self.slowdown(now_ms) * self._slowness(now_ms)
+        if place > slots * _CROWDED_SHARE:
+            factor *= self._model.crowded_factor
+        if place > slots:
+            factor *= 1 + (place - slots) / slots
+        if now_ms < self._warm_ms:
+            factor *= _COLD_FACTOR
+        return factor
+
+    def _slowness(self, now_ms: float) -> float:
+        """Return the slowness, also from exchanges that have not ended."""
+        slowness = self.slowness
+        if self._exchanges:
+            oldest = next(iter(self._exchanges))
+            ratio = (now_ms - oldest.started_ms) / oldest.expected_ms
+            if ratio > _OVERDUE_FACTOR:
+                slowness = max(slowness, ratio)
+        return slowness
+
+    def cost_ms(self, work_ms: float, now_ms: float) -> float:
+        """Return the expected time of a request with some work."""
+        cost = work_ms * self.factor(now_ms) / (1.05 - self.failures)
+        if not self.sent and now_ms - self._listed_ms > _UNUSED_MS:
+            cost *= _UNUSED_FACTOR
+        return cost
+
+    # Exchanges of this entry.
+
+    def start(self, work_key: str, now_ms: float) -> Exchange:
+        """Count a request that is about to be sent."""
+        factor = self.factor(now_ms)
+        exchange = Exchange(
+            self,
+            now_ms,
+            max(1.0, self._model.work_ms(work_key) * factor),
+            factor,
+            self.occupancy() + 1 > self.slots * _CROWDED_SHARE,
+            work_key,
+        )
+        self.own += 1
+        self.sent += 1
+        self._exchanges[exchange] = None
+        return exchange
+
+    def _end(self, exchange: Exchange) -> bool:
+        if exchange not in self._exchanges:
+            return False
+        del self._exchanges[exchange]
+        self.own -= 1
+        return True
+
+    def succeeded(self, exchange: Exchange, now_ms: float) -> None:
+        """End an exchange that gave an answer."""
+        if not self._end(exchange):
+            return
+        elapsed_ms = max(0.1, now_ms - exchange.started_ms)
+        ratio = elapsed_ms / exchange.expected_ms * self.slowness
+        self.slowness += _SLOWNESS_WEIGHT * (ratio - self.slowness)
+        self.slowness = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, self.slowness))
+        self._model.add_work(exchange, elapsed_ms)
+        self.failures *= 1 - _FAILURE_WEIGHT
+        self._eject_ms = _FIRST_EJECT_MS
+
+    def failed(self, exchange: Exchange, now_ms: float) -> None:
+        """End an exchange that the target has failed."""
+        if self._end(exchange):
+            self.note_failure(now_ms)
+
+    def note_failure(self, now_ms: float) -> None:
+        """Take in a failure; several in a row pause the target."""
+        self.failures += _FAILURE_WEIGHT * (1 - self.failures)
+        if self.failures > _EJECT_FAILURES:
+            self.pause(self._eject_ms, now_ms)
+            self._eject_ms = min(_MAX_EJECT_MS, self._eject_ms * 2)
+
+    def unreachable(self, exchange: Exchange, now_ms: float) -> None:
+        """End an exchange for which no connection could be made."""
+        if self._end(exchange):
+            self.failures = max(self.failures, _EJECT_FAILURES)
+            self.note_failure(now_ms)
+
+    def refused(self, exchange: Exchange, now_ms: float) -> None:
+        """End an exchange that the target refused to run."""
+        if not self._end(exchange):
+            return
+        if self.occupancy() < self.slots:
+            # It refuses although it has room.
+            self.note_failure(now_ms)
+        self.pause(_SHED_PAUSE_MS, now_ms)
+
+    def cancelled(self, exchange: Exchange) -> None:
+        """End an exchange that the entry gave up."""
+        self._end(exchange)
+
+    def pause(self, duration_ms: float, now_ms: float) -> None:
+        """Send nothing for a while."""
+        self.paused_until_ms = max(self.paused_until_ms, now_ms + duration_ms)
--- /dev/null
+++ b/slatechute/gateway/reader.py
@@ -0,0 +1,147 @@
+"""Reading what the platform publishes: one snapshot, then a watch."""
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import Protocol
+
+from slatechute import errors
+from slatechute import logs
+from slatechute.gateway import catalogue as catalogues
+from slatechute.gateway import dialects
+from slatechute.util import clock as clocks
+
+__all__ = ["HistoryGone", "PlatformReader", "PublishedSource", "Snapshot"]
+
+_LOG = logs.get_logger(__name__)
+
+# Long enough that waiting costs next to no calls; a silent connection is found
+# by keep-alive probes and not by this.
+_WATCH_S = 25.0
+# Changes that follow each other closely, such as those of a roll-out, are read
+# by one call. Far below the 2 s in which changes have to be in force.
+_GATHER_S = 0.15
+_FIRST_BACKOFF_S = 0.1
+_MAX_BACKOFF_S = 1.0
+Snapshot = tuple[list[dialects.PublishedItem], int]
+
+
+class HistoryGone(errors.PlatformError):
+    """The changes after a revision are no longer to be had."""
+
+
+class PublishedSource(Protocol):
+    """Reader of the platform service."""
+
+    async def snapshot(self) -> Snapshot:
+        """Return all items and the revision that they are complete to.
+
+        Raises:
+            errors.PlatformError: The service is down or answers an error.
+        """
+        ...
+
+    async def watch(self, after: int, wait_s: float) -> Snapshot:
+        """Wait for changes after a revision.
+
+        Raises:
+            HistoryGone: A snapshot is needed.
+            errors.PlatformError: The service is down or answers an error.
+        """
+        ...
+
+
+class PlatformReader:
+    """Keeps a catalogue up to date from the platform.
+
+    Attributes:
+        is_connected: Whether the last call to the platform succeeded.
+    """
+
+    def __init__(
+        self,
+        source: PublishedSource,
+        catalogue: catalogues.Catalogue,
+        clock: clocks.Clock,
+        count_call: Callable[[], None],
+    ):
+        self.is_connected = False
+        self._source = source
+        self._catalogue = catalogue
+        self._clock = clock
+        self._count_call = count_call
+        self._connected_ms = clock.now_ms()
+        self._has_snapshot = False
+        self._backoff_s = _FIRST_BACKOFF_S
+        self._task: asyncio.Task | None = None
+
+    def steady_ms(self) -> float:
+        """Return how long the platform has been read without a break."""
+        if not self.is_connected:
+            return 0.0
+        return self._clock.now_ms() - self._connected_ms
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """End reading."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def renew(self) -> None:
+        """Read everything again: a peer knows more, or this host was paused."""
+        self._has_snapshot = False
+        self.stop()
+        self.start()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except HistoryGone:
+                _LOG.warning(
+                    "platform_history_gone",
+                    revision=self._catalogue.view.revision,
+                )
+                self._has_snapshot = False
+            except errors.PlatformError as error:
+                self._failed(error)
+                await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1))
+                self._backoff_s = min(_MAX_BACKOFF_S, self._backoff_s * 2)
+
+    async def _step(self) -> None:
+        self._count_call()
+        if not self._has_snapshot:
+            items, revision = await self._source.snapshot()
+            self._succeeded()
+            self._catalogue.replace(items, revision, self._own_source())
+            self._has_snapshot = True
+            return
+        after = self._catalogue.view.revision
+        changes, revision = await self._source.watch(after, _WATCH_S)
+        self._succeeded()
+        self._catalogue.apply(changes, revision, self._own_source())
+        await asyncio.sleep(_GATHER_S)
+
+    def _own_source(self) -> catalogues.Source:
+        return catalogues.Source("platform", self.steady_ms())
+
+    def _succeeded(self) -> None:
+        self._backoff_s = _FIRST_BACKOFF_S
+        if not self.is_connected:
+            self.is_connected = True
+            self._connected_ms = self._clock.now_ms()
+            _LOG.notice(
+                "platform_regained", revision=self._catalogue.view.revision
+            )
+
+    def _failed(self, error: errors.PlatformError) -> None:
+        if self.is_connected:
+            _LOG.warning(
+                "platform_lost",
+                revision=self._catalogue.view.revision,
+                error=str(error),
+            )
+        self.is_connected = False
--- a/slatechute/logs.py
+++ b/slatechute/logs.py
@@ -10,6 +10,7 @@
 import json
 import logging
 import math
+import os
 import sys
 import time
 from typing import Any, TextIO
@@ -23,6 +24,7 @@
     "LINES_PER_S",
     "JsonHandler",
     "Logger",
+    "NonBlockingStream",
     "flush",
     "get_logger",
     "setup",
@@ -56,9 +58,10 @@
 class Logger(logbook.Logger):
     """Logger whose keyword arguments are the fields of the event.
 
-    Writes at most `LINES_PER_S` lines a second for an event. When more arrive,
-    one line with the field `suppressed` follows at the end of that second, or
-    with the next record when no event loop is running.
+    Writes at most `lines_per_s` lines a second for an event, `LINES_PER_S`
+    unless a module sets more. When more arrive, one line with the field
+    `suppressed` follows at the end of that second, or with the next record when
+    no event loop is running.
     """
 
     # Plain attributes in place of the library's properties, which look for a
@@ -68,6 +71,7 @@
 
     def __init__(self, name: str):
         super().__init__(name)
+        self.lines_per_s = LINES_PER_S
         self._window_by_event: dict[str, _Window] = {}
 
     def _log(self, level: int, args: tuple, kwargs: dict[str, Any]) -> None:
@@ -93,7 +97,7 @@
                 del self._window_by_event[oldest]
             window = self._window_by_event[event] = _Window(now_s)
         window.lines += 1
-        if window.lines <= LINES_PER_S:
+        if window.lines <= self.lines_per_s:
             return True
         window.suppressed += 1
         window.level = max(window.level, level)
@@ -125,6 +129,37 @@
         )
 
 
+class NonBlockingStream:
+    """Text stream over a descriptor that drops what cannot be written now.
+
+    A collector that does not read must not stop the event loop.
+
+    Attributes:
+        dropped: Lines that were dropped.
+    """
+
+    def __init__(self, descriptor: int):
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._rest = b""
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Write one line, or drop it when the descriptor takes nothing."""
+        data = self._rest + text.encode()
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            self.dropped += 1
+            return len(text)
+        # The rest of a line that was begun goes first, so lines stay whole.
+        self._rest = data[written:]
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: each line is written at once."""
+
+
 class JsonHandler(logbook.StreamHandler):
     """Writes each record as one line of JSON."""
 
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -21,8 +21,11 @@
     "Heartbeat",
     "Hello",
     "InflightReport",
+    "LoadReport",
     "MAX_FRAME_BYTES",
     "Message",
+    "PeerList",
+    "Presence",
     "Proof",
     "ServiceLoad",
     "SlotCancel",
@@ -31,6 +34,7 @@
     "SlotRelease",
     "SlotRequest",
     "TakeOver",
+    "TargetReading",
     "TargetReport",
     "VERSION",
     "VERSION_MIN",
@@ -246,6 +250,82 @@
     text_by_part: dict[str, str]
 
 
+@dataclasses.dataclass(slots=True)
+class Presence(Message):
+    """Sign of life of a gateway entry, sent as a datagram.
+
+    Attributes:
+        entry_id: The sender.
+        boot_id: Its start; a new one means that it knows nothing of before.
+        data_centre: Its data centre.
+        callers_address: Where it accepts requests.
+        control_address: Where peers ask for what is published.
+        peer_port: UDP port of the sender.
+        state: `starting`, `ready` or `leaving`.
+        version: Configuration in force; 0 for none.
+        revision: What is published is known up to this revision.
+        steady_ms: How long it has read the platform without a break.
+    """
+
+    TAG: ClassVar[int] = 16
+    entry_id: str
+    boot_id: str
+    data_centre: str
+    callers_address: str
+    control_address: str
+    peer_port: int
+    state: str
+    version: int = 0
+    revision: int = 0
+    steady_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class PeerList(Message):
+    """Control addresses of entries that the sender has heard of lately."""
+
+    TAG: ClassVar[int] = 17
+    addresses: list[str]
+
+
+class TargetReading(NamedTuple):
+    """What one entry knows of one target; an array on the wire.
+
+    Attributes:
+        target_id: The target.
+        own: Requests of the sender at the target.
+        age_ms: Age of the reported load, negative when there is none.
+        running: As reported.
+        waiting: As reported.
+        slots: As reported.
+        slowdown_percent: As reported, 100 is usual.
+    """
+
+    target_id: str
+    own: int
+    age_ms: int = -1
+    running: int = 0
+    waiting: int = 0
+    slots: int = 0
+    slowdown_percent: int = 100
+
+
+@dataclasses.dataclass(slots=True)
+class LoadReport(Message):
+    """Loads of targets and waiting requests at the sender.
+
+    `is_complete` tells that the sender has no requests at other targets.
+    """
+
+    TAG: ClassVar[int] = 18
+    entry_id: str
+    boot_id: str
+    number: int
+    readings: list[TargetReading]
+    waiting_by_service: dict[str, int] = dataclasses.field(default_factory=dict)
+    is_complete: bool = False
+
+
 _TYPES = [cls for cls in Message.__subclasses__() if cls.TAG]
 _FIELDS_BY_TAG = {
     cls.TAG: tuple(field.name for field in dataclasses.fields(cls))
