--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -23,16 +23,19 @@
 
 # Share of the fleet-wide retry budget that the entries use; the rest covers
 # requests that several entries count at the edges of a window.
-_RETRY_SHARE = 0.6
+_RETRY_SHARE = 0.75
 # Retries that one entry may make before it has seen requests. The fleet-wide
 # slack covers this for every entry, also while they start again.
 _FIRST_RETRIES = 2
 # Tries that make no connection reach no target; more of them only cost time.
 _MAX_CONNECT_FAILURES = 4
 # A second exchange starts when the first has used this share of its objective
-# and also takes longer than expected by this factor.
-_HEDGE_OBJECTIVE_SHARE = 0.45
-_HEDGE_OVERDUE_FACTOR = 1.4
+# and also takes longer than expected by this factor. Hosts slow down within a
+# few hundred milliseconds, so an exchange that is overdue stays so.
+_HEDGE_OBJECTIVE_SHARE = 0.3
+_HEDGE_OVERDUE_FACTOR = 1.3
+# Time after which a second exchange that found no fast target is tried again.
+_HEDGE_REVIEW_MS = 15.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -326,8 +329,13 @@
         tasks = {first}
         try:
             delay_ms = self._hedge_delay_ms(call, exchange)
-            await asyncio.wait(tasks, timeout=delay_ms / 1000)
-            if not first.done():
+            while not first.done() and len(tasks) == 1:
+                await asyncio.wait(tasks, timeout=delay_ms / 1000)
+                delay_ms = _HEDGE_REVIEW_MS
+                if first.done():
+                    break
+                if self._clock.now_ms() >= call.objective_ms:
+                    break
                 second = self._start_hedge(call, trace, exchange)
                 if second is not None:
                     tasks.add(second)
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway entry."""
--- /dev/null
+++ b/tests/gateway/builders.py
@@ -0,0 +1,111 @@
+"""Small objects for tests of the gateway."""
+
+from collections.abc import Mapping
+
+from slatechute.gateway import balancing
+from slatechute.gateway import dialects
+from slatechute.gateway import routing
+from slatechute.gateway import settings
+
+
+def target(target_id: str = "t1", **fields) -> dialects.PublishedTarget:
+    values = {
+        "started": 1,
+        "sequence": 1,
+        "service": "s",
+        "address": "127.0.0.1:1",
+        "data_centre": "dc1",
+        "slots": 2,
+        "leaving": False,
+    }
+    return dialects.PublishedTarget(target_id, **(values | fields))
+
+
+def route(**fields) -> routing.Route:
+    values = {
+        "host": "h",
+        "prefix": "/a/",
+        "parts": (routing.ServicePart("s", 1.0),),
+        "repeatable": True,
+        "timeout_ms": 1000.0,
+        "objective_ms": 200.0,
+        "max_attempts": 2,
+    }
+    return routing.Route(**(values | fields))
+
+
+def ticket(now_ms: float = 0.0, **fields) -> balancing.Ticket:
+    values = {
+        "route": route(),
+        "service": "s",
+        "arrived_ms": now_ms,
+        "objective_ms": now_ms + 200,
+        "deadline_ms": now_ms + 800,
+    }
+    return balancing.Ticket(**(values | fields))
+
+
+def gateway_settings(**fields) -> settings.GatewaySettings:
+    values = {
+        "entry_id": "e1",
+        "data_centre": "dc1",
+        "host": "127.0.0.1",
+        "callers_address": "127.0.0.1:0",
+        "readiness_address": "",
+        "directory_address": "",
+        "control_address": "127.0.0.1:9",
+        "peer_port": 0,
+        "metrics_port": 0,
+        "seeds": (),
+        "platform_address": "127.0.0.1:1",
+        "retry_ratio": 0.2,
+    }
+    return settings.GatewaySettings(**(values | fields))
+
+
+class PlainDialect:
+    """Headers of the tests; items name targets as `t/ID` and `c` for routes."""
+
+    def __init__(self):
+        self.target_by_key: dict[str, dialects.PublishedTarget | None] = {}
+        self.table_by_revision: dict[int, routing.RoutingTable | None] = {}
+
+    def request_id(self, headers: Mapping[str, str]) -> str:
+        return headers.get("id", "")
+
+    def deadline_ms(self, headers: Mapping[str, str]) -> float | None:
+        text = headers.get("deadline")
+        return None if text is None else float(text)
+
+    def is_own_header(self, name: str) -> bool:
+        return name == "deadline"
+
+    def target_headers(
+        self, target_id: str, remaining_ms: float
+    ) -> list[tuple[str, str]]:
+        return [("deadline", str(int(remaining_ms))), ("expect-id", target_id)]
+
+    def answer_facts(
+        self, status: int, headers: Mapping[str, str]
+    ) -> dialects.AnswerFacts:
+        return dialects.AnswerFacts(
+            request_id=headers.get("id", ""),
+            signed="signed" in headers,
+            not_run="not-run" in headers or status == 421,
+            wrong_target=status == 421,
+        )
+
+    def refusal_headers(self, retry_after_s: float) -> dict[str, str]:
+        return {"Retry-After": f"{retry_after_s:.3f}"}
+
+    def address_answer(self, addresses: list[str], keep_s: float) -> bytes:
+        return repr((addresses, keep_s)).encode()
+
+    def is_target_key(self, key: str) -> bool:
+        return key.startswith("t/")
+
+    def configuration(self, item: dialects.PublishedItem):
+        return self.table_by_revision.get(item.revision)
+
+    def target(self, item: dialects.PublishedItem):
+        return self.target_by_key.get(item.value.decode())
--- /dev/null
+++ b/tests/gateway/test_balancing.py
@@ -0,0 +1,134 @@
+"""Tests of the choice of targets."""
+
+from slatechute.gateway import balancing
+from slatechute.gateway import dialects
+from tests.gateway import builders
+
+
+def _balancer(*targets: dialects.PublishedTarget) -> balancing.Balancer:
+    balancer = balancing.Balancer("dc1")
+    for target in targets:
+        balancer.add(target, 0.0)
+    return balancer
+
+
+def _load(slowdown: float = 1.0, running: int = 0) -> dialects.Load:
+    return dialects.Load(running, 0, 2, slowdown)
+
+
+def test_fast_host_goes_before_slow_one():
+    """Work on a slowed host takes four times as long."""
+    balancer = _balancer(builders.target("a"), builders.target("b"))
+    balancer.load_by_id["a"].report(_load(4.0), 1.0)
+    balancer.load_by_id["b"].report(_load(1.0), 1.0)
+    exchange = balancer.take(builders.ticket(2.0), 2.0)
+    assert exchange.load.target.id == "b"
+
+
+def test_own_data_centre_goes_first():
+    """Bytes between data centres are dear."""
+    balancer = _balancer(
+        builders.target("far", data_centre="dc2"), builders.target("near")
+    )
+    for load in balancer.load_by_id.values():
+        load.report(_load(), 1.0)
+    exchange = balancer.take(builders.ticket(2.0), 2.0)
+    assert exchange.load.target.id == "near"
+
+
+def test_full_data_centre_spills_over():
+    """A request must not wait while a target elsewhere is free."""
+    balancer = _balancer(
+        builders.target("far", data_centre="dc2"), builders.target("near")
+    )
+    chosen = [
+        balancer.take(builders.ticket(2.0), 2.0).load.target.id
+        for _ in range(3)
+    ]
+    assert sorted(chosen) == ["far", "near", "near"] or "far" in chosen
+
+
+def test_large_answers_stay_in_the_data_centre():
+    """90 KB to another data centre cost more than a late answer."""
+    balancer = _balancer(
+        builders.target("far", data_centre="dc2"), builders.target("near")
+    )
+    balancer.load_by_id["near"].report(_load(4.0), 1.0)
+    ticket = builders.ticket(2.0, route=builders.route(bulk=True))
+    for _ in range(2):
+        assert balancer.take(ticket, 2.0).load.target.id == "near"
+    assert balancer.take(ticket, 2.0) is None
+
+
+def test_requests_of_peers_count():
+    """Entries that see only their own requests collide on free slots."""
+    balancer = _balancer(builders.target("a"), builders.target("b"))
+    balancer.load_by_id["a"].set_peer("e2", 2)
+    exchange = balancer.take(builders.ticket(), 0.0)
+    assert exchange.load.target.id == "b"
+
+
+def test_failing_target_is_paused_and_tried_again():
+    """A target that fails fast must not attract requests."""
+    balancer = _balancer(builders.target("a"))
+    load = balancer.load_by_id["a"]
+    for now_ms in range(3):
+        exchange = load.start("k", now_ms)
+        load.failed(exchange, now_ms)
+    assert load.is_paused(5.0)
+    assert not load.is_paused(400.0)
+
+
+def test_nothing_is_refused_while_a_target_is_free():
+    """A free target answers late rather than not at all."""
+    balancer = _balancer(builders.target("a"))
+    balancer.load_by_id["a"].report(_load(4.0), 0.0)
+    ticket = builders.ticket(0.0, objective_ms=10.0)
+    assert balancer.take(ticket, 0.0) is not None
+
+
+def test_full_service_refuses_at_once():
+    """A request that cannot be answered in time must not be held."""
+    balancer = _balancer(builders.target("a"))
+    for _ in range(2):
+        balancer.take(builders.ticket(), 0.0)
+    assert balancer.take(builders.ticket(), 0.0) is None
+    decision = balancer.decide(builders.ticket(), 0.0)
+    assert decision is balancing.Decision.REFUSE
+
+
+def test_service_without_targets_refuses_at_once():
+    """Waiting for a target that is not listed is waiting for nothing."""
+    balancer = _balancer()
+    decision = balancer.decide(builders.ticket(), 0.0)
+    assert decision is balancing.Decision.REFUSE
+
+
+def test_retry_after_stays_within_what_callers_accept():
+    """Callers ignore a Retry-After above a third of their time."""
+    balancer = _balancer()
+    assert balancer.retry_after_ms(builders.ticket(), 0.0) <= 800 / 3
+
+
+def test_freed_target_goes_to_the_most_urgent_waiting_request():
+    """Under overload the rank of a route decides."""
+    balancer = _balancer(builders.target("a", slots=1))
+    running = balancer.take(builders.ticket(), 0.0)
+    order = []
+    for name, priority in (("low", 2), ("high", 0)):
+        ticket = builders.ticket(route=builders.route(priority=priority))
+        balancer.wait(
+            balancing.Pending(ticket, lambda _, name=name: order.append(name))
+        )
+    running.load.succeeded(running, 50.0)
+    balancer.exchange_ended(running.load, 50.0)
+    assert order == ["high"]
+
+
+def test_new_target_gets_a_request_soon():
+    """A cold target that is never chosen never warms up."""
+    balancer = _balancer(builders.target("old"))
+    balancer.load_by_id["old"].sent = 100
+    balancer.add(builders.target("new", cold_ms=3_000.0), 0.0)
+    exchange = balancer.take(builders.ticket(1_500.0), 1_500.0)
+    assert exchange.load.target.id == "new"
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,370 @@
+"""Tests of forwarding against targets on real sockets."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from slatechute import errors
+from slatechute import metrics
+from slatechute.gateway import balancing
+from slatechute.gateway import connections
+from slatechute.gateway import forwarding
+from slatechute.util import clock as clocks
+from tests.gateway import builders
+from tests.gateway import scripted_target
+
+
+class _Fixture:
+    def __init__(self, *targets: scripted_target.ScriptedTarget):
+        self.clock = clocks.MonotonicClock()
+        self.balancer = balancing.Balancer("dc1")
+        self.pool = connections.ConnectionPool(self.clock)
+        self.strikes = []
+        self.forwarder = forwarding.Forwarder(
+            builders.gateway_settings(),
+            builders.PlainDialect(),
+            self.balancer,
+            self.pool,
+            self.clock,
+            metrics.Metrics(),
+            lambda *strike: self.strikes.append(strike),
+            lambda load: None,
+        )
+        for index, target in enumerate(targets):
+            self.balancer.add(
+                builders.target(f"t{index}", address=target.address), 0.0
+            )
+        self.trace = forwarding.Trace()
+
+    def call(self, *, deadline_ms: float = 800.0, **route) -> forwarding.Call:
+        now_ms = self.clock.now_ms()
+        return forwarding.Call(
+            "r1",
+            "POST",
+            "/a/x?y=1",
+            [("Host", "h"), ("Id", "r1"), ("Content-Length", "4")],
+            b"body",
+            builders.route(**route),
+            "s",
+            now_ms,
+            now_ms + 200,
+            now_ms + deadline_ms,
+        )
+
+    async def forward(self, **fields) -> connections.Answer:
+        self.trace = forwarding.Trace()
+        return await self.forwarder.forward(self.call(**fields), self.trace)
+
+
+def _ok(request: bytes) -> bytes:
+    return scripted_target.answer(request)
+
+
+def _shed(request: bytes) -> bytes:
+    return scripted_target.answer(request, 503, b"", not_run="1")
+
+
+def _lost(request: bytes) -> None:
+    del request
+
+
+def _run(check, *scripts) -> None:
+    async def main() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            targets = [
+                await stack.enter_async_context(
+                    scripted_target.ScriptedTarget(script)
+                )
+                for script in scripts
+            ]
+            fixture = _Fixture(*targets)
+            await check(fixture, *targets)
+            fixture.pool.close()
+
+    asyncio.run(main())
+
+
+def test_request_arrives_unchanged():
+    """Method, path, query, headers and body must reach the target as sent."""
+
+    async def check(fixture, target):
+        answer = await fixture.forward()
+        assert (answer.status, answer.body) == (200, b"ok")
+        request = target.requests[0]
+        assert request.startswith(b"POST /a/x?y=1 HTTP/1.1\r\n")
+        assert request.endswith(b"\r\n\r\nbody")
+        assert scripted_target.header(request, "host") == "h"
+        assert scripted_target.header(request, "expect-id") == "t0"
+
+    _run(check, _ok)
+
+
+def test_target_is_given_no_more_time_than_is_left():
+    """A target would work on after its caller has gone."""
+
+    async def check(fixture, target):
+        await fixture.forward(deadline_ms=500.0)
+        given = int(scripted_target.header(target.requests[0], "deadline"))
+        assert 0 < given <= 500
+
+    _run(check, _ok)
+
+
+def test_unrepeatable_request_is_sent_once_when_its_answer_is_lost():
+    """It may have run, so another try could run it twice."""
+
+    async def check(fixture, first, second):
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(repeatable=False)
+        assert caught.value.outcome is errors.Outcome.UNKNOWN
+        assert caught.value.status == 502
+        assert len(first.requests) + len(second.requests) == 1
+
+    _run(check, _lost, _lost)
+
+
+def test_unrepeatable_request_is_sent_again_after_not_run():
+    """A refusal of a full target is no reason to fail the caller."""
+
+    async def check(fixture, first, second):
+        fixture.balancer.load_by_id["t1"].set_peer("e2", 1)
+        answer = await fixture.forward(repeatable=False)
+        assert answer.status == 200
+        assert (len(first.requests), len(second.requests)) == (1, 1)
+
+    _run(check, _shed, _ok)
+
+
+def test_refusal_of_all_targets_is_told_as_not_run():
+    """The caller may then safely come back."""
+
+    async def check(fixture, first, second):
+        del first, second
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(repeatable=False)
+        assert caught.value.outcome is errors.Outcome.NOT_RUN
+        assert caught.value.status == 503
+
+    _run(check, _shed, _shed)
+
+
+def test_not_run_is_not_claimed_after_a_lost_answer():
+    """The first target may have run what the second has refused."""
+
+    async def check(fixture, first, second):
+        del first, second
+        fixture.balancer.load_by_id["t1"].set_peer("e2", 1)
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward()
+        assert caught.value.outcome is errors.Outcome.UNKNOWN
+        assert caught.value.status == 502
+
+    _run(check, _lost, _shed)
+
+
+def test_repeatable_request_is_sent_again_after_a_lost_answer():
+    """A lost answer must not fail a read."""
+
+    async def check(fixture, first, second):
+        del first, second
+        fixture.balancer.load_by_id["t1"].set_peer("e2", 1)
+        answer = await fixture.forward()
+        assert answer.status == 200
+
+    _run(check, _lost, _ok)
+
+
+def test_attempts_are_bounded_by_the_route():
+    """A request must not reach more targets than its route allows."""
+
+    async def check(fixture, *targets):
+        with pytest.raises(errors.RequestError):
+            await fixture.forward(max_attempts=2)
+        assert sum(len(target.requests) for target in targets) == 2
+
+    _run(check, _lost, _lost, _lost)
+
+
+def test_retries_are_bounded_by_the_budget():
+    """When all targets fail, retries must not multiply the load."""
+
+    async def check(fixture, *targets):
+        for _ in range(40):
+            with contextlib.suppress(errors.RequestError):
+                await fixture.forward(max_attempts=3)
+            for load in fixture.balancer.load_by_id.values():
+                load.paused_until_ms = 0.0
+        arrivals = sum(len(target.requests) for target in targets)
+        assert arrivals <= 40 + 0.2 * 40 + 2
+
+    _run(check, *[_lost] * 3)
+
+
+def test_unsigned_success_is_not_passed_on():
+    """It is not the answer of the target."""
+
+    async def check(fixture, target):
+        del target
+        with pytest.raises(errors.RequestError):
+            await fixture.forward(repeatable=False)
+
+    _run(
+        check,
+        lambda request: (
+            b"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok"
+        ),
+    )
+
+
+def test_answer_to_another_request_is_not_passed_on():
+    """A late second answer may come where the next one is expected."""
+
+    async def check(fixture, target):
+        del target
+        with pytest.raises(errors.RequestError):
+            await fixture.forward(repeatable=False)
+
+    _run(
+        check,
+        lambda request: scripted_target.answer(b"X\r\nid: other\r\n\r\n"),
+    )
+
+
+def test_cut_answer_is_not_passed_on():
+    """A body that ends early must not look complete."""
+
+    async def check(fixture, target):
+        target.closes_after_answer = True
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(repeatable=False)
+        assert caught.value.status == 502
+
+    _run(
+        check,
+        lambda request: scripted_target.answer(request, body=b"x" * 10)[:-3],
+    )
+
+
+def test_failure_of_the_target_is_passed_on_unchanged():
+    """Status, body and headers of a failure belong to the target."""
+
+    async def check(fixture, target):
+        del target
+        answer = await fixture.forward(repeatable=False)
+        assert (answer.status, answer.body) == (500, b"boom")
+
+    _run(
+        check,
+        lambda request: scripted_target.answer(request, 500, b"boom"),
+    )
+
+
+def test_bytes_after_an_answer_end_the_connection():
+    """They would be taken for the answer to the next request."""
+
+    async def check(fixture, target):
+        for _ in range(2):
+            assert (await fixture.forward()).body == b"ok"
+        assert target.connections == 2
+
+    _run(check, lambda request: scripted_target.answer(request) * 2)
+
+
+def test_kept_connection_is_used_again():
+    """A new connection for each request holds a slot and costs time."""
+
+    async def check(fixture, target):
+        for _ in range(3):
+            await fixture.forward()
+        assert target.connections == 1
+
+    _run(check, _ok)
+
+
+def test_caller_that_leaves_cancels_the_target():
+    """A target must not work on for a caller that has gone."""
+
+    async def check(fixture, target):
+        target.delay_s = 5.0
+        task = asyncio.create_task(fixture.forward(deadline_ms=5_000.0))
+        await target.arrived.wait()
+        task.cancel()
+        await asyncio.wait_for(target.closed.wait(), 0.5)
+        assert fixture.balancer.load_by_id["t0"].own == 0
+
+    _run(check, _ok)
+
+
+def test_deadline_of_a_sent_request_is_unknown():
+    """A request that was sent may have run."""
+
+    async def check(fixture, target):
+        target.delay_s = 5.0
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(deadline_ms=60.0, repeatable=False)
+        assert caught.value.status == 504
+        assert caught.value.outcome is errors.Outcome.UNKNOWN
+
+    _run(check, _ok)
+
+
+def test_late_repeatable_request_is_hedged():
+    """One slow target must not make a read late while another is free."""
+
+    async def check(fixture, slow, fast):
+        slow.delay_s = 5.0
+        fixture.balancer.load_by_id["t1"].set_peer("e2", 1)
+        answer = await fixture.forward()
+        assert answer.status == 200
+        assert (len(slow.requests), len(fast.requests)) == (1, 1)
+
+    _run(check, _ok, _ok)
+
+
+def test_request_that_kills_targets_is_refused():
+    """Each further target would die under it as well."""
+
+    async def check(fixture, *targets):
+        for _ in range(4):
+            with contextlib.suppress(errors.RequestError):
+                await fixture.forward(repeatable=False)
+            await asyncio.sleep(0.005)
+            for load in fixture.balancer.load_by_id.values():
+                load.paused_until_ms = 0.0
+        assert sum(len(target.requests) for target in targets) == 2
+        assert len(fixture.strikes) == 2
+
+    _run(check, _lost, _lost, _lost)
+
+
+def test_request_that_cannot_be_sent_blames_no_target():
+    """A malformed header would take all targets out."""
+
+    async def check(fixture, target):
+        call = fixture.call()
+        call.headers.append(("bad name", "x"))
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forwarder.forward(call, fixture.trace)
+        assert caught.value.status == 400
+        assert not target.requests
+        assert not fixture.balancer.load_by_id["t0"].is_paused(
+            fixture.clock.now_ms()
+        )
+
+    _run(check, _ok)
+
+
+def test_unreachable_target_costs_no_answer():
+    """A refused connection has certainly not run anything."""
+
+    async def check(fixture, target):
+        fixture.balancer.add(
+            builders.target("gone", address="127.0.0.1:1"), 0.0
+        )
+        fixture.balancer.load_by_id["t0"].set_peer("e2", 1)
+        answer = await fixture.forward(repeatable=False)
+        assert answer.status == 200
+        assert len(target.requests) == 1
+
+    _run(check, _ok)
--- /dev/null
+++ b/tests/patterns/__init__.py
@@ -0,0 +1,1 @@
+"""Patterns of load against the balancer, without a network."""
--- /dev/null
+++ b/tests/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter in `platform/`."""
