--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -174,6 +174,11 @@
         )
         bus.of(catalogues.TargetRemoved).subscribe(self._on_target_removed)
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether this entry reads the platform for its data centre."""
+        return self._reader.is_active
+
     # Life cycle.
 
     async def start(self) -> None:
--- /dev/null
+++ b/tests/gateway/small_fleet.py
@@ -0,0 +1,140 @@
+"""Gateway entries of one process on loopback addresses, and their platform."""
+
+import asyncio
+import contextlib
+import socket
+
+from slatechute import errors
+from slatechute.gateway import application
+from slatechute.gateway import dialects
+from slatechute.gateway import reader
+from slatechute.gateway import routing
+from tests.gateway import builders
+
+
+class MemorySource:
+    """A platform in memory: what is published, and faults of reading it."""
+
+    def __init__(self):
+        self.items: dict[str, dialects.PublishedItem] = {}
+        self.revision = 0
+        self.is_down = False
+        self.lost_history = 0
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes | None) -> int:
+        self.revision += 1
+        item = dialects.PublishedItem(key, self.revision, value)
+        self.items[key] = item
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.revision
+
+    async def snapshot(self) -> reader.Snapshot:
+        self.calls += 1
+        if self.is_down:
+            raise errors.PlatformError("down")
+        present = [i for i in self.items.values() if i.value is not None]
+        return present, self.revision
+
+    async def watch(self, after: int, wait_s: float) -> reader.Snapshot:
+        self.calls += 1
+        if self.is_down:
+            raise errors.PlatformError("down")
+        if after < self.lost_history:
+            raise reader.HistoryGone("gone")
+        if self.revision <= after:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+        news = [i for i in self.items.values() if i.revision > after]
+        return news, self.revision
+
+
+class SmallFleet:
+    """Entries `e1`, `e2`, ... on 127.0.0.1, 127.0.0.2, ..."""
+
+    def __init__(self):
+        self.dialect = builders.PlainDialect()
+        self.source = MemorySource()
+        self.apps: list[application.GatewayApplication] = []
+        self._ports = _free_ports(4)
+
+    def publish_routes(self, version: int, *routes: routing.Route) -> None:
+        table = routing.RoutingTable(version, routes)
+        revision = self.source.revision + 1
+        self.dialect.table_by_revision[revision] = table
+        self.source.put("c", b"x")
+
+    def publish_target(self, **fields) -> None:
+        target = builders.target(**fields)
+        text = repr(target)
+        self.dialect.target_by_key[text] = target
+        self.source.put(f"t/{target.id}", text.encode())
+
+    async def add(
+        self, *, source: MemorySource | None = None, data_centre: str = "dc1"
+    ) -> application.GatewayApplication:
+        number = len(self.apps) + 1
+        host = f"127.0.0.{number}"
+        calls, control, peers, metrics = self._ports
+        settings = builders.gateway_settings(
+            entry_id=f"e{number}",
+            host=host,
+            data_centre=data_centre,
+            callers_address=f"{host}:{calls}",
+            control_address=f"{host}:{control}",
+            peer_port=peers,
+            metrics_port=metrics,
+            seeds=(f"127.0.0.1:{control}",),
+            stop_limit_s=1.5,
+            keep_s=0.1,
+        )
+        app = application.GatewayApplication(
+            settings, self.dialect, source or self.source
+        )
+        await app.start()
+        self.apps.append(app)
+        return app
+
+    async def close(self) -> None:
+        for app in self.apps:
+            await app.stop()
+
+
+def _free_ports(count: int) -> list[int]:
+    """Return ports that are free for TCP and UDP on the first address."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            ports.append(sock.getsockname()[1])
+        return ports
+
+
+async def eventually(condition, limit_s: float = 3.0) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        AssertionError: It does not hold in time.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + limit_s
+    while not condition():
+        assert loop.time() < end_s, "the condition does not hold in time"
+        await asyncio.sleep(0.01)
+
+
+def run(check) -> None:
+    """Run a check with a new fleet and close it."""
+
+    async def main() -> None:
+        fleet = SmallFleet()
+        try:
+            await check(fleet)
+        finally:
+            await fleet.close()
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/gateway/test_application.py
@@ -0,0 +1,232 @@
+"""Tests of whole entries on loopback addresses."""
+
+import asyncio
+
+import aiohttp
+
+from tests.gateway import builders
+from tests.gateway import scripted_target
+from tests.gateway import small_fleet
+
+
+def _ok(request: bytes) -> bytes:
+    return scripted_target.answer(request)
+
+
+async def _get(app, path="/a/x", host="h", **headers):
+    url = f"http://{app.settings.callers_address}{path}"
+    headers = {"Host": host, "Id": "r1", "Deadline": "900"} | headers
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(url, headers=headers) as response,
+    ):
+        return response.status, dict(response.headers), await response.read()
+
+
+def test_request_passes_the_whole_path():
+    """A published route and target are all that a request needs."""
+
+    async def check(fleet):
+        async with scripted_target.ScriptedTarget(_ok) as target:
+            fleet.publish_routes(1, builders.route())
+            fleet.publish_target(address=target.address)
+            app = await fleet.add()
+            await small_fleet.eventually(lambda: app.balancer.load_by_id)
+            status, headers, body = await _get(app)
+            assert (status, body) == (200, b"ok")
+            assert headers["Signed"] == "1"
+
+    small_fleet.run(check)
+
+
+def test_entry_without_configuration_answers_503():
+    """A 404 would say that the route does not exist."""
+
+    async def check(fleet):
+        app = await fleet.add()
+        status, headers, _ = await _get(app)
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
+    small_fleet.run(check)
+
+
+def test_unknown_route_answers_404():
+    """Callers do not retry a route that does not exist."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        app = await fleet.add()
+        await small_fleet.eventually(lambda: app.catalogue.table)
+        status, _, _ = await _get(app, "/other/")
+        assert status == 404
+
+    small_fleet.run(check)
+
+
+def test_service_without_targets_is_refused_at_once():
+    """A caller that waits for nothing loses the time for another try."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        app = await fleet.add()
+        await small_fleet.eventually(lambda: app.catalogue.table)
+        async with asyncio.timeout(0.4):
+            status, headers, _ = await _get(app)
+        assert status == 503
+        assert 0 < float(headers["Retry-After"]) <= 0.3
+
+    small_fleet.run(check)
+
+
+def test_changes_are_in_force_within_two_seconds():
+    """Requests must not be handled by an older configuration for longer."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        apps = [await fleet.add() for _ in range(4)]
+        await small_fleet.eventually(
+            lambda: all(app.catalogue.table for app in apps)
+        )
+        fleet.publish_routes(2, builders.route(prefix="/b/"))
+        await small_fleet.eventually(
+            lambda: all(app.catalogue.table.version == 2 for app in apps), 2.0
+        )
+
+    small_fleet.run(check)
+
+
+def test_only_two_entries_of_a_data_centre_read_the_platform():
+    """Each call is paid for, and the rates grow more slowly than the fleet."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        apps = [await fleet.add() for _ in range(4)]
+        await small_fleet.eventually(
+            lambda: (
+                [app.is_reading for app in apps] == [True, True, False, False]
+            )
+        )
+
+    small_fleet.run(check)
+
+
+def test_entry_that_the_platform_refuses_learns_from_peers():
+    """The platform may turn some hosts away and serve the others."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        first = await fleet.add()
+        refused = small_fleet.MemorySource()
+        refused.is_down = True
+        second = await fleet.add(source=refused, data_centre="dc2")
+        await small_fleet.eventually(lambda: second.catalogue.table)
+        fleet.publish_routes(2, builders.route())
+        await small_fleet.eventually(
+            lambda: second.catalogue.table.version == 2, 2.0
+        )
+        assert first.catalogue.table.version == 2
+
+    small_fleet.run(check)
+
+
+def test_lost_history_is_made_up_for_by_a_snapshot():
+    """Changes in the gap would never be in force."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        app = await fleet.add()
+        await small_fleet.eventually(lambda: app.catalogue.table)
+        fleet.source.lost_history = fleet.source.revision + 1
+        fleet.publish_routes(2, builders.route())
+        await small_fleet.eventually(
+            lambda: app.catalogue.table.version == 2, 2.0
+        )
+
+    small_fleet.run(check)
+
+
+def test_leaving_entry_is_no_longer_named():
+    """Callers would connect to an entry that is about to stop."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        first, second = await fleet.add(), await fleet.add()
+        await small_fleet.eventually(lambda: len(first.addresses()) == 2)
+        drain = asyncio.create_task(second.drain())
+        await small_fleet.eventually(lambda: len(first.addresses()) == 1, 0.3)
+        assert await drain
+
+    small_fleet.run(check)
+
+
+def test_leaving_entry_answers_what_it_has_accepted():
+    """A planned stop must not cut a request."""
+
+    async def check(fleet):
+        async with scripted_target.ScriptedTarget(_ok) as target:
+            target.delay_s = 0.4
+            fleet.publish_routes(1, builders.route(repeatable=False))
+            fleet.publish_target(address=target.address)
+            app = await fleet.add()
+            await small_fleet.eventually(lambda: app.balancer.load_by_id)
+            request = asyncio.create_task(_get(app))
+            await target.arrived.wait()
+            assert await app.drain()
+            assert (await request)[0] == 200
+
+    small_fleet.run(check)
+
+
+def test_silent_entry_is_no_longer_named():
+    """Callers would connect to a dead host."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        first, second = await fleet.add(), await fleet.add()
+        await small_fleet.eventually(lambda: len(first.addresses()) == 2)
+        await second.stop()
+        await small_fleet.eventually(lambda: len(first.addresses()) == 1, 1.5)
+
+    small_fleet.run(check)
+
+
+def test_entries_share_their_requests():
+    """Entries that do not know of each other collide on a target."""
+
+    async def check(fleet):
+        async with scripted_target.ScriptedTarget(_ok) as target:
+            target.delay_s = 0.5
+            fleet.publish_routes(1, builders.route())
+            fleet.publish_target(address=target.address)
+            first, second = await fleet.add(), await fleet.add()
+            await small_fleet.eventually(
+                lambda: (
+                    second.balancer.load_by_id and len(second.addresses()) == 2
+                )
+            )
+            request = asyncio.create_task(_get(first))
+            load = second.balancer.load_by_id["t1"]
+            await small_fleet.eventually(lambda: load.occupancy() == 1, 0.4)
+            await request
+            await small_fleet.eventually(lambda: load.occupancy() == 0, 0.4)
+
+    small_fleet.run(check)
+
+
+def test_metrics_page_has_counters_and_latencies():
+    """Operators have only this page and the logs."""
+
+    async def check(fleet):
+        app = await fleet.add()
+        settings = app.settings
+        url = f"http://{settings.host}:{settings.metrics_port}/metrics"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as response,
+        ):
+            text = await response.text()
+        assert "slatechute_refusals_total" in text
+        assert "slatechute_total_latency_seconds_bucket" in text
+
+    small_fleet.run(check)
--- /dev/null
+++ b/tests/platform_adapter/test_boot.py
@@ -0,0 +1,43 @@
+"""Tests of the settings file of the users' platform."""
+
+import boot
+import pytest
+
+from slatechute import errors
+
+_TEXT = """
+node: "edge-1"
+role: "entry"
+ip: "10.1.0.18"
+zone: "z1"
+listen:
+  front: "10.1.0.18:8381"
+  ready: "10.1.0.18:8388"
+  control: "10.1.0.18:8382"
+  directory: "10.1.0.18:8383"
+port_range: [7200, 7215]
+seeds: ["10.1.0.18:8382"]
+limits: {max_fds: 4100}
+bounds: ["grace_s=6", "retry_budget=0.2", "ttl_max_s=1", "fenced=true"]
+platform: {address: "10.200.1.7:8384"}
+something_new: {of: "later"}
+"""
+
+
+def test_settings_of_an_entry():
+    """Unknown fields are ignored, bounds become numbers."""
+    settings = boot.parse(_TEXT)
+    assert settings.entry_id == "edge-1"
+    assert settings.data_centre == "z1"
+    assert settings.callers_address == "10.1.0.18:8381"
+    assert settings.peer_port == 7200
+    assert settings.seeds == ("10.1.0.18:8382",)
+    assert settings.stop_limit_s == 6.0
+    assert settings.keep_s == 1.0
+
+
+@pytest.mark.parametrize("text", ["", "[]", "node: 1", "{", "a: b: c"])
+def test_unusable_file_says_why(text):
+    """An entry that starts with guessed settings harms the fleet."""
+    with pytest.raises(errors.SettingsError, match="settings file"):
+        boot.parse(text)
--- /dev/null
+++ b/tests/platform_adapter/test_wire.py
@@ -0,0 +1,170 @@
+"""Tests of names and formats of the users' platform."""
+
+import json
+
+import pytest
+import wire
+
+from slatechute.gateway import dialects
+
+_WIRE = wire.Wire()
+_ENTRY = {
+    "address": "10.128.0.9:8080",
+    "info": {"service": "s1", "version": "v1", "zone": "z1", "slots": 6},
+    "status": {"state": "ready", "seq": 4, "cold_left_s": 1.5},
+}
+_CONFIG = {
+    "version": "r12",
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1000,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    },
+    "listeners": [
+        {
+            "host": "A.example",
+            "routing_rules": [
+                {
+                    "name": "r-1",
+                    "kind": "unsafe",
+                    "target_latency_s": 0.3,
+                    "priority": 1,
+                    "match": {"prefix": "/x/"},
+                    "action": {
+                        "service": "s1",
+                        "timeout_s": 1,
+                        "max_attempts": 2,
+                    },
+                },
+                {
+                    "name": "r-2",
+                    "kind": "download",
+                    "target_latency_s": 0.25,
+                    "priority": 2,
+                    "match": {"prefix": "/"},
+                    "action": {
+                        "traffic_split": [
+                            {"service": "s1", "weight": 90},
+                            {"service": "s2", "weight": 10},
+                        ],
+                        "timeout_s": 0.8,
+                        "max_attempts": 2,
+                    },
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {
+            "name": "s1",
+            "health_path": "/health",
+            "max_conns": 220,
+            "protocol": "h1",
+            "tls": False,
+        }
+    ],
+}
+
+
+def _item(key: str, content: object) -> dialects.PublishedItem:
+    value = content if isinstance(content, bytes) else json.dumps(content)
+    data = value if isinstance(value, bytes) else value.encode()
+    return dialects.PublishedItem(key, 7, data)
+
+
+def _changed(path: str, value: object) -> dict:
+    content = json.loads(json.dumps(_ENTRY))
+    *parents, last = path.split(".")
+    place = content
+    for name in parents:
+        place = place[name]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    return content
+
+
+def test_entry_of_a_target():
+    """Seconds become milliseconds, and the words of the product are used."""
+    target = _WIRE.target(_item("servers/i-1", _ENTRY | {"born": 1700}))
+    assert target == dialects.PublishedTarget(
+        "i-1", 1700, 4, "s1", "10.128.0.9:8080", "z1", 6, False, 1500.0
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("address", None),
+        ("address", 7),
+        ("address", "nowhere"),
+        ("info", None),
+        ("info.service", None),
+        ("info.slots", "6"),
+        ("info.slots", 0),
+        ("status.state", "resting"),
+        ("status.seq", "4"),
+        ("status.cold_left_s", "soon"),
+        ("born", "today"),
+        ("born", 1.5),
+    ],
+)
+def test_entry_of_another_writer_names_no_target(path, value):
+    """A field that is missing or of another type must not be guessed."""
+    assert _WIRE.target(_item("servers/i-1", _changed(path, value))) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+def test_unreadable_bytes_name_no_target(value):
+    """An entry may hold anything."""
+    assert _WIRE.target(_item("servers/i-1", value)) is None
+
+
+def test_configuration():
+    """Kinds tell what may be repeated, and splits become parts."""
+    table = _WIRE.configuration(_item("op/config", _CONFIG))
+    assert table.version == 12
+    unsafe = table.match("a.example", "/x/y")
+    assert (unsafe.repeatable, unsafe.bulk) == (False, False)
+    assert (unsafe.timeout_ms, unsafe.objective_ms) == (1000.0, 300.0)
+    split = table.match("a.example", "/y")
+    assert (split.repeatable, split.bulk) == (True, True)
+    assert [part.weight for part in split.parts] == [90, 10]
+    assert table.limits.max_body_bytes == 1000
+
+
+def test_unusable_configuration_is_none():
+    """A broken write must not take the routes away."""
+    assert _WIRE.configuration(_item("op/config", {"version": "r1"})) is None
+    assert _WIRE.configuration(_item("op/config", b"\xff")) is None
+
+
+def test_other_keys_are_no_configuration():
+    """Other writers use the store as well."""
+    assert _WIRE.configuration(_item("my/leader", _CONFIG)) is None
+
+
+def test_answers():
+    """Only a marked refusal or a wrong target has certainly not run."""
+    facts = _WIRE.answer_facts(503, {"x-not-executed": "1"})
+    assert facts.not_run
+    assert not facts.wrong_target
+    assert _WIRE.answer_facts(421, {}).wrong_target
+    assert not _WIRE.answer_facts(503, {}).not_run
+    assert _WIRE.answer_facts(200, {"x-response-signature": "s"}).signed
+
+
+@pytest.mark.parametrize("text", ["", "1,2", "a,b,c", "1,-2,3", "1,2,0"])
+def test_unusable_load_is_ignored(text):
+    """A target that tells nonsense must not attract requests."""
+    assert _WIRE.answer_facts(200, {"x-server-load": text}).load is None
+
+
+def test_deadline_of_a_caller():
+    """A value that is no number is refused and not taken for none."""
+    assert _WIRE.deadline_ms({}) is None
+    assert _WIRE.deadline_ms({"x-deadline-ms": "1500"}) == 1500.0
+    with pytest.raises(ValueError, match="deadline"):
+        _WIRE.deadline_ms({"x-deadline-ms": "-5"})
