Refuse what would be late by far, and wait by the wait alone

Ruled out: refusing late first tries at every free target (no better), limits of 0.6 and 1 of the remaining time (worse).

--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -24,10 +24,16 @@
 _MAX_RETRY_SHARE = 0.3
 # A target that is paused for less still counts for the expected wait.
 _SHORT_PAUSE_MS = 60.0
-# A request waits when it is expected to be answered within this share of what
-# is left of its objective: a queue that is as long as the objective makes all
-# requests in it late as soon as one estimate is too low.
-_WAIT_SHARE = 0.5
+# A request waits when the wait is expected to take at most this share of what
+# is left of its objective beside its work: a queue that takes all of it makes
+# every request late as soon as one estimate is too low.
+_WAIT_SHARE = 0.33
+# A request that will be late goes to a target that needs at most this share of
+# its remaining time. More would keep slots of hosts that are slow now from
+# requests that are in time once they are fast again; the caller has time to
+# come back, but less often the second time.
+_LATE_SHARE = 0.25
+_LATE_SHARE_RETURNED = 0.4
 
 
 class Decision(enum.Enum):
@@ -240,11 +246,13 @@
         load, cost_ms = self._best(ticket, now_ms)
         if load is None:
             return None
-        if cost_ms > ticket.objective_ms - now_ms and self._may_be_in_time(
-            pool, ticket, now_ms
-        ):
-            # Only slow targets are free, and a fast one will soon be.
-            return None
+        if cost_ms > ticket.objective_ms - now_ms:
+            if self._may_be_in_time(pool, ticket, now_ms):
+                # Only slow targets are free, and a fast one will soon be.
+                return None
+            share = _LATE_SHARE_RETURNED if ticket.returned else _LATE_SHARE
+            if cost_ms > share * (ticket.deadline_ms - now_ms):
+                return None
         return self.start(ticket, load, now_ms)
 
     def exchange_ended(self, load: loads.TargetLoad, now_ms: float) -> None:
@@ -274,8 +282,8 @@
             return False
         ahead = self._count_ahead(pool, ticket, now_ms)
         wait_ms = pool.wait_ms(work_ms, left_ms, ahead, now_ms)
-        time_ms = wait_ms + work_ms * pool.model.crowded_factor
-        return time_ms <= left_ms * _WAIT_SHARE
+        run_ms = work_ms * pool.model.crowded_factor
+        return wait_ms <= (left_ms - run_ms) * _WAIT_SHARE
 
     def decide(self, ticket: Ticket, now_ms: float) -> Decision:
         """Tell whether a request that cannot start now is worth its wait."""
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -25,8 +25,9 @@
 __all__ = ["CallServer", "SmallServer"]
 
 _LOG = logs.get_logger(__name__)
+_FAILURES = logs.get_logger(f"{__name__}.failures")
 # Failures have to be found by their id, also during an overload.
-_LOG.lines_per_s = 40
+_FAILURES.lines_per_s = 40
 
 _MAX_HEADER_BYTES = 16 * 1024
 _MAX_HEADERS = 64
@@ -360,7 +361,8 @@
                 "waiting": len(pool.waiting),
                 "waiting_at_peers": sum(pool.peers_waiting.values()),
             }
-        _LOG.info(
+        logger = _LOG if event == "request_answered" else _FAILURES
+        logger.info(
             event, total_ms=round(total_ms, 1), exchanges=trace.steps, **fields
         )
 
