Let entries choose differently among targets that cost the same

Cause: all entries of a data centre order targets alike, so two requests within the 4 ms that a report takes went to the same target. A random addition of up to a fifth to the cost of each target spreads them.

--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Set
 import dataclasses
 import enum
+import random
 
 from slatechute import errors
 from slatechute.gateway import dialects
@@ -18,6 +19,9 @@
 # Cost of a request that leaves the data centre, as time: two crossings, and
 # what its bytes cost the operators against a gain in time.
 _REMOTE_COST_MS = 12.0
+# Entries that hear of a free target at the same moment would all take it;
+# among targets that cost about the same each takes another one.
+_COST_NOISE = 0.2
 # Shortest and longest time after which a refused caller may come back; the
 # longest is the share of its remaining time that callers accept.
 _MIN_RETRY_MS = 40.0
@@ -27,7 +31,7 @@
 # A request waits when the wait is expected to take at most this share of what
 # is left of its objective beside its work: a queue that takes all of it makes
 # every request late as soon as one estimate is too low.
-_WAIT_SHARE = 0.33
+_WAIT_SHARE = 0.5
 # A request that will be late goes to a target that needs at most this share of
 # its remaining time. More would keep slots of hosts that are slow now from
 # requests that are in time once they are fast again; the caller has time to
@@ -146,17 +150,20 @@
     Args:
         data_centre: Data centre of this entry.
         changed: Called with a target whose own requests have changed.
+        generator: Source of chance; a new one when None.
     """
 
     def __init__(
         self,
         data_centre: str,
         changed: Callable[[loads.TargetLoad], None] = lambda load: None,
+        generator: random.Random | None = None,
     ):
         self.pool_by_service: dict[str, ServicePool] = {}
         self.load_by_id: dict[str, loads.TargetLoad] = {}
         self._data_centre = data_centre
         self._changed = changed
+        self._random = generator or random.Random()
 
     def pool(self, service: str) -> ServicePool:
         """Return the pool of a service."""
@@ -228,6 +235,7 @@
             cost_ms = load.cost_ms(work_ms, now_ms)
             if load.target.data_centre != self._data_centre:
                 cost_ms += _REMOTE_COST_MS
+            cost_ms *= 1 + _COST_NOISE * self._random.random()
             if cost_ms < best_ms:
                 best, best_ms = load, cost_ms
         return best, best_ms
