--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -17,7 +17,7 @@
 from slatechute.gateway import settings as gateway_settings
 from slatechute.util import clock as clocks
 
-__all__ = ["Call", "Forwarder", "Trace"]
+__all__ = ["Call", "Forwarder", "Trace", "first_success"]
 
 _LOG = logs.get_logger(__name__)
 
@@ -339,12 +339,11 @@
                 second = self._start_hedge(call, trace, exchange)
                 if second is not None:
                     tasks.add(second)
-            return await _first_success(tasks)
+            return await first_success(tasks)
         finally:
             for task in tasks:
-                if not task.done():
-                    task.cancel()
-                    task.add_done_callback(_drop_result)
+                task.cancel()
+                task.add_done_callback(_drop_result)
 
     def _hedge_delay_ms(self, call: Call, exchange: loads.Exchange) -> float:
         objective_ms = call.objective_ms - self._clock.now_ms()
@@ -531,7 +530,7 @@
         return None
 
 
-async def _first_success(
+async def first_success(
     tasks: set[asyncio.Task],
 ) -> connections.Answer:
     """Return the first answer of several exchanges.
@@ -545,8 +544,9 @@
         done, pending = await asyncio.wait(
             pending, return_when=asyncio.FIRST_COMPLETED
         )
-        for task in done:
-            error = task.exception()
+        # All of them are looked at, or those left out count as unhandled.
+        error_by_task = {task: task.exception() for task in done}
+        for task, error in error_by_task.items():
             if error is None:
                 return task.result()
             if not isinstance(error, _AttemptError):
--- a/tests/gateway/scripted_target.py
+++ b/tests/gateway/scripted_target.py
@@ -51,6 +51,7 @@
                     if done:
                         return
                     read.cancel()
+                    await asyncio.wait({read})
                 answer = self._script(head + body)
                 if answer is None:
                     return
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import gc
+import logging
 
 import pytest
 
@@ -322,6 +324,30 @@
     _run(check, _ok, _ok)
 
 
+def test_failure_beside_an_answer_is_no_unhandled_error(caplog):
+    """It was logged with a traceback, as a fault of the entry itself."""
+
+    async def fail():
+        raise ValueError("lost")
+
+    async def answer():
+        return connections.Answer(200, [], b"", {})
+
+    async def main():
+        tasks = {asyncio.ensure_future(fail()) for _ in range(8)}
+        tasks.add(asyncio.ensure_future(answer()))
+        await asyncio.sleep(0)
+        with contextlib.suppress(ValueError):
+            await forwarding.first_success(tasks)
+        tasks.clear()
+        gc.collect()
+
+    with caplog.at_level(logging.ERROR, logger="asyncio"):
+        asyncio.run(main())
+    texts = [record.getMessage() for record in caplog.records]
+    assert not [text for text in texts if "never retrieved" in text]
+
+
 def test_request_that_kills_targets_is_refused():
     """Each further target would die under it as well."""
 
