Start splits at a random step, call lost peers of the data centre each second

Cause: every entry began a split with its heaviest part, so a fleet with few requests an entry stayed below the weight of the lightest; a peer that was gone was called every 4 s since the signs of life to other data centres became rare.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 lint: $(VENV)/.installed
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
-	$(PYTHON) tools/check_imports.py slatechute tests tools
+	$(PYTHON) tools/check_imports.py slatechute tests tools platform
 
 format: $(VENV)/.installed
 	$(PYTHON) -m ruff format .
@@ -22,4 +22,5 @@
 $(VENV)/.installed: requirements.lock
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet -r requirements.lock
+	$(PYTHON) -m pip install --quiet --no-deps --editable .
 	touch $@
--- a/slatechute/gateway/peers.py
+++ b/slatechute/gateway/peers.py
@@ -25,6 +25,9 @@
 _NEAR_PRESENCE_MS = 250.0
 _SPEAKER_PRESENCE_MS = 800.0
 _FAR_PRESENCE_MS = 4_000.0
+# To a peer of the own data centre that is gone, so that a cut that has healed is
+# noticed well within the 3 s after which hosts count as in touch again.
+_LOST_PRESENCE_MS = 1_000.0
 # A peer is taken for gone after this many missed signs of life.
 _MISSED = 3.4
 # A peer that is gone is still told of this entry, since it may only have been
@@ -190,9 +193,9 @@
             self._send_list()
 
     def _period_ms(self, peer: Peer) -> float:
-        if self.is_near(peer) and peer.is_alive:
-            return _NEAR_PRESENCE_MS
-        return _FAR_PRESENCE_MS
+        if not self.is_near(peer):
+            return _FAR_PRESENCE_MS
+        return _NEAR_PRESENCE_MS if peer.is_alive else _LOST_PRESENCE_MS
 
     def _review(self, peer: Peer, now_ms: float) -> None:
         silent_ms = now_ms - peer.heard_ms
--- a/slatechute/gateway/splitting.py
+++ b/slatechute/gateway/splitting.py
@@ -1,5 +1,6 @@
 """Weighted choice among the services of a route."""
 
+from collections.abc import Sequence
 import random
 
 from slatechute.gateway import routing
@@ -7,6 +8,10 @@
 __all__ = ["Splitter"]
 
 
+# Steps after which weights in percent have come round at least once.
+_MAX_SKIPPED = 100
+
+
 class Splitter:
     """Smooth weighted round robin for each route.
 
@@ -28,18 +33,23 @@
         key = (route.host, route.prefix, route.parts)
         credits = self._credits_by_route.get(key)
         if credits is None:
-            credits = [
-                self._random.random() * part.weight for part in route.parts
-            ]
+            credits = [0.0] * len(route.parts)
             self._credits_by_route[key] = credits
-        for index, part in enumerate(route.parts):
-            credits[index] += part.weight
-        chosen = max(range(len(credits)), key=credits.__getitem__)
-        credits[chosen] -= sum(part.weight for part in route.parts)
-        return route.parts[chosen].service
+            for _ in range(self._random.randrange(_MAX_SKIPPED)):
+                _advance(route.parts, credits)
+        return route.parts[_advance(route.parts, credits)].service
 
     def keep(self, table: routing.RoutingTable) -> None:
         """Forget routes that are not in the table."""
         kept = {(r.host, r.prefix, r.parts) for r in table.routes()}
         for key in self._credits_by_route.keys() - kept:
             del self._credits_by_route[key]
+
+
+def _advance(parts: Sequence[routing.ServicePart], credits: list[float]) -> int:
+    """Return the index of the next part."""
+    for index, part in enumerate(parts):
+        credits[index] += part.weight
+    chosen = max(range(len(credits)), key=credits.__getitem__)
+    credits[chosen] -= sum(part.weight for part in parts)
+    return chosen
--- /dev/null
+++ b/tests/gateway/test_sharing.py
@@ -0,0 +1,119 @@
+"""Tests of load reports between entries."""
+
+import asyncio
+
+from slatechute import messages
+from slatechute.gateway import balancing
+from slatechute.gateway import peers as peer_groups
+from slatechute.gateway import sharing
+from slatechute.util import clock as clocks
+from tests.gateway import builders
+
+
+class _Group:
+    """A group of peers that keeps what is sent to them."""
+
+    def __init__(self, *peers):
+        self.peers = peers
+        self.sent = []
+
+    def near(self):
+        return [peer for peer in self.peers if self.is_near(peer)]
+
+    def is_near(self, peer):
+        return peer.presence.data_centre == "dc1"
+
+    def broadcast(self, message, peers):
+        self.sent += [(message, peer) for peer in peers]
+
+
+def _peer(entry_id, data_centre="dc1"):
+    presence = messages.Presence(
+        entry_id, "b", data_centre, "h:1", "h:2", 1, "ready"
+    )
+    return peer_groups.Peer(presence, ("h", 1), 0.0)
+
+
+class _Fixture:
+    def __init__(self, *peers):
+        self.clock = clocks.ManualClock(1_000.0)
+        self.balancer = balancing.Balancer("dc1")
+        self.balancer.add(builders.target("t1"), 0.0)
+        self.load = self.balancer.load_by_id["t1"]
+        self.group = _Group(*peers)
+        self.sharing = sharing.LoadSharing(
+            builders.gateway_settings(), "b", self.clock
+        )
+        self.sharing.attach(self.group, self.balancer)
+
+
+def _report(number, own, entry_id="e2", **fields):
+    reading = messages.TargetReading("t1", own, 10, 1, 0, 2, 400)
+    return messages.LoadReport(entry_id, "b", number, [reading], **fields)
+
+
+def test_report_counts_requests_and_load():
+    """The next choice has to see both."""
+    peer = _peer("e2")
+    fixture = _Fixture(peer)
+    fixture.sharing.received(peer, _report(1, own=2))
+    assert fixture.load.occupancy() >= 2
+    assert fixture.load.load.slowdown == 4.0
+    assert fixture.load.reported_ms == 990.0
+
+
+def test_older_report_does_not_undo_a_newer_one():
+    """Datagrams may arrive out of order."""
+    peer = _peer("e2")
+    fixture = _Fixture(peer)
+    fixture.sharing.received(peer, _report(2, own=0))
+    fixture.sharing.received(peer, _report(1, own=2))
+    assert not fixture.load.peers_by_id
+
+
+def test_complete_report_clears_targets_that_it_does_not_name():
+    """A lost datagram would leave a request at a target for ever."""
+    peer = _peer("e2")
+    fixture = _Fixture(peer)
+    fixture.sharing.received(peer, _report(1, own=2))
+    empty = messages.LoadReport("e2", "b", 2, [], is_complete=True)
+    fixture.sharing.received(peer, empty)
+    assert not fixture.load.peers_by_id
+
+
+def test_report_of_another_data_centre_is_passed_on_once():
+    """Bytes are paid for between data centres, not inside of them."""
+    speaker, near = _peer("f1", "dc2"), _peer("e2")
+    fixture = _Fixture(speaker, near)
+    report = _report(1, own=0, entry_id="f1")
+    fixture.sharing.received(speaker, report)
+    assert [peer for _, peer in fixture.group.sent] == [near]
+    fixture.group.sent.clear()
+    fixture.sharing.received(near, report)
+    assert not fixture.group.sent
+    assert fixture.load.load.slowdown == 4.0
+
+
+def test_waiting_requests_of_peers_count_for_the_expected_wait():
+    """Entries that see only their own queue accept too much."""
+    peer = _peer("e2")
+    fixture = _Fixture(peer)
+    report = _report(1, own=0, waiting_by_service={"s": 7})
+    fixture.sharing.received(peer, report)
+    assert fixture.balancer.pool("s").peers_waiting == {"e2": 7}
+
+
+def test_changes_are_told_within_milliseconds():
+    """Two entries would send to the same free slot."""
+
+    async def main():
+        peer = _peer("e2")
+        fixture = _Fixture(peer)
+        fixture.load.start("k", 1_000.0)
+        fixture.sharing.changed(fixture.load)
+        await asyncio.sleep(0.02)
+        report, receiver = fixture.group.sent[0]
+        assert receiver is peer
+        assert report.readings[0].own == 1
+
+    asyncio.run(main())
