--- a/slatechute/gateway/peers.py
+++ b/slatechute/gateway/peers.py
@@ -25,7 +25,7 @@
 _NEAR_PRESENCE_MS = 250.0
 _SPEAKER_PRESENCE_MS = 800.0
 _FAR_PRESENCE_MS = 4_000.0
-# To a peer of the own data centre that is gone, so that a cut that has healed is
+# To a peer of the own data centre that is gone: a cut that has healed must be
 # noticed well within the 3 s after which hosts count as in touch again.
 _LOST_PRESENCE_MS = 1_000.0
 # A peer is taken for gone after this many missed signs of life.
