--- /dev/null
+++ b/slatechute/benches/gateway.py
@@ -0,0 +1,98 @@
+"""Processor time and bytes of the parts of a gateway entry, in one process.
+
+Run it as `python -m slatechute.benches.gateway`; it prints one line of JSON a
+figure, with the number of targets or readings it was measured at.
+"""
+
+import json
+import time
+
+from slatechute import messages
+from slatechute.gateway import balancing
+from slatechute.gateway import dialects
+from slatechute.gateway import routing
+
+__all__ = ["main"]
+
+_SECONDS = 0.3
+_TARGETS = (8, 21, 100)
+_READINGS = (1, 10, 24)
+
+
+def _time_us(action) -> float:
+    """Return the mean time of an action in microseconds."""
+    rounds = 0
+    start_s = time.process_time()
+    while time.process_time() - start_s < _SECONDS:
+        action()
+        rounds += 1
+    return (time.process_time() - start_s) / rounds * 1e6
+
+
+def _report(count: int) -> messages.LoadReport:
+    readings = [
+        messages.TargetReading(f"i-{index:08x}", 1, 40, 2, 0, 6, 400)
+        for index in range(count)
+    ]
+    return messages.LoadReport("edge-north-1", "boot-1", 7, readings)
+
+
+def _balancer(count: int) -> balancing.Balancer:
+    balancer = balancing.Balancer("dc1")
+    for index in range(count):
+        target = dialects.PublishedTarget(
+            f"t{index}", 1, 1, "s", "10.0.0.1:1", "dc1", 6, False
+        )
+        balancer.add(target, 0.0)
+        load = dialects.Load(0, 0, 6, 1.0)
+        balancer.load_by_id[target.id].report(load, 1.0)
+    return balancer
+
+
+def _choose(balancer: balancing.Balancer) -> None:
+    part = (routing.ServicePart("s", 1.0),)
+    route = routing.Route("h", "/", part, True)
+    ticket = balancing.Ticket(route, "s", 2.0, 252.0, 1502.0)
+    exchange = balancer.take(ticket, 2.0)
+    exchange.load.cancelled(exchange)
+
+
+def main() -> None:
+    """Measure everything and print it."""
+    for count in _READINGS:
+        report = _report(count)
+        frame = messages.encode(report)
+        figures = {
+            "what": "load report",
+            "readings": count,
+            "bytes": len(frame),
+            "encode_us": round(_time_us(lambda r=report: messages.encode(r))),
+            "decode_us": round(_time_us(lambda f=frame: messages.decode(f))),
+        }
+        print(json.dumps(figures))
+    for count in _TARGETS:
+        balancer = _balancer(count)
+        figures = {
+            "what": "choice of a target",
+            "targets": count,
+            "us": round(_time_us(lambda b=balancer: _choose(b))),
+        }
+        print(json.dumps(figures))
+    presence = messages.Presence(
+        "edge-north-1",
+        "edge-north-1-0e12e502",
+        "north",
+        "10.1.0.18:8381",
+        "10.1.0.18:8382",
+        7200,
+        "ready",
+        12,
+        412,
+        60_000.0,
+    )
+    size = len(messages.encode(presence))
+    print(json.dumps({"what": "sign of life", "bytes": size}))
+
+
+if __name__ == "__main__":
+    main()
