--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -81,9 +81,7 @@
         self._behind_since_ms: float | None = None
         self._session: aiohttp.ClientSession | None = None
         self._started_ms = self.clock.now_ms()
-        self.catalogue = catalogues.Catalogue(
-            settings, dialect, self.clock, self.bus
-        )
+        self.catalogue = catalogues.Catalogue(settings, dialect, self.bus)
         self._reader = readers.PlatformReader(
             source,
             self.catalogue,
@@ -109,7 +107,7 @@
             lambda peer: self.balancer.forget_peer(peer.presence.entry_id),
         )
         self._sharing.attach(self.group, self.balancer)
-        self._pool = connections.ConnectionPool(self.clock)
+        self._pool = connections.ConnectionPool()
         self._forwarder = forwarding.Forwarder(
             settings,
             self._dialect,
--- a/slatechute/gateway/catalogue.py
+++ b/slatechute/gateway/catalogue.py
@@ -8,7 +8,6 @@
 from slatechute.gateway import published
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
-from slatechute.util import clock as clocks
 
 __all__ = [
     "Catalogue",
@@ -78,27 +77,17 @@
         self,
         settings: gateway_settings.GatewaySettings,
         dialect: dialects.Dialect,
-        clock: clocks.Clock,
         bus: events.EventBus,
     ):
         self.view = published.PublishedView()
         self.table: routing.RoutingTable | None = None
         self._settings = settings
         self._dialect = dialect
-        self._clock = clock
         self._bus = bus
         self._target_by_key: dict[str, dialects.PublishedTarget] = {}
         self._lapsed_keys: set[str] = set()
         self._newest_by_key: dict[str, tuple[int, int]] = {}
 
-    def targets(self) -> list[dialects.PublishedTarget]:
-        """Return the listed targets, those that are leaving included."""
-        return list(self._target_by_key.values())
-
-    def target_keys(self) -> list[str]:
-        """Return the ids of the targets that may get work."""
-        return [t.id for t in self._target_by_key.values() if not t.leaving]
-
     def apply(
         self,
         changes: list[dialects.PublishedItem],
--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -13,7 +13,6 @@
 import h11
 
 from slatechute import errors
-from slatechute.util import clock as clocks
 from slatechute.util import sockets
 
 __all__ = ["Answer", "ConnectionPool", "ExchangeError", "TargetConnection"]
@@ -263,15 +262,9 @@
 
 
 class ConnectionPool:
-    """Connections of this entry to all targets, by address.
+    """Connections of this entry to all targets, by address."""
 
-    Attributes:
-        opened: Connections opened so far.
-    """
-
-    def __init__(self, clock: clocks.Clock):
-        self.opened = 0
-        self._clock = clock
+    def __init__(self):
         self._idle_by_address: dict[
             str, collections.deque[TargetConnection]
         ] = {}
@@ -319,7 +312,6 @@
         """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 transport, connection = await loop.create_connection(
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -25,7 +25,6 @@
         stop_limit_s: Time from the stop signal to the forced end.
         retry_ratio: Arrivals beyond the first, as a share of the requests of a
             service, that the whole fleet may cause.
-        retry_slack: Further ones in each window, also for the whole fleet.
         probes_per_s: Probes that a target may get from the whole fleet.
         lapse_hold_s: How long a target whose entry lapsed while the platform
             was away stays in use after the platform is back.
@@ -46,7 +45,6 @@
     keep_s: float = 2.0
     stop_limit_s: float = 6.0
     retry_ratio: float = 0.2
-    retry_slack: float = 0.0
     probes_per_s: float = 10.0
     lapse_hold_s: float = 2.0
     max_connections: int = 1500
--- a/tests/gateway/test_catalogue.py
+++ b/tests/gateway/test_catalogue.py
@@ -4,7 +4,6 @@
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import dialects
 from slatechute.gateway import routing
-from slatechute.util import clock as clocks
 from tests.gateway import builders
 
 _STEADY = catalogues.Source("platform", 60_000.0)
@@ -26,7 +25,6 @@
         self.catalogue = catalogues.Catalogue(
             builders.gateway_settings(),
             self.dialect,
-            clocks.ManualClock(),
             self.bus,
         )
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -21,7 +21,7 @@
     def __init__(self, *targets: scripted_target.ScriptedTarget):
         self.clock = clocks.MonotonicClock()
         self.balancer = balancing.Balancer("dc1")
-        self.pool = connections.ConnectionPool(self.clock)
+        self.pool = connections.ConnectionPool()
         self.strikes = []
         self.forwarder = forwarding.Forwarder(
             builders.gateway_settings(),
