Serve callers, read bodies and pass headers on by one piece of code

Cause: the gateway wrote the listener's options, the reading of a body and the choice of end-to-end headers again beside callers.py. listener.serve, listener.read_body and exchange.end_to_end now serve both; a far reading is made from a near one, the time left in quarantine is asked in one place, and a parameter that nothing set is gone. A gateway now refuses a body of a stated length above the limit without reading it, as callers.py did; status and reason are the same. The test of slow bodies sets the limit where it now stands.

--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -34,14 +34,6 @@
     _ATTEMPT_HEADER.lower(),
     "content-length",
 }
-_MAX_HEADER_BYTES = 16 * 1024
-# At `_MAX_HEADER_BYTES` each, the headers of a request take at most 1 MiB.
-_MAX_HEADERS = 64
-_KEEPALIVE_S = 75.0
-_BODY_LIMIT_S = 10.0
-# How long the rest of a refused body is read, so that the caller gets to see
-# the refusal.
-_LINGERING_S = 2.0
 _MAX_DEADLINE_MS = 600_000
 
 
@@ -99,24 +91,14 @@
         Raises:
             OSError: The address cannot be used.
         """
-        server = listener.CallerListener(
+        self._runner = await listener.serve(
             self._handle,
+            self._settings.address,
             max_connections=self._settings.max_connections,
             refused=lambda reason: self._counters.refused(
                 reason, errors.Outcome.NOT_RUN, ""
             ),
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=_KEEPALIVE_S,
-            max_field_size=_MAX_HEADER_BYTES,
-            max_line_size=_MAX_HEADER_BYTES,
-            max_headers=_MAX_HEADERS,
-            lingering_time=_LINGERING_S,
         )
-        self._runner = web.ServerRunner(server)
-        await self._runner.setup()
-        host, port = entry_settings.split_address(self._settings.address)
-        await web.TCPSite(self._runner, host, port, backlog=1024).start()
 
     async def stop(self) -> None:
         """Close the server and all connections."""
@@ -222,7 +204,7 @@
             service,
             http.method,
             http.path_qs,
-            _end_to_end(headers),
+            exchange.end_to_end(headers, _DROPPED_HEADERS),
             body,
             rule,
             now_ms,
@@ -238,29 +220,14 @@
             return b""
         try:
             async with asyncio.timeout(limit_ms / 1000):
-                return await self._body(http)
+                return await listener.read_body(
+                    http, self._settings.max_body_bytes
+                )
         except TimeoutError as err:
             raise errors.RequestError(
                 errors.Reason.DEADLINE, errors.Step.ACCEPTED, status=504
             ) from err
 
-    async def _body(self, http: web.BaseRequest) -> bytes:
-        limit = self._settings.max_body_bytes
-        too_large = errors.RequestError(
-            errors.Reason.BODY_TOO_LARGE, errors.Step.ACCEPTED, status=413
-        )
-        if http.content_length is not None and http.content_length > limit:
-            raise too_large
-        try:
-            async with asyncio.timeout(_BODY_LIMIT_S):
-                return await _read_body(http, limit, too_large)
-        except TimeoutError:
-            raise errors.RequestError(
-                errors.Reason.REQUEST_TOO_SLOW,
-                errors.Step.ACCEPTED,
-                status=408,
-            ) from None
-
     async def _pass_on(
         self,
         http: web.BaseRequest,
@@ -331,19 +298,6 @@
     return errors.RequestError(errors.Reason.UNKNOWN_SERVICE, step, status=404)
 
 
-async def _read_body(
-    http: web.BaseRequest, limit: int, too_large: errors.RequestError
-) -> bytes:
-    parts = []
-    size = 0
-    async for chunk in http.content.iter_any():
-        size += len(chunk)
-        if size > limit:
-            raise too_large
-        parts.append(chunk)
-    return b"".join(parts)
-
-
 def _service_of(http: web.BaseRequest) -> str:
     named = http.headers.get(_SERVICE_HEADER)
     return named or (http.host or "").split(".", 1)[0].split(":", 1)[0]
@@ -362,20 +316,6 @@
     return int(text)
 
 
-def _end_to_end(
-    headers: multidict.CIMultiDictProxy[str],
-) -> list[tuple[str, str]]:
-    dropped = _DROPPED_HEADERS
-    named = headers.get("Connection")
-    if named:
-        dropped = dropped | {key.strip().lower() for key in named.split(",")}
-    return [
-        (key, value)
-        for key, value in headers.items()
-        if key.lower() not in dropped
-    ]
-
-
 def _refusal(error: errors.RequestError) -> web.Response:
     content = {
         "outcome": error.outcome,
--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -1,10 +1,11 @@
 """HTTP exchanges with targets over aiohttp."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Set
 import dataclasses
 
 import aiohttp
+import multidict
 import yarl
 
 from slatechute import errors
@@ -18,6 +19,7 @@
     "OUTCOME_HEADER",
     "TARGET_STATE_HEADER",
     "TargetClient",
+    "end_to_end",
 ]
 
 OUTCOME_HEADER = "Slatechute-Outcome"
@@ -51,6 +53,26 @@
 _IDLE_ONCE_S = 0.25
 
 
+def end_to_end(
+    headers: multidict.CIMultiDictProxy[str], dropped: Set[str]
+) -> list[tuple[str, str]]:
+    """Return the headers that are passed on.
+
+    Args:
+        headers: Headers of a request.
+        dropped: Names in lower case that are left out, beside those that the
+            Connection header names.
+    """
+    named = headers.get("Connection")
+    if named:
+        dropped = dropped | {key.strip().lower() for key in named.split(",")}
+    return [
+        (key, value)
+        for key, value in headers.items()
+        if key.lower() not in dropped
+    ]
+
+
 class ExchangeError(errors.SlatechuteError):
     """An exchange ended without a whole answer.
 
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -221,7 +221,7 @@
         return near or pool.load_by_id.values()
 
     def _best(
-        self, ticket: Ticket, now_ms: float, *, with_room: bool = True
+        self, ticket: Ticket, now_ms: float
     ) -> tuple[loads.TargetLoad | None, float]:
         """Return the target with the lowest cost, and that cost in ms."""
         pool = self.pool(ticket.service)
@@ -230,7 +230,7 @@
         for load in self._usable(pool, ticket, now_ms):
             if load.is_paused(now_ms) or load.target.id in ticket.excluded:
                 continue
-            if with_room and not load.has_room():
+            if not load.has_room():
                 continue
             cost_ms = load.cost_ms(work_ms, now_ms)
             if load.target.data_centre != self._data_centre:
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -192,11 +192,15 @@
                 call, trace, errors.Reason.DEADLINE, status
             ) from None
 
-    def _check_quarantine(self, call: Call) -> None:
+    def _quarantined_ms(self, call: Call) -> float:
+        """Return how long a request stays refused, 0 when it is not."""
         if self.quarantine.is_empty:
-            return
+            return 0.0
         now_ms = self._clock.now_ms()
-        left_ms = self.quarantine.remaining_ms(call.fingerprint, now_ms)
+        return self.quarantine.remaining_ms(call.fingerprint, now_ms)
+
+    def _check_quarantine(self, call: Call) -> None:
+        left_ms = self._quarantined_ms(call)
         if left_ms > 0:
             raise errors.RequestError(
                 errors.Reason.QUARANTINED,
@@ -275,9 +279,7 @@
         pool = self._balancer.pool(call.service)
         if not pool.load_by_id.keys() - trace.excluded:
             return False
-        if not self.quarantine.is_empty and self.quarantine.remaining_ms(
-            call.fingerprint, self._clock.now_ms()
-        ):
+        if self._quarantined_ms(call) > 0:
             return False
         return self._budget(call.service).take()
 
@@ -471,14 +473,14 @@
             )
         load.failed(exchange, now_ms)
         if not error.began:
-            self.note_strike(
+            self._note_strike(
                 call.fingerprint, target_id, now_ms - exchange.started_ms
             )
         return _AttemptError(
             errors.Reason.CONNECTION_LOST, target_id, not_run=False
         )
 
-    def note_strike(
+    def _note_strike(
         self, fingerprint: str, target_id: str, duration_ms: float
     ) -> None:
         """Record that a target may have died under a request."""
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -29,12 +29,14 @@
 # Failures have to be found by their id, also during an overload.
 _FAILURES.lines_per_s = 40
 
-_MAX_HEADER_BYTES = 16 * 1024
-_MAX_HEADERS = 64
-# Longer than any idle limit of the configuration, which binds the callers.
+# Addresses and readiness are asked again within seconds on kept connections.
 _KEEPALIVE_S = 75.0
-_BODY_LIMIT_S = 10.0
-_LINGERING_S = 2.0
+# A target has to see the host; the length is set anew, as a body may have come
+# in chunks.
+_DROPPED_HEADERS = exchange.HOP_BY_HOP - {"host"} | {
+    "content-length",
+    "expect",
+}
 _SHUTDOWN_S = 0.2
 # Requests without a deadline end with the timeout of their route.
 _NO_DEADLINE_MS = 600_000.0
@@ -112,26 +114,15 @@
         Raises:
             OSError: The address cannot be used.
         """
-        server = listener.CallerListener(
+        self._runner = await listener.serve(
             self._handle,
+            self._settings.callers_address,
             max_connections=self._settings.max_connections,
             refused=lambda reason: self._counters.refused(
                 reason, errors.Outcome.NOT_RUN, ""
             ),
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=_KEEPALIVE_S,
-            max_field_size=_MAX_HEADER_BYTES,
-            max_line_size=_MAX_HEADER_BYTES,
-            max_headers=_MAX_HEADERS,
-            lingering_time=_LINGERING_S,
+            shutdown_timeout=_SHUTDOWN_S,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
-        await self._runner.setup()
-        host, port = settings_module.split_address(
-            self._settings.callers_address
-        )
-        await web.TCPSite(self._runner, host, port, backlog=1024).start()
 
     async def stop(self) -> None:
         """Close the server and all connections."""
@@ -193,7 +184,7 @@
             raise errors.RequestError(
                 errors.Reason.STARTING, errors.Step.ACCEPTED
             )
-        body = await _read_body(http, table.limits.max_body_bytes)
+        body = await listener.read_body(http, table.limits.max_body_bytes)
         # A newer version may have come while the body was read.
         table = self._catalogue.table
         path = http.raw_path
@@ -248,19 +239,11 @@
     def _end_to_end(
         self, headers: multidict.CIMultiDictProxy[str], body: bytes
     ) -> list[tuple[str, str]]:
-        dropped = exchange.HOP_BY_HOP - {"host"}
-        named = headers.get("Connection")
-        if named:
-            dropped = dropped | {
-                key.strip().lower() for key in named.split(",")
-            }
-        kept = []
-        for key, value in headers.items():
-            name = key.lower()
-            if name in dropped or name in ("content-length", "expect"):
-                continue
-            if not self._dialect.is_own_header(name):
-                kept.append((key, value))
+        kept = [
+            (key, value)
+            for key, value in exchange.end_to_end(headers, _DROPPED_HEADERS)
+            if not self._dialect.is_own_header(key.lower())
+        ]
         if body or "Content-Length" in headers:
             kept.append(("Content-Length", str(len(body))))
         return kept
@@ -274,8 +257,7 @@
         trace: forwarding.Trace,
     ) -> web.Response:
         total_ms = self._clock.now_ms() - call.arrived_ms
-        at_target_ms = max(0.0, total_ms - trace.steps[-1]["at_ms"])
-        added_ms = max(0.0, total_ms - at_target_ms)
+        added_ms = min(total_ms, trace.steps[-1]["at_ms"])
         self._counters.answered(total_ms / 1e3, added_ms / 1e3)
         event = "request_answered"
         if answer.status >= 500:
@@ -365,30 +347,3 @@
         logger.info(
             event, total_ms=round(total_ms, 1), exchanges=trace.steps, **fields
         )
-
-
-async def _read_body(http: web.BaseRequest, limit: int) -> bytes:
-    """Return the body.
-
-    Raises:
-        errors.RequestError: It is too large or comes too slowly.
-    """
-    if not http.body_exists:
-        return b""
-    parts, size = [], 0
-    try:
-        async with asyncio.timeout(_BODY_LIMIT_S):
-            async for chunk in http.content.iter_any():
-                size += len(chunk)
-                if size > limit:
-                    raise errors.RequestError(
-                        errors.Reason.BODY_TOO_LARGE,
-                        errors.Step.ACCEPTED,
-                        status=413,
-                    )
-                parts.append(chunk)
-    except TimeoutError:
-        raise errors.RequestError(
-            errors.Reason.REQUEST_TOO_SLOW, errors.Step.ACCEPTED, status=408
-        ) from None
-    return b"".join(parts)
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -245,15 +245,8 @@
 ) -> messages.TargetReading:
     """Return a reading that counts what was sent since the last report."""
     told = load.load
-    return messages.TargetReading(
-        load.target.id,
-        0,
-        int(now_ms - load.reported_ms),
-        max(told.running, load.occupancy() - told.waiting),
-        told.waiting,
-        told.slots,
-        round(told.slowdown * 100),
-    )
+    running = max(told.running, load.occupancy() - told.waiting)
+    return _reading(load, now_ms)._replace(own=0, running=running)
 
 
 class LoadProber:
--- a/slatechute/listener.py
+++ b/slatechute/listener.py
@@ -6,13 +6,29 @@
 from aiohttp import web
 
 from slatechute import errors
+from slatechute import settings as settings_module
 
-__all__ = ["HEAD_LIMIT_S", "CallerListener", "Connection"]
+__all__ = [
+    "HEAD_LIMIT_S",
+    "CallerListener",
+    "Connection",
+    "read_body",
+    "serve",
+]
 
 # From the first byte of a request to the end of its headers. Waiting for the
 # first byte is bounded by the keep-alive time.
 HEAD_LIMIT_S = 5.0
 _SWEEP_S = 0.5
+_MAX_HEADER_BYTES = 16 * 1024
+# At `_MAX_HEADER_BYTES` each, the headers of a request take at most 1 MiB.
+_MAX_HEADERS = 64
+_KEEPALIVE_S = 75.0
+_BODY_LIMIT_S = 10.0
+# How long the rest of a refused body is read, so that the caller gets to see
+# the refusal.
+_LINGERING_S = 2.0
+_BACKLOG = 1024
 # Connections above the limit that may wait for their refusal; further ones are
 # closed at once.
 _REFUSED_CONNECTIONS = 64
@@ -125,6 +141,74 @@
                 connection.transport.abort()
 
 
+async def serve(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    address: str,
+    *,
+    max_connections: int,
+    refused: Callable[[errors.Reason], None],
+    **kwargs,
+) -> web.ServerRunner:
+    """Listen for callers; return the runner, whose `cleanup` ends it.
+
+    Args:
+        handler: Answers requests; cancelled when its caller leaves.
+        address: Host and port.
+        max_connections: Connections that are served.
+        refused: Counts a connection that is refused or closed.
+        kwargs: Arguments of `web.ServerRunner`.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    server = CallerListener(
+        handler,
+        max_connections=max_connections,
+        refused=refused,
+        handler_cancellation=True,
+        access_log=None,
+        keepalive_timeout=_KEEPALIVE_S,
+        max_field_size=_MAX_HEADER_BYTES,
+        max_line_size=_MAX_HEADER_BYTES,
+        max_headers=_MAX_HEADERS,
+        lingering_time=_LINGERING_S,
+    )
+    runner = web.ServerRunner(server, **kwargs)
+    await runner.setup()
+    host, port = settings_module.split_address(address)
+    await web.TCPSite(runner, host, port, backlog=_BACKLOG).start()
+    return runner
+
+
+async def read_body(http: web.BaseRequest, limit: int) -> bytes:
+    """Return the body of a request.
+
+    Raises:
+        errors.RequestError: It is larger than `limit` bytes or comes too
+            slowly.
+    """
+    if not http.body_exists:
+        return b""
+    too_large = errors.RequestError(
+        errors.Reason.BODY_TOO_LARGE, errors.Step.ACCEPTED, status=413
+    )
+    if http.content_length is not None and http.content_length > limit:
+        raise too_large
+    parts, size = [], 0
+    try:
+        async with asyncio.timeout(_BODY_LIMIT_S):
+            async for chunk in http.content.iter_any():
+                size += len(chunk)
+                if size > limit:
+                    raise too_large
+                parts.append(chunk)
+    except TimeoutError:
+        raise errors.RequestError(
+            errors.Reason.REQUEST_TOO_SLOW, errors.Step.ACCEPTED, status=408
+        ) from None
+    return b"".join(parts)
+
+
 def _abort_refused(listener: CallerListener, connection: Connection) -> None:
     """Close a connection above the limit that sends no request."""
     if connection.transport is not None and not connection.is_serving:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -228,8 +228,8 @@
 
 def test_slow_body_is_refused(monkeypatch):
     """Guards against a slow body that holds a connection for ever."""
-    monkeypatch.setattr(callers, "_BODY_LIMIT_S", 0.1)
-    monkeypatch.setattr(callers, "_LINGERING_S", 0.1)
+    monkeypatch.setattr(listener, "_BODY_LIMIT_S", 0.1)
+    monkeypatch.setattr(listener, "_LINGERING_S", 0.1)
 
     async def scenario(server):
         answer = await server.send(
