Probe a target that starts again under its id by its new process

Cause: probes were kept by id, so after a restart under the same id the task went on with the load and the address of the process before, and the new one was heard of only in answers.

--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -276,7 +276,9 @@
         self._clock = clock
         self._counters = counters
         self._sharing = sharing
-        self._task_by_id: dict[str, asyncio.Task] = {}
+        # By process: one that starts again under its id is another target.
+        self._task_by_load: dict[loads.TargetLoad, asyncio.Task] = {}
+        self._reviewed: tuple[dict[str, str], frozenset] | None = None
         self._period_s = max(
             _PROBE_PERIOD_S,
             1 / max(0.1, settings.probes_per_s * _PROBE_SHARE),
@@ -291,26 +293,29 @@
         }
         places[self._settings.entry_id] = self._settings.data_centre
         own = self._settings.entry_id
+        known = frozenset(self._balancer.load_by_id.values())
+        if (places, known) == self._reviewed:
+            return
+        self._reviewed = (places, known)
         mine = {
-            load.target.id
-            for load in self._balancer.load_by_id.values()
+            load
+            for load in known
             if ownership.dispatcher_of(
                 load.target.id, load.target.data_centre, places
             )
             == own
         }
-        for target_id in self._task_by_id.keys() - mine:
-            self._task_by_id.pop(target_id).cancel()
-        for target_id in mine - self._task_by_id.keys():
-            load = self._balancer.load_by_id[target_id]
+        for load in self._task_by_load.keys() - mine:
+            self._task_by_load.pop(load).cancel()
+        for load in mine - self._task_by_load.keys():
             task = asyncio.create_task(self._probe_often(load))
-            self._task_by_id[target_id] = task
+            self._task_by_load[load] = task
 
     def stop(self) -> None:
         """End all probes."""
-        for task in self._task_by_id.values():
+        for task in self._task_by_load.values():
             task.cancel()
-        self._task_by_id.clear()
+        self._task_by_load.clear()
 
     async def _probe_often(self, load: loads.TargetLoad) -> None:
         connection = None
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -3,11 +3,15 @@
 import asyncio
 
 from slatechute import messages
+from slatechute import metrics
 from slatechute.gateway import balancing
+from slatechute.gateway import connections
 from slatechute.gateway import peers as peer_groups
+from slatechute.gateway import routing
 from slatechute.gateway import sharing
 from slatechute.util import clock as clocks
 from tests.gateway import builders
+from tests.gateway import scripted_target
 
 
 class _Group:
@@ -17,6 +21,9 @@
         self.peers = peers
         self.sent = []
 
+    def alive(self):
+        return self.peers
+
     def near(self):
         return [peer for peer in self.peers if self.is_near(peer)]
 
@@ -117,3 +124,37 @@
         assert report.readings[0].own == 1
 
     asyncio.run(main())
+
+
+def test_target_that_starts_again_is_probed_at_its_new_address():
+    """It has the same id, and its load was never heard of again."""
+
+    async def main():
+        clock = clocks.MonotonicClock()
+        fixture = _Fixture()
+        pool = connections.ConnectionPool()
+        prober = sharing.LoadProber(
+            builders.gateway_settings(probes_per_s=60.0),
+            builders.PlainDialect(),
+            fixture.balancer,
+            fixture.group,
+            pool,
+            clock,
+            metrics.Metrics(),
+            fixture.sharing,
+        )
+        prober.table = routing.RoutingTable(
+            1, [], [routing.Service("s", "/health", 10)]
+        )
+        async with scripted_target.ScriptedTarget(
+            scripted_target.answer
+        ) as again:
+            prober.review()
+            fixture.balancer.remove("t1")
+            restarted = builders.target("t1", started=2, address=again.address)
+            fixture.balancer.add(restarted, 1_000.0)
+            prober.review()
+            await asyncio.wait_for(again.arrived.wait(), 2.0)
+            prober.stop()
+
+    asyncio.run(main())
