Keep the loops of an entry running after an unexpected error

Cause: an exception that no code expects ended the tick, the reader of the platform, the reports to other data centres or the probes of a target, and was logged only when the task was collected. The entry went on serving with a configuration and loads that grew old.

Ruled out: ending the process, since a platform counts exits as faults and the requests in flight are lost.

Each step of the tick runs on its own; the reader reads everything again after an unexpected error.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -1,6 +1,7 @@
 """A gateway entry: builds its parts and wires them."""
 
 import asyncio
+from collections.abc import Callable, Sequence
 import random
 
 import aiohttp
@@ -27,6 +28,7 @@
 from slatechute.gateway import sharing
 from slatechute.util import clock as clocks
 from slatechute.util import sockets
+from slatechute.util import steps
 
 __all__ = ["GatewayApplication"]
 
@@ -249,25 +251,35 @@
         self.group.set_seeds(settings.seeds)
         _LOG.info("settings_reloaded", seeds=list(settings.seeds))
 
+    def _periodic_steps(self) -> Sequence[tuple[str, int, Callable[[], None]]]:
+        """Return name, period in ticks and action of each periodic step."""
+        now_ms = self.clock.now_ms
+        return (
+            ("queues", 1, lambda: self.balancer.tick(now_ms())),
+            ("sharing", 3, lambda: self._sharing.tick()),
+            ("behind", 3, lambda: self._check_behind(now_ms())),
+            ("peers", 6, lambda: self.group.tick()),
+            ("reader", 6, self._review_reader),
+            ("probes", 6, lambda: self._prober.review()),
+            ("lapses", 6, lambda: self.catalogue.expire(self._steady_ms())),
+        )
+
     async def _tick(self) -> None:
+        periodic_steps = self._periodic_steps()
         last_ms = self.clock.now_ms()
         turn = 0
         while True:
             await asyncio.sleep(_TICK_S)
             now_ms = self.clock.now_ms()
-            if now_ms - last_ms > _PAUSE_MS:
-                self._resume(now_ms - last_ms)
-            last_ms = now_ms
+            pause_ms, last_ms = now_ms - last_ms, now_ms
+            if pause_ms > _PAUSE_MS:
+                steps.run_step(
+                    _LOG, "resume", lambda ms=pause_ms: self._resume(ms)
+                )
             turn += 1
-            self.balancer.tick(now_ms)
-            if turn % 3 == 0:
-                self._sharing.tick()
-                self._check_behind(now_ms)
-            if turn % 6 == 0:
-                self.group.tick()
-                self._review_reader()
-                self._prober.review()
-                self.catalogue.expire(self._steady_ms())
+            for name, period, action in periodic_steps:
+                if turn % period == 0:
+                    steps.run_step(_LOG, name, action)
 
     def _review_reader(self) -> None:
         """Read the platform unless enough peers of the data centre do.
--- a/slatechute/gateway/reader.py
+++ b/slatechute/gateway/reader.py
@@ -10,6 +10,7 @@
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import dialects
 from slatechute.util import clock as clocks
+from slatechute.util import steps
 
 __all__ = ["HistoryGone", "PlatformReader", "PublishedSource", "Snapshot"]
 
@@ -139,8 +140,17 @@
                 self._has_snapshot = False
             except errors.PlatformError as error:
                 self._failed(error)
-                await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1))
-                self._backoff_s = min(_MAX_BACKOFF_S, self._backoff_s * 2)
+                await self._back_off()
+            except Exception as error:
+                # The changes of this call are lost, so all is read again.
+                steps.log_unexpected(_LOG, "reading", error)
+                self._has_snapshot = False
+                self.is_connected = False
+                await self._back_off()
+
+    async def _back_off(self) -> None:
+        await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1))
+        self._backoff_s = min(_MAX_BACKOFF_S, self._backoff_s * 2)
 
     async def _step(self) -> None:
         self._count_call()
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -15,6 +15,7 @@
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
 from slatechute.util import clock as clocks
+from slatechute.util import steps
 
 __all__ = ["LoadProber", "LoadSharing"]
 
@@ -154,25 +155,27 @@
         """
         while True:
             await asyncio.sleep(_FAR_PERIOD_S * random.uniform(0.9, 1.1))
-            if not self.group.is_speaker():
-                continue
-            now_ms = self._clock.now_ms()
-            readings = [
-                _far_reading(load, now_ms)
-                for load in self.balancer.load_by_id.values()
-                if load.target.data_centre == self._settings.data_centre
-                if now_ms - load.reported_ms < _FAR_AGE_MS
-            ]
-            speakers = self.group.speakers()
-            for start in range(0, len(readings), _READINGS_PER_DATAGRAM):
-                self._number += 1
-                report = messages.LoadReport(
-                    self._settings.entry_id,
-                    self._boot_id,
-                    self._number,
-                    readings[start : start + _READINGS_PER_DATAGRAM],
-                )
-                self.group.broadcast(report, speakers)
+            if self.group.is_speaker():
+                steps.run_step(_LOG, "far_loads", self._send_far)
+
+    def _send_far(self) -> None:
+        now_ms = self._clock.now_ms()
+        readings = [
+            _far_reading(load, now_ms)
+            for load in self.balancer.load_by_id.values()
+            if load.target.data_centre == self._settings.data_centre
+            if now_ms - load.reported_ms < _FAR_AGE_MS
+        ]
+        speakers = self.group.speakers()
+        for start in range(0, len(readings), _READINGS_PER_DATAGRAM):
+            self._number += 1
+            report = messages.LoadReport(
+                self._settings.entry_id,
+                self._boot_id,
+                self._number,
+                readings[start : start + _READINGS_PER_DATAGRAM],
+            )
+            self.group.broadcast(report, speakers)
 
     def received(
         self, peer: peer_groups.Peer, report: messages.LoadReport
@@ -335,6 +338,11 @@
                     )
                     await asyncio.sleep(_PROBE_FAILURE_PAUSE_S)
                     continue
+                except Exception as error:
+                    connection = None
+                    steps.log_unexpected(_LOG, "probe", error)
+                    await asyncio.sleep(_PROBE_FAILURE_PAUSE_S)
+                    continue
                 await asyncio.sleep(self._period_s)
         finally:
             if connection is not None:
--- /dev/null
+++ b/slatechute/util/steps.py
@@ -0,0 +1,31 @@
+"""Steps of loops that must outlive an unexpected error."""
+
+from collections.abc import Callable
+import traceback
+
+from slatechute import logs
+
+__all__ = ["log_unexpected", "run_step"]
+
+
+def log_unexpected(logger: logs.Logger, step: str, error: Exception) -> None:
+    """Log an error that no caller expects, with its place in the code."""
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    logger.error("unexpected_error", step=step, error=repr(error), place=place)
+
+
+def run_step(
+    logger: logs.Logger, step: str, action: Callable[[], object]
+) -> None:
+    """Run one step of a loop; log an error instead of ending the loop.
+
+    Args:
+        logger: Logger of the module that owns the loop.
+        step: Name of the step in the log.
+        action: The step.
+    """
+    try:
+        action()
+    except Exception as error:
+        log_unexpected(logger, step, error)
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -6,12 +6,14 @@
 from slatechute import metrics
 from slatechute.gateway import balancing
 from slatechute.gateway import connections
+from slatechute.gateway import dialects
 from slatechute.gateway import peers as peer_groups
 from slatechute.gateway import routing
 from slatechute.gateway import sharing
 from slatechute.util import clock as clocks
 from tests.gateway import builders
 from tests.gateway import scripted_target
+from tests.gateway import small_fleet
 
 
 class _Group:
@@ -126,26 +128,29 @@
     asyncio.run(main())
 
 
+def _prober(fixture, dialect):
+    prober = sharing.LoadProber(
+        builders.gateway_settings(probes_per_s=60.0),
+        dialect,
+        fixture.balancer,
+        fixture.group,
+        connections.ConnectionPool(),
+        clocks.MonotonicClock(),
+        metrics.Metrics(),
+        fixture.sharing,
+    )
+    prober.table = routing.RoutingTable(
+        1, [], [routing.Service("s", "/health", 10)]
+    )
+    return prober
+
+
 def test_target_that_starts_again_is_probed_at_its_new_address():
     """It has the same id, and its load was never heard of again."""
 
     async def main():
-        clock = clocks.MonotonicClock()
         fixture = _Fixture()
-        pool = connections.ConnectionPool()
-        prober = sharing.LoadProber(
-            builders.gateway_settings(probes_per_s=60.0),
-            builders.PlainDialect(),
-            fixture.balancer,
-            fixture.group,
-            pool,
-            clock,
-            metrics.Metrics(),
-            fixture.sharing,
-        )
-        prober.table = routing.RoutingTable(
-            1, [], [routing.Service("s", "/health", 10)]
-        )
+        prober = _prober(fixture, builders.PlainDialect())
         async with scripted_target.ScriptedTarget(
             scripted_target.answer
         ) as again:
@@ -158,3 +163,62 @@
             prober.stop()
 
     asyncio.run(main())
+
+
+def test_unexpected_error_does_not_end_reports_to_other_data_centres():
+    """Entries there would choose by loads that grow old."""
+    far = _peer("e9", "dc2")
+    fixture = _Fixture(far)
+    fixture.load.report(dialects.Load(1, 0, 2, 1.0), 1_000.0)
+    calls = []
+
+    def speakers():
+        calls.append(1)
+        if len(calls) == 1:
+            raise ValueError("unexpected")
+        return [far]
+
+    fixture.group.is_speaker = lambda: True
+    fixture.group.speakers = speakers
+
+    async def check():
+        fixture.sharing.start()
+        try:
+            await small_fleet.eventually(lambda: fixture.group.sent)
+        finally:
+            fixture.sharing.stop()
+
+    asyncio.run(check())
+    assert len(calls) > 1
+
+
+def test_unexpected_error_does_not_end_the_probes_of_a_target():
+    """Its load would be heard of only from answers to requests."""
+
+    class Dialect(builders.PlainDialect):
+        calls = 0
+
+        def answer_facts(self, *args):
+            self.calls += 1
+            if self.calls == 1:
+                raise ValueError("unexpected")
+            return super().answer_facts(*args)
+
+    async def main():
+        fixture = _Fixture()
+        dialect = Dialect()
+        prober = _prober(fixture, dialect)
+        async with scripted_target.ScriptedTarget(
+            scripted_target.answer
+        ) as target:
+            fixture.balancer.remove("t1")
+            fixture.balancer.add(
+                builders.target("t1", address=target.address), 1_000.0
+            )
+            prober.review()
+            try:
+                await small_fleet.eventually(lambda: dialect.calls > 1)
+            finally:
+                prober.stop()
+
+    asyncio.run(main())
