--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -315,6 +315,30 @@
             <= (rank, due_ms)
         )
 
+    def describe(self, ticket: Ticket, now_ms: float) -> dict[str, object]:
+        """Return what a refusal of a request rests on, for the log."""
+        pool = self.pool(ticket.service)
+        work_ms = pool.model.work_ms(ticket.work_key)
+        _, best_ms = self._best(ticket, now_ms)
+        usable = [
+            load
+            for load in pool.load_by_id.values()
+            if not load.is_paused(now_ms)
+        ]
+        return {
+            "targets": len(pool.load_by_id),
+            "unpaused": len(usable),
+            "with_room": sum(load.has_room() for load in usable),
+            "slots": sum(load.slots for load in usable),
+            "occupied": sum(load.occupancy() for load in usable),
+            "work_ms": round(work_ms, 1),
+            "best_ms": round(min(best_ms, 1e6), 1),
+            "usual_slowdown": round(pool.model.slowdown, 2),
+            "crowded_factor": round(pool.model.crowded_factor, 2),
+            "waiting": len(pool.waiting),
+            "waiting_at_peers": sum(pool.peers_waiting.values()),
+        }
+
     def retry_after_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return when a refused caller may come back."""
         pool = self.pool(ticket.service)
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -165,9 +165,10 @@
             self._budget_by_service[service] = budget
         return budget
 
-    def pool_of(self, service: str) -> balancing.ServicePool:
-        """Return the targets and waiting requests of a service."""
-        return self._balancer.pool(service)
+    def describe(self, call: Call, trace: Trace) -> dict[str, object]:
+        """Return the loads that a decision on a call rests on."""
+        ticket = self._ticket(call, trace)
+        return self._balancer.describe(ticket, self._clock.now_ms())
 
     async def forward(self, call: Call, trace: Trace) -> connections.Answer:
         """Return the final answer of a target.
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -330,7 +330,6 @@
         **fields: object,
     ) -> None:
         if call is not None:
-            pool = self._forwarder.pool_of(call.service)
             fields |= {
                 "request_id": call.id,
                 "route": f"{call.route.host}{call.route.prefix}",
@@ -339,10 +338,9 @@
                 "objective_left_ms": round(call.objective_ms - call.arrived_ms),
                 "deadline_left_ms": round(call.deadline_ms - call.arrived_ms),
                 "returned": call.returned,
-                "targets": len(pool.load_by_id),
-                "waiting": len(pool.waiting),
-                "waiting_at_peers": sum(pool.peers_waiting.values()),
             }
+            if event != "request_answered":
+                fields |= self._forwarder.describe(call, trace)
         logger = _LOG if event == "request_answered" else _FAILURES
         logger.info(
             event, total_ms=round(total_ms, 1), exchanges=trace.steps, **fields
