Expect the time of a request by geometric means, ignore usual differences

The logs show why: entries expected between 54 and 164 ms for the same work (68 ms at the median on an idle fast target), since one answer set the average and long answers pulled it up; and each target had a slowness of 0.5 to 2 that did not go with the time of its next request on either site (medians of 93, 86, 88, 80 and 91 ms for slowness below 0.6 up to 2.2).

Ruled out: the age of the reports (median 40 ms) and full targets (none had room for 2 of 105 and of 391 refusals).

Work is averaged by logarithms, the first samples weigh as in a plain average; slowness within a factor of two is ignored and fades without answers. The steps of a request log slowdown, slowness and place. The model has data centres, hosts that change their speed under a request, and loads told with answers.

--- a/slatechute/benches/patterns.py
+++ b/slatechute/benches/patterns.py
@@ -27,6 +27,10 @@
 _TICK_MS = 20.0
 # Delay with which entries of a data centre hear of each other's sends.
 _SHARE_MS = 4.0
+# Time between two reports of loads to other data centres, and their way there,
+# which requests take as well.
+_FAR_PERIOD_MS = 80.0
+_FAR_HOP_MS = 1.5
 _RETRY_MARGIN_MS = 25.0
 
 
@@ -44,8 +48,9 @@
         knee_factor: By how much.
         slow_share: Share of the time that a host is slow.
         slow_factor: By how much.
-        slow_ms: Time between two draws of a host's speed.
+        slow_ms: Mean time between two draws of a host's speed.
         entries: Entries that the callers use.
+        data_centres: Data centres over which targets and entries are spread.
         rate: Requests a second at a time in ms.
         objective_ms: Time for the full value of an answer.
         deadline_ms: Time after which a caller leaves.
@@ -64,6 +69,7 @@
     slow_factor: float = 4.0
     slow_ms: float = 300.0
     entries: int = 4
+    data_centres: int = 1
     rate: Callable[[float], float] = lambda now_ms: 100.0
     objective_ms: float = 200.0
     deadline_ms: float = 800.0
@@ -80,6 +86,7 @@
         in_time: Answered within the objective.
         late: Answered after it.
         refused: Refused for good.
+        refused_again: Those of them that had come back before.
         held: Refused for good after waiting longer than an eighth of the
             objective.
         worst_window: Lowest share in time over two seconds.
@@ -89,6 +96,7 @@
     in_time: int = 0
     late: int = 0
     refused: int = 0
+    refused_again: int = 0
     held: int = 0
     worst_window: float = 1.0
 
@@ -106,34 +114,81 @@
     ticket: balancing.Ticket | None = None
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Job:
+    """A request that a target runs.
+
+    Attributes:
+        left_ms: Work that was left at `since_ms`, on a host of usual speed.
+        since_ms: When the speed of the host changed last.
+        ended: Called at its end.
+        turn: Counts the speeds that the job has run at.
+    """
+
+    left_ms: float
+    since_ms: float
+    ended: Callable[[], None]
+    turn: int = 0
+
+
 class _Host:
     """A target and the host that it shares with others."""
 
-    def __init__(self, pattern: Pattern, generator: random.Random):
-        self.running = 0
+    def __init__(
+        self,
+        pattern: Pattern,
+        generator: random.Random,
+        at: Callable[[float, Callable[[], None]], None],
+    ):
+        self.jobs: dict[_Job, None] = {}
         self.queue: list[tuple[_Request, loads.Exchange]] = []
         self.slowdown = 1.0
         self._pattern = pattern
         self._random = generator
+        self._at = at
 
-    def draw(self) -> None:
-        """Draw the speed of the host."""
-        is_slow = self._random.random() < self._pattern.slow_share
-        self.slowdown = self._pattern.slow_factor if is_slow else 1.0
-
-    def service_ms(self) -> float:
-        """Return the time of a request that starts now."""
+    def draw(self, now_ms: float) -> float:
+        """Draw the speed of the host; return the time to the next draw."""
+        pattern = self._pattern
+        is_slow = self._random.random() < pattern.slow_share
+        slowdown = pattern.slow_factor if is_slow else 1.0
+        for job in self.jobs:
+            job.left_ms -= (now_ms - job.since_ms) / self.slowdown
+            job.since_ms = now_ms
+        self.slowdown = slowdown
+        for job in self.jobs:
+            self._schedule(job)
+        return self._random.expovariate(1 / pattern.slow_ms)
+
+    def start(self, now_ms: float, ended: Callable[[], None]) -> None:
+        """Run a request."""
         pattern = self._pattern
         mu = math.log(pattern.work_ms) - pattern.spread**2 / 2
         work_ms = self._random.lognormvariate(mu, pattern.spread)
-        if self.running / pattern.slots > pattern.knee:
+        if (len(self.jobs) + 1) / pattern.slots > pattern.knee:
             work_ms *= pattern.knee_factor
-        return work_ms * self.slowdown
+        job = _Job(work_ms, now_ms, ended)
+        self.jobs[job] = None
+        self._schedule(job)
+
+    def _schedule(self, job: _Job) -> None:
+        job.turn += 1
+        turn = job.turn
+
+        def end() -> None:
+            if job.turn == turn:
+                del self.jobs[job]
+                job.ended()
+
+        self._at(max(0.0, job.left_ms) * self.slowdown, end)
 
     def load(self) -> dialects.Load:
         """Return what the target tells of itself."""
         return dialects.Load(
-            self.running, len(self.queue), self._pattern.slots, self.slowdown
+            len(self.jobs),
+            len(self.queue),
+            self._pattern.slots,
+            self.slowdown,
         )
 
 
@@ -155,16 +210,23 @@
         for index in range(pattern.entries):
             self._balancers.append(
                 balancing.Balancer(
-                    "dc",
+                    self._data_centre(index),
                     lambda load, own=index: self._changed(own, load),
                     self._random,
                 )
             )
         for index in range(pattern.targets):
             target = dialects.PublishedTarget(
-                f"t{index}", 1, 1, "s", "h:1", "dc", pattern.slots, False
+                f"t{index}",
+                1,
+                1,
+                "s",
+                "h:1",
+                self._data_centre(index),
+                pattern.slots,
+                False,
             )
-            self._host_by_id[target.id] = _Host(pattern, self._random)
+            self._host_by_id[target.id] = _Host(pattern, self._random, self.at)
             for balancer in self._balancers:
                 balancer.add(target, 0.0)
 
@@ -175,8 +237,11 @@
 
     def run(self) -> Result:
         """Run the whole pattern."""
-        self.at(0.0, self._draw)
+        for host in self._host_by_id.values():
+            self._draw(host)
         self.at(0.0, self._probe)
+        if self.pattern.data_centres > 1:
+            self.at(0.0, self._tell_far)
         self.at(0.0, self._tick)
         self.at(1.0, self._arrive)
         end_ms = self.pattern.length_ms + self.pattern.deadline_ms * 2
@@ -191,37 +256,76 @@
         self.result.worst_window = min(shares, default=1.0)
         return self.result
 
+    def _data_centre(self, index: int) -> str:
+        return f"dc{index % self.pattern.data_centres}"
+
+    def _is_near(self, entry: int, other: int) -> bool:
+        return self._data_centre(entry) == self._data_centre(other)
+
+    def _near(self, own: int) -> list[balancing.Balancer]:
+        """Return the other entries of the data centre of an entry."""
+        return [
+            balancer
+            for index, balancer in enumerate(self._balancers)
+            if index != own and self._is_near(index, own)
+        ]
+
     def _changed(self, own: int, load: loads.TargetLoad) -> None:
-        """Tell the other entries how many requests one has at a target."""
+        """Tell the near entries what one knows of a target."""
         target_id, count = load.target.id, load.own
+        reported, reported_ms = load.load, load.reported_ms
 
         def tell() -> None:
-            for index, balancer in enumerate(self._balancers):
-                if index != own:
-                    other = balancer.load_by_id[target_id]
-                    other.set_peer(f"e{own}", count)
-                    balancer.pump("s", self.now_ms)
+            for balancer in self._near(own):
+                other = balancer.load_by_id[target_id]
+                other.set_peer(f"e{own}", count)
+                if reported is not None:
+                    other.report(reported, reported_ms)
+                balancer.pump("s", self.now_ms)
 
         self.at(_SHARE_MS, tell)
 
-    def _draw(self) -> None:
-        for host in self._host_by_id.values():
-            host.draw()
-        self.at(self.pattern.slow_ms, self._draw)
+    def _tell_far(self) -> None:
+        """Tell the loads of each data centre to the others."""
+        for index in range(self.pattern.data_centres):
+            name = self._data_centre(index)
+            told = [
+                (load.target.id, load.far_load(), load.reported_ms)
+                for load in self._balancers[index].load_by_id.values()
+                if load.target.data_centre == name and load.load is not None
+            ]
+            self.at(
+                _FAR_HOP_MS, lambda own=index, all_=told: self._hear(own, all_)
+            )
+        self.at(_FAR_PERIOD_MS, self._tell_far)
+
+    def _hear(
+        self, own: int, told: list[tuple[str, dialects.Load, float]]
+    ) -> None:
+        for index, balancer in enumerate(self._balancers):
+            if self._is_near(index, own):
+                continue
+            for target_id, load, reported_ms in told:
+                balancer.load_by_id[target_id].report(load, reported_ms)
+            balancer.pump("s", self.now_ms)
+
+    def _draw(self, host: _Host) -> None:
+        self.at(host.draw(self.now_ms), lambda: self._draw(host))
 
     def _probe(self) -> None:
-        for target_id, host in self._host_by_id.items():
-            for balancer in self._balancers:
-                balancer.load_by_id[target_id].report(host.load(), self.now_ms)
+        for index, balancer in enumerate(self._balancers):
+            for load in balancer.load_by_id.values():
+                if load.target.data_centre == self._data_centre(index):
+                    host = self._host_by_id[load.target.id]
+                    load.report(host.load(), self.now_ms)
         self.at(_PROBE_MS, self._probe)
 
     def _tick(self) -> None:
         for index, balancer in enumerate(self._balancers):
             balancer.tick(self.now_ms)
             waiting = len(balancer.pool("s").waiting)
-            for other, pool in enumerate(self._balancers):
-                if other != index:
-                    pool.pool("s").peers_waiting[f"e{index}"] = waiting
+            for other in self._near(index):
+                other.pool("s").peers_waiting[f"e{index}"] = waiting
         self.at(_TICK_MS, self._tick)
 
     # Requests.
@@ -274,6 +378,8 @@
         is_over = back_ms > request.asked_ms + self.pattern.deadline_ms
         if not request.retries or is_over:
             self.result.refused += 1
+            if request.retries < self.pattern.retries:
+                self.result.refused_again += 1
             held_ms = self.now_ms - request.ticket.arrived_ms
             if held_ms > self.pattern.objective_ms / 8:
                 self.result.held += 1
@@ -282,11 +388,17 @@
         self.at(delay_ms + 2 * _CALLER_MS, lambda: self._submit(request))
 
     def _send(self, request: _Request, exchange: loads.Exchange) -> None:
-        self.at(_HOP_MS, lambda: self._reach(request, exchange))
+        hop_ms = self._hop_ms(request, exchange)
+        self.at(hop_ms, lambda: self._reach(request, exchange))
+
+    def _hop_ms(self, request: _Request, exchange: loads.Exchange) -> float:
+        own = self._data_centre(request.entry)
+        is_near = exchange.load.target.data_centre == own
+        return _HOP_MS if is_near else _FAR_HOP_MS
 
     def _reach(self, request: _Request, exchange: loads.Exchange) -> None:
         host = self._host_by_id[exchange.load.target.id]
-        if host.running < self.pattern.slots:
+        if len(host.jobs) < self.pattern.slots:
             self._start(host, request, exchange)
         elif len(host.queue) < self.pattern.queue:
             host.queue.append((request, exchange))
@@ -299,18 +411,25 @@
     def _start(
         self, host: _Host, request: _Request, exchange: loads.Exchange
     ) -> None:
-        host.running += 1
-        time_ms = host.service_ms()
-        self.at(time_ms, lambda: self._finish(host, request, exchange))
+        host.start(self.now_ms, lambda: self._finish(host, request, exchange))
 
     def _finish(
         self, host: _Host, request: _Request, exchange: loads.Exchange
     ) -> None:
-        host.running -= 1
         if host.queue:
             self._start(host, *host.queue.pop(0))
-        exchange.load.succeeded(exchange, self.now_ms + _HOP_MS)
-        exchange.load.report(host.load(), self.now_ms)
+        hop_ms = self._hop_ms(request, exchange)
+        reported = host.load()
+        self.at(hop_ms, lambda: self._answer(request, exchange, reported))
+
+    def _answer(
+        self,
+        request: _Request,
+        exchange: loads.Exchange,
+        reported: dialects.Load,
+    ) -> None:
+        exchange.load.report(reported, self.now_ms)
+        exchange.load.succeeded(exchange, self.now_ms)
         balancer = self._balancers[request.entry]
         balancer.exchange_ended(exchange.load, self.now_ms)
         total_ms = self.now_ms - request.asked_ms + 2 * _CALLER_MS
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -127,7 +127,7 @@
             if load.is_paused(now_ms + _SHORT_PAUSE_MS):
                 continue
             slots = self.model.useful_slots(load.slots)
-            time_ms = work_ms * load.slowdown(now_ms) * load.slowness
+            time_ms = work_ms * load.slowdown(now_ms) * load.slowness(now_ms)
             if slots > load.slots * loads.CROWDED_SHARE:
                 time_ms *= self.model.crowded_factor
             if time_ms <= limit_ms:
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -392,6 +392,9 @@
             "at_ms": round(now_ms - call.arrived_ms, 1),
             "expected_ms": round(exchange.expected_ms, 1),
             "load_age_ms": round(min(now_ms - load.reported_ms, 1e6), 1),
+            "slowdown": round(exchange.slowdown, 2),
+            "slowness": round(exchange.slowness, 2),
+            "place": exchange.place,
         }
         trace.steps.append(step)
         connection = None
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -19,11 +19,21 @@
 # Weight of a new sample in the slowness of one target: a target that turns slow
 # must show after a few answers.
 _SLOWNESS_WEIGHT = 0.25
+# Between these factors the slowness of a target says nothing: the times of
+# single requests differ as much, and on both deployments it did not go with the
+# time of the next request.
+_PLAIN_SLOWNESS = (0.5, 2.0)
+# A target without answers is taken for a usual one again after about this time;
+# otherwise one that was slow once would never get another request.
+_SLOWNESS_MEMORY_MS = 3_000.0
 _MIN_SLOWNESS = 0.4
 _MAX_SLOWNESS = 10.0
 # A target that has just started takes this multiple of the usual time.
 _COLD_FACTOR = 2.0
 _FIRST_WORK_MS = 60.0
+# Answers that are further from the average than this factor say more of their
+# host than of the work.
+_MAX_RATIO = 4.0
 # An exchange this many times longer than expected makes its target suspect.
 _OVERDUE_FACTOR = 1.5
 _FAILURE_WEIGHT = 0.3
@@ -50,6 +60,9 @@
         factor: The part of that which is not the work itself.
         is_crowded: Whether the target was nearly full.
         work_key: Kind of work, by which its time is averaged.
+        slowdown: Expected slowdown of the host.
+        slowness: How slow the target itself is found to be.
+        place: Its place among the requests at the target, from 1.
     """
 
     load: "TargetLoad"
@@ -58,6 +71,28 @@
     factor: float
     is_crowded: bool
     work_key: str
+    slowdown: float
+    slowness: float
+    place: int
+
+
+class _LogMean:
+    """Running average of logarithms, which one long answer moves little."""
+
+    def __init__(self, first: float):
+        self._log = math.log(first)
+        self._count = 0
+
+    def add(self, value: float, weight: float) -> None:
+        """Take in a sample; the first ones weigh as in a plain average."""
+        self._count += 1
+        weight = max(weight, 1 / self._count)
+        self._log += weight * (math.log(value) - self._log)
+
+    @property
+    def value(self) -> float:
+        """Average of the samples; the first value when there are none."""
+        return math.exp(self._log)
 
 
 class ServiceModel:
@@ -71,33 +106,31 @@
     def __init__(self):
         self.crowded_factor = _FIRST_CROWDED_FACTOR
         self.slowdown = 1.0
-        self._work_ms_by_key: dict[str, float] = {}
-        self._calm_ratio = 1.0
-        self._crowded_ratio = _FIRST_CROWDED_FACTOR
+        self._work_by_key: dict[str, _LogMean] = {}
+        self._calm_ratio = _LogMean(1.0)
+        self._crowded_ratio = _LogMean(_FIRST_CROWDED_FACTOR)
 
     def work_ms(self, key: str) -> float:
         """Return the time of one request on a host of usual speed."""
-        return self._work_ms_by_key.get(key, _FIRST_WORK_MS)
+        work = self._work_by_key.get(key)
+        return work.value if work else _FIRST_WORK_MS
 
     def add_work(self, exchange: Exchange, elapsed_ms: float) -> None:
         """Take in the time of a successful exchange."""
         work_ms = elapsed_ms / exchange.factor
-        known_ms = self._work_ms_by_key.get(exchange.work_key)
-        if known_ms is None:
-            self._work_ms_by_key[exchange.work_key] = work_ms
+        work = self._work_by_key.get(exchange.work_key)
+        if work is None:
+            work = self._work_by_key[exchange.work_key] = _LogMean(work_ms)
+            work.add(work_ms, _AVERAGE_WEIGHT)
             return
-        self._work_ms_by_key[exchange.work_key] += _AVERAGE_WEIGHT * (
-            min(work_ms, 4 * known_ms) - known_ms
-        )
-        ratio = min(4.0, work_ms / known_ms)
+        ratio = min(_MAX_RATIO, max(1 / _MAX_RATIO, work_ms / work.value))
+        work.add(work.value * ratio, _AVERAGE_WEIGHT)
         if exchange.is_crowded:
             ratio *= self.crowded_factor
-            self._crowded_ratio += _AVERAGE_WEIGHT * (
-                ratio - self._crowded_ratio
-            )
+            self._crowded_ratio.add(ratio, _AVERAGE_WEIGHT)
         else:
-            self._calm_ratio += _AVERAGE_WEIGHT * (ratio - self._calm_ratio)
-        factor = self._crowded_ratio / max(0.1, self._calm_ratio)
+            self._calm_ratio.add(ratio, _AVERAGE_WEIGHT)
+        factor = self._crowded_ratio.value / self._calm_ratio.value
         self.crowded_factor = min(3.0, max(1.0, factor))
 
     def add_slowdown(self, slowdown: float) -> None:
@@ -139,7 +172,8 @@
         self.reported_ms = -math.inf
         self.failures = 0.0
         self.sent = 0
-        self.slowness = 1.0
+        self._log_slowness = 0.0
+        self._slowness_ms = now_ms
         self.paused_until_ms = 0.0
         self._model = model
         self._peers = 0
@@ -187,6 +221,11 @@
         told = self.load.running + self.load.waiting
         return max(known, told + known - self._known_at_report)
 
+    def far_load(self) -> dialects.Load:
+        """Return the reported load and what was sent since, as one load."""
+        running = max(self.load.running, self.occupancy() - self.load.waiting)
+        return dataclasses.replace(self.load, running=running)
+
     def slowdown(self, now_ms: float) -> float:
         """Return the expected slowdown of the target's host."""
         usual = self._model.slowdown
@@ -208,7 +247,7 @@
         """Return the expected time of a request as a multiple of its work."""
         place = self.occupancy() + 1
         slots = max(1, self.slots)
-        factor = self.slowdown(now_ms) * self._slowness(now_ms)
+        factor = self.slowdown(now_ms) * self.slowness(now_ms)
         if place > slots * CROWDED_SHARE:
             factor *= self._model.crowded_factor
         if place > slots:
@@ -217,9 +256,14 @@
             factor *= _COLD_FACTOR
         return factor
 
-    def _slowness(self, now_ms: float) -> float:
+    def slowness(self, now_ms: float) -> float:
         """Return the slowness, also from exchanges that have not ended."""
-        slowness = self.slowness
+        age_ms = now_ms - self._slowness_ms
+        slowness = math.exp(
+            self._log_slowness * math.exp(-age_ms / _SLOWNESS_MEMORY_MS)
+        )
+        if _PLAIN_SLOWNESS[0] < slowness < _PLAIN_SLOWNESS[1]:
+            slowness = 1.0
         if self._exchanges:
             oldest = next(iter(self._exchanges))
             ratio = (now_ms - oldest.started_ms) / oldest.expected_ms
@@ -246,6 +290,9 @@
             factor,
             self.occupancy() + 1 > self.slots * CROWDED_SHARE,
             work_key,
+            self.slowdown(now_ms),
+            self.slowness(now_ms),
+            self.occupancy() + 1,
         )
         self.own += 1
         self.sent += 1
@@ -264,9 +311,12 @@
         if not self._end(exchange):
             return
         elapsed_ms = max(0.1, now_ms - exchange.started_ms)
-        ratio = elapsed_ms / exchange.expected_ms * self.slowness
-        self.slowness += _SLOWNESS_WEIGHT * (ratio - self.slowness)
-        self.slowness = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, self.slowness))
+        ratio = elapsed_ms / exchange.expected_ms * exchange.slowness
+        ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
+        self._log_slowness += _SLOWNESS_WEIGHT * (
+            math.log(ratio) - self._log_slowness
+        )
+        self._slowness_ms = now_ms
         self._model.add_work(exchange, elapsed_ms)
         self.failures *= 1 - _FAILURE_WEIGHT
         self._eject_ms = _FIRST_EJECT_MS
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -247,8 +247,7 @@
     load: loads.TargetLoad, now_ms: float
 ) -> messages.TargetReading:
     """Return a reading that counts what was sent since the last report."""
-    told = load.load
-    running = max(told.running, load.occupancy() - told.waiting)
+    running = load.far_load().running
     return _reading(load, now_ms)._replace(own=0, running=running)
 
 
--- /dev/null
+++ b/tests/gateway/test_loads.py
@@ -0,0 +1,73 @@
+"""Tests of what an entry expects of the time of a request at a target."""
+
+import pytest
+
+from slatechute.gateway import loads
+from tests.gateway import builders
+
+_USUAL_MS = 80.0
+
+
+class _Target:
+    """A target that answers one request after the other."""
+
+    def __init__(self, model=None):
+        self.now_ms = 0.0
+        self.model = model or loads.ServiceModel()
+        self.load = loads.TargetLoad(
+            builders.target("t1", slots=2), self.model, 0.0
+        )
+
+    def answer(self, *times_ms):
+        for time_ms in times_ms:
+            exchange = self.load.start("k", self.now_ms)
+            self.now_ms += time_ms
+            self.load.succeeded(exchange, self.now_ms)
+
+    @property
+    def cost_ms(self):
+        return self.load.cost_ms(_USUAL_MS, self.now_ms)
+
+
+def test_first_long_answer_does_not_set_the_work():
+    """Refusals rested on an answer of a slow host for many requests after."""
+    target = _Target()
+    target.answer(4 * _USUAL_MS, *[_USUAL_MS] * 9)
+    assert target.model.work_ms("k") == pytest.approx(_USUAL_MS, rel=0.25)
+
+
+def test_few_long_answers_do_not_raise_the_work():
+    """A plain average is far above the time that most requests take."""
+    target = _Target()
+    target.answer(*[_USUAL_MS] * 20)
+    for _ in range(4):
+        target.answer(5 * _USUAL_MS, *[_USUAL_MS] * 9)
+    assert target.model.work_ms("k") < 1.3 * _USUAL_MS
+
+
+def test_times_of_single_requests_do_not_make_a_target_slow():
+    """Work differs by this much at one target; it was taken for its speed."""
+    target = _Target()
+    target.answer(*[_USUAL_MS] * 20)
+    before_ms = target.cost_ms
+    target.answer(1.8 * _USUAL_MS, 1.5 * _USUAL_MS, 1.8 * _USUAL_MS)
+    assert target.cost_ms == pytest.approx(before_ms)
+
+
+def test_target_that_turns_slow_costs_more_after_three_answers():
+    """A target may be slow although its host reports its usual speed."""
+    target = _Target()
+    target.answer(*[_USUAL_MS] * 20)
+    before_ms = target.cost_ms
+    target.answer(*[5 * _USUAL_MS] * 3)
+    assert target.cost_ms > 2 * before_ms
+
+
+def test_slow_target_is_tried_again_after_some_seconds():
+    """Without answers nothing else shows that it is fast again."""
+    target = _Target()
+    target.answer(*[_USUAL_MS] * 20)
+    before_ms = target.cost_ms
+    target.answer(*[6 * _USUAL_MS] * 4)
+    target.now_ms += 6_000.0
+    assert target.cost_ms < 1.5 * before_ms
