Load only what a gateway entry uses

Cause: an entry on the users' platform loaded the command line and the settings of the product's own interface, since the life of a process and the parsing of addresses lived beside them.

Ruled out: the HTTP client, whose verified TLS context costs 115 ms at the import, as the library makes it unconditionally.

The life of a process is slatechute.process, addresses are slatechute.util.addresses; the command wraps the first.

--- a/slatechute/admin.py
+++ b/slatechute/admin.py
@@ -9,6 +9,7 @@
 from slatechute import logs
 from slatechute import metrics as metrics_module
 from slatechute import settings as settings_module
+from slatechute.util import addresses
 
 __all__ = ["READY", "AdminServer"]
 
@@ -60,7 +61,7 @@
         if self._runner is None or not self._runner.addresses:
             raise RuntimeError("the admin server is not running")
         host, port = self._runner.addresses[0][:2]
-        return settings_module.join_address(host, port)
+        return addresses.join_address(host, port)
 
     async def start(self) -> None:
         """Open the port and serve.
@@ -77,7 +78,7 @@
             app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
         )
         await runner.setup()
-        host, port = settings_module.split_address(self._settings.admin_address)
+        host, port = addresses.split_address(self._settings.admin_address)
         try:
             await web.TCPSite(runner, host, port).start()
         except OSError:
--- a/slatechute/commands/status.py
+++ b/slatechute/commands/status.py
@@ -10,8 +10,8 @@
 import pydantic
 
 from slatechute import errors
-from slatechute import settings as settings_module
 from slatechute.commands import base
+from slatechute.util import addresses
 
 __all__ = ["HostStatus", "StatusCommand"]
 
@@ -205,9 +205,7 @@
         parts = urllib.parse.urlsplit(url if "://" in url else f"http://{url}")
         if parts.scheme != "http" or parts.path not in ("", "/"):
             raise ValueError(f"{url!r} is not http://IP:port or IP:port")
-        return settings_module.join_address(
-            *settings_module.split_address(parts.netloc)
-        )
+        return addresses.join_address(*addresses.split_address(parts.netloc))
     except ValueError as error:
         raise errors.SettingsError(f"ADMIN_URL {error}") from None
 
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -15,7 +15,6 @@
 from slatechute import logs
 from slatechute import messages
 from slatechute import metrics
-from slatechute import settings as settings_module
 from slatechute.gateway import balancing
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import connections
@@ -26,6 +25,7 @@
 from slatechute.gateway import server
 from slatechute.gateway import settings as gateway_settings
 from slatechute.gateway import sharing
+from slatechute.util import addresses
 from slatechute.util import clock as clocks
 from slatechute.util import sockets
 from slatechute.util import steps
@@ -151,9 +151,7 @@
             (settings.directory_address, self._get_addresses),
             (settings.control_address, self._get_published),
             (
-                settings_module.join_address(
-                    settings.host, settings.metrics_port
-                ),
+                addresses.join_address(settings.host, settings.metrics_port),
                 self._get_metrics,
             ),
         )
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -12,7 +12,6 @@
 from slatechute import listener
 from slatechute import logs
 from slatechute import metrics
-from slatechute import settings as settings_module
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
@@ -20,6 +19,7 @@
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
 from slatechute.gateway import splitting
+from slatechute.util import addresses
 from slatechute.util import clock as clocks
 
 __all__ = ["CallServer", "SmallServer"]
@@ -69,7 +69,7 @@
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
         await self._runner.setup()
-        host, port = settings_module.split_address(self._address)
+        host, port = addresses.split_address(self._address)
         await web.TCPSite(self._runner, host, port, backlog=512).start()
 
     async def stop(self) -> None:
--- a/slatechute/listener.py
+++ b/slatechute/listener.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from slatechute import errors
-from slatechute import settings as settings_module
+from slatechute.util import addresses
 
 __all__ = [
     "HEAD_LIMIT_S",
@@ -175,7 +175,7 @@
     )
     runner = web.ServerRunner(server, **kwargs)
     await runner.setup()
-    host, port = settings_module.split_address(address)
+    host, port = addresses.split_address(address)
     await web.TCPSite(runner, host, port, backlog=_BACKLOG).start()
     return runner
 
--- /dev/null
+++ b/slatechute/process.py
@@ -0,0 +1,127 @@
+"""Life of an entry process: start, signals, drain and stop."""
+
+import asyncio
+from collections.abc import Coroutine
+import errno
+import signal
+from typing import Any, Protocol
+
+from slatechute import errors
+from slatechute import logs
+
+__all__ = ["Application", "run"]
+
+# A stop only closes sockets and cancels tasks; an entry that needs longer is
+# stuck, and its supervisor is waiting.
+_STOP_TIMEOUT_S = 5.0
+
+_ADDRESS_ERRORS = frozenset(
+    {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES}
+)
+
+_LOGGER = logs.get_logger(__name__)
+
+
+class Application(Protocol):
+    """What a process needs of the application it runs."""
+
+    async def start(self) -> None:
+        """Open the ports and serve."""
+        ...
+
+    async def drain(self) -> bool | None:
+        """Leave the fleet and finish the work in flight.
+
+        Returns:
+            False when work was cut at the drain limit.
+        """
+        ...
+
+    async def stop(self) -> None:
+        """Close everything at once; also after a failed start."""
+        ...
+
+
+async def run(application: Application) -> bool:
+    """Run an application until a signal and drain it.
+
+    Args:
+        application: Application that is not started yet.
+
+    Returns:
+        Whether the drain was clean, or a signal came before the start.
+
+    Raises:
+        errors.SettingsError: An address is in use or not on this host.
+    """
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_log_unhandled)
+    first, second = asyncio.Event(), asyncio.Event()
+
+    def receive(number: signal.Signals) -> None:
+        _LOGGER.notice("signal_received", signal=number.name)
+        (second if first.is_set() else first).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, receive, number)
+    try:
+        # A signal during the start ends it: nothing was accepted yet.
+        if not await _complete(application.start(), first):
+            return True
+        _LOGGER.notice("entry_started")
+        await first.wait()
+        _LOGGER.notice("entry_draining")
+        clean = await _complete(application.drain(), second)
+        _LOGGER.notice("entry_drained", clean=clean)
+        return clean
+    except OSError as error:
+        if error.errno not in _ADDRESS_ERRORS:
+            raise
+        raise errors.SettingsError(
+            f"cannot listen: {error.strerror or error}"
+        ) from None
+    finally:
+        await _stop(application)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+
+
+async def _complete(
+    work: Coroutine[Any, Any, bool | None], interrupt: asyncio.Event
+) -> bool:
+    """Run work until it is done or interrupted.
+
+    Returns:
+        Whether the work was done and did not return False.
+    """
+    task = asyncio.ensure_future(work)
+    interruption = asyncio.ensure_future(interrupt.wait())
+    try:
+        await asyncio.wait(
+            {task, interruption}, return_when=asyncio.FIRST_COMPLETED
+        )
+        return task.done() and task.result() is not False
+    finally:
+        task.cancel()
+        interruption.cancel()
+        await asyncio.wait({task, interruption}, timeout=_STOP_TIMEOUT_S)
+
+
+async def _stop(application: Application) -> None:
+    try:
+        await asyncio.wait_for(application.stop(), _STOP_TIMEOUT_S)
+    except Exception:  # The status of the start or drain matters more.
+        _LOGGER.exception("stop_failed")
+    else:
+        _LOGGER.notice("entry_stopped")
+
+
+def _log_unhandled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    del loop
+    _LOGGER.error(
+        "unhandled_error",
+        message=context.get("message"),
+        exc_info=context.get("exception"),
+    )
--- a/slatechute/settings.py
+++ b/slatechute/settings.py
@@ -18,6 +18,7 @@
 import pydantic_settings
 
 from slatechute import errors
+from slatechute.util import addresses
 
 __all__ = [
     "ENV_PREFIX",
@@ -26,12 +27,10 @@
     "environment_name",
     "flag_name",
     "help_text",
-    "join_address",
     "load",
     "origins",
     "read_flags",
     "shown_value",
-    "split_address",
     "unknown_variables",
 ]
 
@@ -43,42 +42,6 @@
 _MAX_FLEET_KEY_LENGTH = 4096
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split `IP:port`, with IPv6 addresses in brackets.
-
-    >>> split_address("[::1]:8400")
-    ('::1', 8400)
-
-    Raises:
-        ValueError: It is no IP address with a port.
-    """
-    host, separator, port = address.rpartition(":")
-    if not separator or not re.fullmatch("[0-9]{1,5}", port):
-        raise ValueError(f"{address!r} is not IP:port")
-    if int(port) > 65535:
-        raise ValueError(f"{address!r}: the port is above 65535")
-    bracketed = host.startswith("[") and host.endswith("]")
-    bare = host[1:-1] if bracketed else host
-    try:
-        version = ipaddress.ip_address(bare).version
-    except ValueError:
-        raise ValueError(
-            f"{address!r}: hosts are named by IP address, not by name"
-        ) from None
-    if bracketed != (version == 6):
-        raise ValueError(f"{address!r}: brackets are for IPv6 addresses")
-    return bare, int(port)
-
-
-def join_address(host: str, port: int) -> str:
-    """Return the reverse of `split_address`.
-
-    >>> join_address("::1", 8400)
-    '[::1]:8400'
-    """
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 class EntrySettings(pydantic_settings.BaseSettings):
     """Settings of one entry, checked as a whole at start.
 
@@ -138,7 +101,7 @@
     @pydantic.field_validator("address", "peer_address", "admin_address")
     @classmethod
     def _check_address(cls, value: str, info: pydantic.ValidationInfo) -> str:
-        host, port = split_address(value)
+        host, port = addresses.split_address(value)
         if info.field_name != "admin_address" and (
             ipaddress.ip_address(host).is_unspecified
         ):
--- a/tests/commands/test_entry.py
+++ b/tests/commands/test_entry.py
@@ -14,16 +14,18 @@
 import slatechute
 from slatechute import __main__ as program
 from slatechute import errors
+from slatechute import process
 from slatechute.commands import entry
 
 # The command runs this stand-in, which binds its port as an entry does.
 _STAND_IN = """
 import asyncio, sys, types
 from slatechute import __main__ as program, settings
+from slatechute.util import addresses
 
 class Application:
     def __init__(self, given):
-        self._address = settings.split_address(given.address)
+        self._address = addresses.split_address(given.address)
     async def start(self):
         self._server = await asyncio.start_server(print, *self._address)
     async def drain(self):
@@ -108,7 +110,7 @@
 
 def test_stop_that_hangs_is_bounded(monkeypatch):
     """A supervisor waits for the process to end."""
-    monkeypatch.setattr(entry, "_STOP_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(process, "_STOP_TIMEOUT_S", 0.05)
     application = _Application({"start": [signal.SIGTERM]}, hang=["stop"])
     assert _run(application) == 0
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -9,6 +9,7 @@
 from slatechute import admin
 from slatechute import metrics
 from slatechute import settings as settings_module
+from slatechute.util import addresses
 
 
 def _settings(address: str) -> settings_module.EntrySettings:
@@ -29,7 +30,7 @@
 def _run(check, readiness=lambda: "ready", status=dict, host="127.0.0.1"):
     async def run():
         server = admin.AdminServer(
-            _settings(settings_module.join_address(host, 0)),
+            _settings(addresses.join_address(host, 0)),
             metrics.Metrics(),
             readiness,
             status,
--- a/tests/test_operators_page.py
+++ b/tests/test_operators_page.py
@@ -37,7 +37,7 @@
 
 def test_each_event_of_the_process_is_explained():
     """An event that the page does not name cannot be acted on."""
-    for module in ("admin.py", "commands/entry.py"):
+    for module in ("admin.py", "commands/entry.py", "process.py"):
         source = (_ROOT / "slatechute" / module).read_text()
         events = re.findall(r"_LOGGER\.\w+\(\s*\"(\w+)\"", source)
         assert events
