Learn the work of a request from targets that are not crowded

Cause: in the model of crowded targets three of four entries found a crowding factor of 1 within half a second: its first samples set it, and the work took up the rest, as nearly all answers came from crowded targets. They then filled all slots, so that all targets stayed crowded.

Work comes from answers of targets that are not crowded; the others tell the factor, as a slow average that starts with 20 samples of the first value. The choice of a target computes each figure once.

--- a/slatechute/benches/patterns.py
+++ b/slatechute/benches/patterns.py
@@ -325,7 +325,11 @@
             balancer.tick(self.now_ms)
             waiting = len(balancer.pool("s").waiting)
             for other in self._near(index):
-                other.pool("s").peers_waiting[f"e{index}"] = waiting
+                peers = other.pool("s").peers_waiting
+                if waiting:
+                    peers[f"e{index}"] = waiting
+                else:
+                    peers.pop(f"e{index}", None)
         self.at(_TICK_MS, self._tick)
 
     # Requests.
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -230,8 +230,6 @@
         for load in self._usable(pool, ticket, now_ms):
             if load.is_paused(now_ms) or load.target.id in ticket.excluded:
                 continue
-            if not load.has_room():
-                continue
             cost_ms = load.cost_ms(work_ms, now_ms)
             if load.target.data_centre != self._data_centre:
                 cost_ms += _REMOTE_COST_MS
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -14,15 +14,20 @@
 # deployments slow down when they are nearly full.
 CROWDED_SHARE = 0.8
 _FIRST_CROWDED_FACTOR = 1.6
+# Samples that this counts for, about those of the first second.
+_FIRST_CROWDED_COUNT = 20
 # Weight of a new sample in the averages of work and slowdown.
 _AVERAGE_WEIGHT = 0.05
+# Weight in the averages that tell crowded targets from others: it is a property
+# of the service, and in a burst hardly any target is not crowded.
+_CROWDED_WEIGHT = 0.01
 # Weight of a new sample in the slowness of one target: a target that turns slow
 # must show after a few answers.
 _SLOWNESS_WEIGHT = 0.25
-# Between these factors the slowness of a target says nothing: the times of
+# Within a factor of two the slowness of a target says nothing: the times of
 # single requests differ as much, and on both deployments it did not go with the
 # time of the next request.
-_PLAIN_SLOWNESS = (0.5, 2.0)
+_PLAIN_LOG_SLOWNESS = math.log(2.0)
 # A target without answers is taken for a usual one again after about this time;
 # otherwise one that was slow once would never get another request.
 _SLOWNESS_MEMORY_MS = 3_000.0
@@ -59,6 +64,7 @@
         expected_ms: How long it was expected to take.
         factor: The part of that which is not the work itself.
         is_crowded: Whether the target was nearly full.
+        crowding: The part of the factor that is due to that.
         work_key: Kind of work, by which its time is averaged.
         slowdown: Expected slowdown of the host.
         slowness: How slow the target itself is found to be.
@@ -70,6 +76,7 @@
     expected_ms: float
     factor: float
     is_crowded: bool
+    crowding: float
     work_key: str
     slowdown: float
     slowness: float
@@ -77,11 +84,16 @@
 
 
 class _LogMean:
-    """Running average of logarithms, which one long answer moves little."""
+    """Running average of logarithms, which one long answer moves little.
 
-    def __init__(self, first: float):
+    Args:
+        first: First value.
+        count: Samples that the first value counts for.
+    """
+
+    def __init__(self, first: float, *, count: int = 0):
         self._log = math.log(first)
-        self._count = 0
+        self._count = count
 
     def add(self, value: float, weight: float) -> None:
         """Take in a sample; the first ones weigh as in a plain average."""
@@ -107,8 +119,12 @@
         self.crowded_factor = _FIRST_CROWDED_FACTOR
         self.slowdown = 1.0
         self._work_by_key: dict[str, _LogMean] = {}
-        self._calm_ratio = _LogMean(1.0)
-        self._crowded_ratio = _LogMean(_FIRST_CROWDED_FACTOR)
+        self._useful_by_slots: dict[int, int] = {}
+        # Work comes from targets that are not crowded only: from both it takes
+        # up the effect of crowding while nearly all targets are crowded.
+        self._crowded_ratio = _LogMean(
+            _FIRST_CROWDED_FACTOR, count=_FIRST_CROWDED_COUNT
+        )
 
     def work_ms(self, key: str) -> float:
         """Return the time of one request on a host of usual speed."""
@@ -124,14 +140,12 @@
             work.add(work_ms, _AVERAGE_WEIGHT)
             return
         ratio = min(_MAX_RATIO, max(1 / _MAX_RATIO, work_ms / work.value))
-        work.add(work.value * ratio, _AVERAGE_WEIGHT)
-        if exchange.is_crowded:
-            ratio *= self.crowded_factor
-            self._crowded_ratio.add(ratio, _AVERAGE_WEIGHT)
-        else:
-            self._calm_ratio.add(ratio, _AVERAGE_WEIGHT)
-        factor = self._crowded_ratio.value / self._calm_ratio.value
-        self.crowded_factor = min(3.0, max(1.0, factor))
+        if not exchange.is_crowded:
+            work.add(work.value * ratio, _AVERAGE_WEIGHT)
+            return
+        self._crowded_ratio.add(ratio * exchange.crowding, _CROWDED_WEIGHT)
+        self.crowded_factor = min(3.0, max(1.0, self._crowded_ratio.value))
+        self._useful_by_slots.clear()
 
     def add_slowdown(self, slowdown: float) -> None:
         """Take in a reported slowdown."""
@@ -143,8 +157,12 @@
         Beyond the crowded share all of them take longer; with few slots the
         further ones still add to the throughput, with many they do not.
         """
-        calm = max(1, math.floor(slots * CROWDED_SHARE))
-        return slots if slots / self.crowded_factor > calm else calm
+        useful = self._useful_by_slots.get(slots)
+        if useful is None:
+            calm = max(1, math.floor(slots * CROWDED_SHARE))
+            useful = slots if slots / self.crowded_factor > calm else calm
+            self._useful_by_slots[slots] = useful
+        return useful
 
 
 class TargetLoad:
@@ -245,7 +263,9 @@
 
     def factor(self, now_ms: float) -> float:
         """Return the expected time of a request as a multiple of its work."""
-        place = self.occupancy() + 1
+        return self._factor_at(self.occupancy() + 1, now_ms)
+
+    def _factor_at(self, place: int, now_ms: float) -> float:
         slots = max(1, self.slots)
         factor = self.slowdown(now_ms) * self.slowness(now_ms)
         if place > slots * CROWDED_SHARE:
@@ -258,12 +278,12 @@
 
     def slowness(self, now_ms: float) -> float:
         """Return the slowness, also from exchanges that have not ended."""
-        age_ms = now_ms - self._slowness_ms
-        slowness = math.exp(
-            self._log_slowness * math.exp(-age_ms / _SLOWNESS_MEMORY_MS)
-        )
-        if _PLAIN_SLOWNESS[0] < slowness < _PLAIN_SLOWNESS[1]:
-            slowness = 1.0
+        slowness = 1.0
+        if abs(self._log_slowness) > _PLAIN_LOG_SLOWNESS:
+            age_ms = now_ms - self._slowness_ms
+            faded = math.exp(-age_ms / _SLOWNESS_MEMORY_MS) * self._log_slowness
+            if abs(faded) > _PLAIN_LOG_SLOWNESS:
+                slowness = math.exp(faded)
         if self._exchanges:
             oldest = next(iter(self._exchanges))
             ratio = (now_ms - oldest.started_ms) / oldest.expected_ms
@@ -272,8 +292,11 @@
         return slowness
 
     def cost_ms(self, work_ms: float, now_ms: float) -> float:
-        """Return the expected time of a request with some work."""
-        cost = work_ms * self.factor(now_ms) / (1.05 - self.failures)
+        """Return the expected time of a request; infinite without room."""
+        place = self.occupancy() + 1
+        if place > self._model.useful_slots(self.slots):
+            return math.inf
+        cost = work_ms * self._factor_at(place, now_ms) / (1.05 - self.failures)
         if not self.sent and now_ms - self._listed_ms > _UNUSED_MS:
             cost *= _UNUSED_FACTOR
         return cost
@@ -283,12 +306,14 @@
     def start(self, work_key: str, now_ms: float) -> Exchange:
         """Count a request that is about to be sent."""
         factor = self.factor(now_ms)
+        is_crowded = self.occupancy() + 1 > self.slots * CROWDED_SHARE
         exchange = Exchange(
             self,
             now_ms,
             max(1.0, self._model.work_ms(work_key) * factor),
             factor,
-            self.occupancy() + 1 > self.slots * CROWDED_SHARE,
+            is_crowded,
+            self._model.crowded_factor if is_crowded else 1.0,
             work_key,
             self.slowdown(now_ms),
             self.slowness(now_ms),
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -71,3 +71,26 @@
     target.answer(*[6 * _USUAL_MS] * 4)
     target.now_ms += 6_000.0
     assert target.cost_ms < 1.5 * before_ms
+
+
+def test_work_does_not_take_up_the_effect_of_crowding():
+    """In a burst all targets are crowded; taken for usual, they stay so."""
+    target = _Target()
+    target.answer(*[_USUAL_MS] * 10)
+    for _ in range(100):
+        first = target.load.start("k", target.now_ms)
+        second = target.load.start("k", target.now_ms)
+        target.now_ms += 1.7 * _USUAL_MS
+        target.load.succeeded(second, target.now_ms)
+        target.load.cancelled(first)
+    assert target.model.work_ms("k") == pytest.approx(_USUAL_MS, rel=0.1)
+    assert target.model.crowded_factor == pytest.approx(1.7, rel=0.1)
+
+
+def test_first_answers_do_not_set_the_effect_of_crowding():
+    """A factor of 1 fills targets to the last slot, and they stay full."""
+    target = _Target()
+    target.answer(*[_USUAL_MS] * 10)
+    target.load.start("k", target.now_ms)
+    target.answer(0.6 * _USUAL_MS, 0.6 * _USUAL_MS)
+    assert target.model.crowded_factor > 1.4
