--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -30,8 +30,9 @@
 _SHORT_PAUSE_MS = 60.0
 # A request waits when the wait is expected to take at most this share of what
 # is left of its objective beside its work: a queue that takes all of it makes
-# every request late as soon as one estimate is too low.
-_WAIT_SHARE = 0.5
+# every request late as soon as one estimate is too low, and a much shorter one
+# refuses requests while targets are full for a moment only.
+_WAIT_SHARE = 0.6
 # A request that will be late goes to a target that needs at most this share of
 # its remaining time. More would keep slots of hosts that are slow now from
 # requests that are in time once they are fast again; the caller has time to
