--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -37,8 +37,8 @@
 # its remaining time. More would keep slots of hosts that are slow now from
 # requests that are in time once they are fast again; the caller has time to
 # come back, but less often the second time.
-_LATE_SHARE = 0.25
-_LATE_SHARE_RETURNED = 0.4
+_LATE_SHARE = 0.4
+_LATE_SHARE_RETURNED = 0.6
 
 
 class Decision(enum.Enum):
