Count a target as crowded from its second request on

Cause: a target with one slot counted as crowded by its only request, so that the work of its service was never learned after the first answer; and work that became shorter while all targets were crowded was not learned either, as the factor of crowding does not go below 1. Found by reading; both tests failed first. No deployment at hand has services with one slot.

--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -129,7 +129,7 @@
                 continue
             slots = self.model.useful_slots(load.slots)
             time_ms = work_ms * load.slowdown(now_ms) * load.slowness(now_ms)
-            if slots > load.slots * loads.CROWDED_SHARE:
+            if slots > loads.calm_slots(load.slots):
                 time_ms *= self.model.crowded_factor
             if time_ms <= limit_ms:
                 total += slots / max(1.0, time_ms)
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -5,21 +5,22 @@
 
 from slatechute.gateway import dialects
 
-__all__ = ["CROWDED_SHARE", "Exchange", "ServiceModel", "TargetLoad"]
+__all__ = ["Exchange", "ServiceModel", "TargetLoad", "calm_slots"]
 
 # Reported slowdowns of a host last a few hundred milliseconds; after this time
 # a report says little more than the average of the service.
 _SLOWDOWN_MEMORY_MS = 300.0
 # Share of the slots above which a target counts as crowded: the targets of both
 # deployments slow down when they are nearly full.
-CROWDED_SHARE = 0.8
+_CROWDED_SHARE = 0.8
 _FIRST_CROWDED_FACTOR = 1.6
+_MAX_CROWDED_FACTOR = 3.0
 # Samples that this counts for, about those of the first second.
 _FIRST_CROWDED_COUNT = 20
 # Weight of a new sample in the averages of work and slowdown.
 _AVERAGE_WEIGHT = 0.05
-# Weight in the averages that tell crowded targets from others: it is a property
-# of the service, and in a burst hardly any target is not crowded.
+# Weight of a new sample in the factor of a crowded target, which is a property
+# of the service.
 _CROWDED_WEIGHT = 0.01
 # Weight of a new sample in the slowness of one target: a target that turns slow
 # must show after a few answers.
@@ -54,6 +55,11 @@
 _UNUSED_FACTOR = 0.4
 
 
+def calm_slots(slots: int) -> int:
+    """Return how many requests a target runs before it counts as crowded."""
+    return max(1, math.floor(slots * _CROWDED_SHARE))
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Exchange:
     """One request at a target.
@@ -144,8 +150,12 @@
             work.add(work.value * ratio, _AVERAGE_WEIGHT)
             return
         self._crowded_ratio.add(ratio * exchange.crowding, _CROWDED_WEIGHT)
-        self.crowded_factor = min(3.0, max(1.0, self._crowded_ratio.value))
+        factor = self._crowded_ratio.value
+        self.crowded_factor = min(_MAX_CROWDED_FACTOR, max(1.0, factor))
         self._useful_by_slots.clear()
+        if factor != self.crowded_factor:
+            # Crowding does not explain the time, so the work has changed.
+            work.add(work.value * ratio, _AVERAGE_WEIGHT)
 
     def add_slowdown(self, slowdown: float) -> None:
         """Take in a reported slowdown."""
@@ -159,7 +169,7 @@
         """
         useful = self._useful_by_slots.get(slots)
         if useful is None:
-            calm = max(1, math.floor(slots * CROWDED_SHARE))
+            calm = calm_slots(slots)
             useful = slots if slots / self.crowded_factor > calm else calm
             self._useful_by_slots[slots] = useful
         return useful
@@ -268,7 +278,7 @@
     def _factor_at(self, place: int, now_ms: float) -> float:
         slots = max(1, self.slots)
         factor = self.slowdown(now_ms) * self.slowness(now_ms)
-        if place > slots * CROWDED_SHARE:
+        if place > calm_slots(slots):
             factor *= self._model.crowded_factor
         if place > slots:
             factor *= 1 + (place - slots) / slots
@@ -306,7 +316,7 @@
     def start(self, work_key: str, now_ms: float) -> Exchange:
         """Count a request that is about to be sent."""
         factor = self.factor(now_ms)
-        is_crowded = self.occupancy() + 1 > self.slots * CROWDED_SHARE
+        is_crowded = self.occupancy() + 1 > calm_slots(self.slots)
         exchange = Exchange(
             self,
             now_ms,
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -11,11 +11,11 @@
 class _Target:
     """A target that answers one request after the other."""
 
-    def __init__(self, model=None):
+    def __init__(self, slots=2):
         self.now_ms = 0.0
-        self.model = model or loads.ServiceModel()
+        self.model = loads.ServiceModel()
         self.load = loads.TargetLoad(
-            builders.target("t1", slots=2), self.model, 0.0
+            builders.target("t1", slots=slots), self.model, 0.0
         )
 
     def answer(self, *times_ms):
@@ -94,3 +94,22 @@
     target.load.start("k", target.now_ms)
     target.answer(0.6 * _USUAL_MS, 0.6 * _USUAL_MS)
     assert target.model.crowded_factor > 1.4
+
+
+def test_target_with_one_slot_is_not_crowded_by_its_only_request():
+    """Its work was never learned after the first answer."""
+    target = _Target(slots=1)
+    target.answer(4 * _USUAL_MS, *[_USUAL_MS] * 30)
+    assert target.model.work_ms("k") == pytest.approx(_USUAL_MS, rel=0.2)
+
+
+def test_work_that_becomes_shorter_is_learned_while_all_targets_are_crowded():
+    """The factor of crowding does not go below 1, so the work has to follow."""
+    target = _Target()
+    target.answer(*[_USUAL_MS] * 10)
+    for _ in range(400):
+        other = target.load.start("k", target.now_ms)
+        target.answer(0.85 * _USUAL_MS)
+        target.load.cancelled(other)
+    expected_ms = target.model.work_ms("k") * target.model.crowded_factor
+    assert expected_ms == pytest.approx(0.85 * _USUAL_MS, rel=0.05)
