--- a/slatechute/benches/patterns.py
+++ b/slatechute/benches/patterns.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import heapq
 import itertools
 import math
@@ -294,9 +295,8 @@
                 for load in self._balancers[index].load_by_id.values()
                 if load.target.data_centre == name and load.load is not None
             ]
-            self.at(
-                _FAR_HOP_MS, lambda own=index, all_=told: self._hear(own, all_)
-            )
+            hear = functools.partial(self._hear, index, told)
+            self.at(_FAR_HOP_MS, hear)
         self.at(_FAR_PERIOD_MS, self._tell_far)
 
     def _hear(
