--- a/tests/fakes/test_target.py
+++ b/tests/fakes/test_target.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from slatechute.fakes import target
+from tests.gateway import small_fleet
 
 
 def _with_target(scenario, **settings):
@@ -69,12 +70,15 @@
     """Guards against overrun slots, overtaking and unbounded queues."""
 
     async def scenario(fake, session):
+
+        def arrived():
+            return fake.running + fake.queued + fake.refusals["queue_full"]
+
         asks = []
         for number in range(4):
-            asks.append(
-                asyncio.create_task(_ask(session, str(number), X_Work_Ms="40"))
-            )
-            await asyncio.sleep(0.005)
+            ask = _ask(session, str(number), X_Work_Ms="400")
+            asks.append(asyncio.create_task(ask))
+            await small_fleet.eventually(lambda: arrived() == len(asks))
         assert (fake.running, fake.queued) == (1, 2)
         results = await asyncio.gather(*asks)
         assert [r.status for r, _ in results] == [200, 200, 200, 503]
