--- a/slatechute/benches/patterns.py
+++ b/slatechute/benches/patterns.py
@@ -40,7 +40,7 @@
     """A load and the targets that it meets.
 
     Attributes:
-        targets: Number of targets, all in the data centre of the entries.
+        targets: Number of targets.
         slots: Requests that a target runs at a time.
         queue: Requests that wait at a target before it refuses.
         work_ms: Mean work of a request.
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -36,6 +36,7 @@
 _MAX_SLOWNESS = 10.0
 # A target that has just started takes this multiple of the usual time.
 _COLD_FACTOR = 2.0
+# Until the first answer; near the work of most services of both deployments.
 _FIRST_WORK_MS = 60.0
 # Answers that are further from the average than this factor say more of their
 # host than of the work.
