--- a/tests/fakes/test_target.py
+++ b/tests/fakes/test_target.py
@@ -1,6 +1,7 @@
 """Tests of the fake target."""
 
 import asyncio
+import functools
 import random
 import time
 
@@ -9,7 +10,9 @@
 import xxhash
 
 from slatechute.fakes import target
-from tests.gateway import small_fleet
+from tests import waiting
+
+_until = functools.partial(waiting.until, limit_s=2.0)
 
 
 def _with_target(scenario, **settings):
@@ -37,14 +40,6 @@
         return response, await response.read()
 
 
-async def _until(condition):
-    for _ in range(400):
-        if condition():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("condition not met within 2 s")
-
-
 def test_answers_are_whole_and_carry_the_request_id():
     """Guards against mixed or truncated answers that cannot be noticed."""
 
@@ -78,7 +73,7 @@
         for number in range(4):
             ask = _ask(session, str(number), X_Work_Ms="400")
             asks.append(asyncio.create_task(ask))
-            await small_fleet.eventually(lambda: arrived() == len(asks))
+            await _until(lambda: arrived() == len(asks))
         assert (fake.running, fake.queued) == (1, 2)
         results = await asyncio.gather(*asks)
         assert [r.status for r, _ in results] == [200, 200, 200, 503]
--- a/tests/faults/placing.py
+++ b/tests/faults/placing.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import functools
 
+from tests import waiting
 from tests.faults import fleet as fleets
 
 # Above the silence limit of peer links (400 ms), so that the others notice.
@@ -10,14 +12,7 @@
 _WORK_MS = 250.0
 _PEER_LATENCY_MS = 100.0
 _REACH_S = 2.0
-
-
-async def _until(condition) -> None:
-    async with asyncio.timeout(_REACH_S):
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(0.005)
+_until = functools.partial(waiting.until, limit_s=_REACH_S)
 
 
 class Step:
--- a/tests/gateway/small_fleet.py
+++ b/tests/gateway/small_fleet.py
@@ -9,6 +9,7 @@
 from slatechute.gateway import dialects
 from slatechute.gateway import reader
 from slatechute.gateway import routing
+from tests import waiting
 from tests.gateway import builders
 
 
@@ -98,6 +99,13 @@
         self.apps.append(app)
         return app
 
+    async def add_with_routes(self) -> application.GatewayApplication:
+        """Publish a first table and add an entry that has it in force."""
+        self.publish_routes(1, builders.route())
+        app = await self.add()
+        await waiting.until(lambda: app.catalogue.table)
+        return app
+
     async def close(self) -> None:
         for app in self.apps:
             await app.stop()
@@ -114,19 +122,6 @@
         return ports
 
 
-async def eventually(condition, limit_s: float = 3.0) -> None:
-    """Wait until a condition holds.
-
-    Raises:
-        AssertionError: It does not hold in time.
-    """
-    loop = asyncio.get_running_loop()
-    end_s = loop.time() + limit_s
-    while not condition():
-        assert loop.time() < end_s, "the condition does not hold in time"
-        await asyncio.sleep(0.01)
-
-
 def run(check) -> None:
     """Run a check with a new fleet and close it."""
 
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from tests import waiting
 from tests.gateway import builders
 from tests.gateway import scripted_target
 from tests.gateway import small_fleet
@@ -31,7 +32,7 @@
             fleet.publish_routes(1, builders.route())
             fleet.publish_target(address=target.address)
             app = await fleet.add()
-            await small_fleet.eventually(lambda: app.balancer.load_by_id)
+            await waiting.until(lambda: app.balancer.load_by_id)
             status, headers, body = await _get(app)
             assert (status, body) == (200, b"ok")
             assert headers["Signed"] == "1"
@@ -55,9 +56,7 @@
     """Callers do not retry a route that does not exist."""
 
     async def check(fleet):
-        fleet.publish_routes(1, builders.route())
-        app = await fleet.add()
-        await small_fleet.eventually(lambda: app.catalogue.table)
+        app = await fleet.add_with_routes()
         status, _, _ = await _get(app, "/other/")
         assert status == 404
 
@@ -68,9 +67,7 @@
     """A caller that waits for nothing loses the time for another try."""
 
     async def check(fleet):
-        fleet.publish_routes(1, builders.route())
-        app = await fleet.add()
-        await small_fleet.eventually(lambda: app.catalogue.table)
+        app = await fleet.add_with_routes()
         async with asyncio.timeout(0.4):
             status, headers, _ = await _get(app)
         assert status == 503
@@ -85,11 +82,9 @@
     async def check(fleet):
         fleet.publish_routes(1, builders.route())
         apps = [await fleet.add() for _ in range(4)]
-        await small_fleet.eventually(
-            lambda: all(app.catalogue.table for app in apps)
-        )
+        await waiting.until(lambda: all(app.catalogue.table for app in apps))
         fleet.publish_routes(2, builders.route(prefix="/b/"))
-        await small_fleet.eventually(
+        await waiting.until(
             lambda: all(app.catalogue.table.version == 2 for app in apps), 2.0
         )
 
@@ -102,7 +97,7 @@
     async def check(fleet):
         fleet.publish_routes(1, builders.route())
         apps = [await fleet.add() for _ in range(4)]
-        await small_fleet.eventually(
+        await waiting.until(
             lambda: (
                 [app.is_reading for app in apps] == [True, True, False, False]
             )
@@ -120,11 +115,9 @@
         refused = small_fleet.MemorySource()
         refused.is_down = True
         second = await fleet.add(source=refused, data_centre="dc2")
-        await small_fleet.eventually(lambda: second.catalogue.table)
+        await waiting.until(lambda: second.catalogue.table)
         fleet.publish_routes(2, builders.route())
-        await small_fleet.eventually(
-            lambda: second.catalogue.table.version == 2, 2.0
-        )
+        await waiting.until(lambda: second.catalogue.table.version == 2, 2.0)
         assert first.catalogue.table.version == 2
 
     small_fleet.run(check)
@@ -134,14 +127,10 @@
     """Changes in the gap would never be in force."""
 
     async def check(fleet):
-        fleet.publish_routes(1, builders.route())
-        app = await fleet.add()
-        await small_fleet.eventually(lambda: app.catalogue.table)
+        app = await fleet.add_with_routes()
         fleet.source.lost_history = fleet.source.revision + 1
         fleet.publish_routes(2, builders.route())
-        await small_fleet.eventually(
-            lambda: app.catalogue.table.version == 2, 2.0
-        )
+        await waiting.until(lambda: app.catalogue.table.version == 2, 2.0)
 
     small_fleet.run(check)
 
@@ -152,9 +141,9 @@
     async def check(fleet):
         fleet.publish_routes(1, builders.route())
         first, second = await fleet.add(), await fleet.add()
-        await small_fleet.eventually(lambda: len(first.addresses()) == 2)
+        await waiting.until(lambda: len(first.addresses()) == 2)
         drain = asyncio.create_task(second.drain())
-        await small_fleet.eventually(lambda: len(first.addresses()) == 1, 0.3)
+        await waiting.until(lambda: len(first.addresses()) == 1, 0.3)
         assert await drain
 
     small_fleet.run(check)
@@ -169,7 +158,7 @@
             fleet.publish_routes(1, builders.route(repeatable=False))
             fleet.publish_target(address=target.address)
             app = await fleet.add()
-            await small_fleet.eventually(lambda: app.balancer.load_by_id)
+            await waiting.until(lambda: app.balancer.load_by_id)
             request = asyncio.create_task(_get(app))
             await target.arrived.wait()
             assert await app.drain()
@@ -184,9 +173,9 @@
     async def check(fleet):
         fleet.publish_routes(1, builders.route())
         first, second = await fleet.add(), await fleet.add()
-        await small_fleet.eventually(lambda: len(first.addresses()) == 2)
+        await waiting.until(lambda: len(first.addresses()) == 2)
         await second.stop()
-        await small_fleet.eventually(lambda: len(first.addresses()) == 1, 1.5)
+        await waiting.until(lambda: len(first.addresses()) == 1, 1.5)
 
     small_fleet.run(check)
 
@@ -200,16 +189,16 @@
             fleet.publish_routes(1, builders.route())
             fleet.publish_target(address=target.address)
             first, second = await fleet.add(), await fleet.add()
-            await small_fleet.eventually(
+            await waiting.until(
                 lambda: (
                     second.balancer.load_by_id and len(second.addresses()) == 2
                 )
             )
             request = asyncio.create_task(_get(first))
             load = second.balancer.load_by_id["t1"]
-            await small_fleet.eventually(lambda: load.occupancy() == 1, 0.4)
+            await waiting.until(lambda: load.occupancy() == 1, 0.4)
             await request
-            await small_fleet.eventually(lambda: load.occupancy() == 0, 0.4)
+            await waiting.until(lambda: load.occupancy() == 0, 0.4)
 
     small_fleet.run(check)
 
--- a/tests/gateway/test_loops.py
+++ b/tests/gateway/test_loops.py
@@ -1,5 +1,6 @@
 """Tests that loops of an entry outlive an error that no code expects."""
 
+from tests import waiting
 from tests.gateway import builders
 from tests.gateway import small_fleet
 
@@ -23,7 +24,7 @@
         app = await fleet.add()
         calls = []
         app.balancer.tick = _fail_once(app.balancer.tick, calls)
-        await small_fleet.eventually(lambda: len(calls) > 2)
+        await waiting.until(lambda: len(calls) > 2)
 
     small_fleet.run(check)
 
@@ -40,7 +41,7 @@
 
         app.balancer.tick = fail
         app.group.tick = _fail_once(app.group.tick, calls)
-        await small_fleet.eventually(lambda: len(calls) > 2)
+        await waiting.until(lambda: len(calls) > 2)
 
     small_fleet.run(check)
 
@@ -49,11 +50,9 @@
     """An entry that reads no more keeps its configuration for good."""
 
     async def check(fleet):
-        fleet.publish_routes(1, builders.route())
-        app = await fleet.add()
-        await small_fleet.eventually(lambda: app.catalogue.table)
+        app = await fleet.add_with_routes()
         app.catalogue.apply = _fail_once(app.catalogue.apply, [])
         fleet.publish_routes(2, builders.route(prefix="/b/"))
-        await small_fleet.eventually(lambda: app.catalogue.table.version == 2)
+        await waiting.until(lambda: app.catalogue.table.version == 2)
 
     small_fleet.run(check)
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -11,9 +11,9 @@
 from slatechute.gateway import routing
 from slatechute.gateway import sharing
 from slatechute.util import clock as clocks
+from tests import waiting
 from tests.gateway import builders
 from tests.gateway import scripted_target
-from tests.gateway import small_fleet
 
 
 class _Group:
@@ -184,7 +184,7 @@
     async def check():
         fixture.sharing.start()
         try:
-            await small_fleet.eventually(lambda: fixture.group.sent)
+            await waiting.until(lambda: fixture.group.sent)
         finally:
             fixture.sharing.stop()
 
@@ -217,7 +217,7 @@
             )
             prober.review()
             try:
-                await small_fleet.eventually(lambda: dialect.calls > 1)
+                await waiting.until(lambda: dialect.calls > 1)
             finally:
                 prober.stop()
 
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -1,8 +1,8 @@
 """Tests of the links between entries, over loopback sockets."""
 
 import asyncio
-from collections.abc import Callable
 import contextlib
+import functools
 import json
 import signal
 import socket
@@ -24,6 +24,9 @@
 from slatechute.peers import link
 from slatechute.peers import links
 from slatechute.util import clock
+from tests import waiting
+
+_until = functools.partial(waiting.until, limit_s=5.0)
 
 _KEY = "key of the fleet 0123"
 _Fault = counters.Fault
@@ -91,13 +94,6 @@
         node.links.set_peers(addresses)
 
 
-async def _until(condition: Callable[[], bool], limit_s: float = 5.0) -> None:
-    async with asyncio.timeout(limit_s):
-        # The conditions are plain attributes of the links.
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
-
-
 async def _linked(*nodes: _Node) -> None:
     await _until(
         lambda: all(
@@ -250,7 +246,7 @@
             # At most 20 beats of at most 6 bytes.
             assert 0 < metrics.bytes_sent - size <= 120
             revision = 2
-            await _until(lambda: heartbeats == [1, 2], 1.0)
+            await _until(lambda: heartbeats == [1, 2], limit_s=1.0)
             assert one.links.peers()["e2"].heartbeat.revision == 2
 
     asyncio.run(run())
@@ -441,7 +437,7 @@
                 async with asyncio.timeout(2.0):
                     await reader.read()
             writer.close()
-            await _until(lambda: node.failures(fault) == 1, 1.0)
+            await _until(lambda: node.failures(fault) == 1, limit_s=1.0)
             assert not node.links._open
 
     asyncio.run(run())
@@ -509,7 +505,9 @@
             # The other end finds the silence in the same beat and would end the
             # connection first.
             abort, silent.transport.abort = silent.transport.abort, lambda: None
-            await _until(lambda: events.PeerLost("e2") in one.events, 1.0)
+            await _until(
+                lambda: events.PeerLost("e2") in one.events, limit_s=1.0
+            )
             assert one.failures(_Fault.SILENT) == 1
             abort()
             await _linked(one, two)
@@ -635,7 +633,7 @@
                 # Still reachable: the event must not come from inside send.
                 assert node.reaches("e2")
             assert node.reaches("e2")
-            await _until(lambda: not node.reaches("e2"), 0.2)
+            await _until(lambda: not node.reaches("e2"), limit_s=0.2)
             assert node.failures(_Fault.QUEUE_FULL) == 1
             assert node.events[-1] == events.PeerLost("e2")
             connection.transport.abort()
@@ -717,12 +715,12 @@
                 one.links.set_peers({"e2": answer["peer_address"]})
                 await _until(lambda: one.reaches("e2"))
                 process.send_signal(signal.SIGSTOP)
-                await _until(lambda: not one.reaches("e2"), 1.0)
+                await _until(lambda: not one.reaches("e2"), limit_s=1.0)
                 assert one.failures(_Fault.SILENT) == 1
                 await asyncio.sleep(0.5)
                 assert not one.reaches("e2")
                 process.send_signal(signal.SIGCONT)
-                await _until(lambda: one.reaches("e2"), 4.0)
+                await _until(lambda: one.reaches("e2"), limit_s=4.0)
         finally:
             process.kill()
             await process.wait()
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -1,16 +1,14 @@
 """Several applications in one process, on real sockets."""
 
 import asyncio
+import functools
 
 from slatechute import events
 from slatechute.fakes import deployments
 from slatechute.fakes import local_fleet
+from tests import waiting
 
-
-async def _until(condition, limit_s: float = 5.0) -> None:
-    async with asyncio.timeout(limit_s):
-        while not condition():  # noqa: ASYNC110 - has no event
-            await asyncio.sleep(0.01)
+_until = functools.partial(waiting.until, limit_s=5.0)
 
 
 def test_new_link_carries_marks_and_strikes():
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -1,6 +1,7 @@
 """Tests of a fleet with more entries than an entry group."""
 
 import asyncio
+import functools
 
 from slatechute import relay
 from slatechute.configuration import spread
@@ -9,10 +10,12 @@
 from slatechute.fakes import local_fleet
 from slatechute.platforms import base
 from slatechute.util import clock as clocks
+from tests import waiting
 
 _DEPLOYMENT = deployments.DEPLOYMENTS["kits"]
 _SERVICES = [size.name for size in _DEPLOYMENT.services]
 _LIMIT_S = 20
+_until = functools.partial(waiting.until, limit_s=_LIMIT_S)
 
 
 def _fleet(entries, **options):
@@ -41,14 +44,6 @@
     return expected
 
 
-async def _until(condition):
-    for _ in range(_LIMIT_S * 50):
-        if condition():
-            return
-        await asyncio.sleep(0.02)
-    raise AssertionError("condition is not met in time")
-
-
 async def _send_directly(app, size):
     """Send a request to an entry that its address answer may not name."""
     url = f"http://{app.settings.address}{size.path}"
