Compute the place of a request once, drop what nothing reads

The start of an exchange computed the occupancy of the target three times and had a method of its own for the factor at that place. AnswerFacts.idle_s and the name of a service pool were read by nothing. The figures are the same, in the same order of operations.

--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -101,15 +101,13 @@
     """Targets and waiting requests of one service.
 
     Attributes:
-        name: Name of the service.
         model: How long its work takes.
         load_by_id: Its targets.
         waiting: Requests of this entry that wait.
         peers_waiting: Requests that wait at peers, by entry id.
     """
 
-    def __init__(self, name: str):
-        self.name = name
+    def __init__(self):
         self.model = loads.ServiceModel()
         self.load_by_id: dict[str, loads.TargetLoad] = {}
         self.waiting: list[Pending] = []
@@ -170,7 +168,7 @@
         """Return the pool of a service."""
         pool = self.pool_by_service.get(service)
         if pool is None:
-            pool = self.pool_by_service[service] = ServicePool(service)
+            pool = self.pool_by_service[service] = ServicePool()
         return pool
 
     # Targets.
--- a/slatechute/gateway/dialects.py
+++ b/slatechute/gateway/dialects.py
@@ -38,7 +38,6 @@
         wrong_target: Whether another target has the address now.
         target_id: Target that answered, if it says so.
         load: Load of the target, if it says so.
-        idle_s: How long the connection may stay idle, if it says so.
     """
 
     request_id: str = ""
@@ -47,7 +46,6 @@
     wrong_target: bool = False
     target_id: str = ""
     load: Load | None = None
-    idle_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -272,11 +272,8 @@
         """Return whether a further request would not slow the others down."""
         return self.occupancy() < self._model.useful_slots(self.slots)
 
-    def factor(self, now_ms: float) -> float:
-        """Return the expected time of a request as a multiple of its work."""
-        return self._factor_at(self.occupancy() + 1, now_ms)
-
-    def _factor_at(self, place: int, now_ms: float) -> float:
+    def _factor(self, place: int, now_ms: float) -> float:
+        """Return the expected time at a place as a multiple of the work."""
         slots = max(1, self.slots)
         factor = self.slowdown(now_ms) * self.slowness(now_ms)
         if place > calm_slots(slots):
@@ -307,7 +304,7 @@
         place = self.occupancy() + 1
         if place > self._model.useful_slots(self.slots):
             return math.inf
-        cost = work_ms * self._factor_at(place, now_ms) / (1.05 - self.failures)
+        cost = work_ms * self._factor(place, now_ms) / (1.05 - self.failures)
         if not self.sent and now_ms - self._listed_ms > _UNUSED_MS:
             cost *= _UNUSED_FACTOR
         return cost
@@ -316,8 +313,9 @@
 
     def start(self, work_key: str, now_ms: float) -> Exchange:
         """Count a request that is about to be sent."""
-        factor = self.factor(now_ms)
-        is_crowded = self.occupancy() + 1 > calm_slots(self.slots)
+        place = self.occupancy() + 1
+        factor = self._factor(place, now_ms)
+        is_crowded = place > calm_slots(self.slots)
         exchange = Exchange(
             self,
             now_ms,
@@ -328,7 +326,7 @@
             work_key,
             self.slowdown(now_ms),
             self.slowness(now_ms),
-            self.occupancy() + 1,
+            place,
         )
         self.own += 1
         self.sent += 1
