Adopt each published item on its own

Cause: the view takes in all items before they are adopted. Found by reading the change again; the test failed first.

The catalogue logs the error and adopts the rest. Without such an error nothing changes.

--- a/slatechute/gateway/catalogue.py
+++ b/slatechute/gateway/catalogue.py
@@ -1,6 +1,7 @@
 """Configuration and targets in force at one entry."""
 
 import dataclasses
+import functools
 
 from slatechute import events
 from slatechute import logs
@@ -8,6 +9,7 @@
 from slatechute.gateway import published
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
+from slatechute.util import steps
 
 __all__ = [
     "Catalogue",
@@ -107,10 +109,16 @@
         self, changes: list[dialects.PublishedItem], source: Source
     ) -> None:
         for item in changes:
-            if self._dialect.is_target_key(item.key):
-                self._adopt_target(item, source)
-            elif item.value is not None:
-                self._adopt_table(item, source)
+            # The view has all of them, so no later reading brings the others.
+            steps.run_step(
+                _LOG, "adopt", functools.partial(self._adopt_item, item, source)
+            )
+
+    def _adopt_item(self, item: dialects.PublishedItem, source: Source) -> None:
+        if self._dialect.is_target_key(item.key):
+            self._adopt_target(item, source)
+        elif item.value is not None:
+            self._adopt_table(item, source)
 
     def _adopt_table(
         self, item: dialects.PublishedItem, source: Source
--- a/slatechute/gateway/reader.py
+++ b/slatechute/gateway/reader.py
@@ -142,7 +142,7 @@
                 self._failed(error)
                 await self._back_off()
             except Exception as error:
-                # The changes of this call are lost, so all is read again.
+                # Changes of this call that the view has not taken in are lost.
                 steps.log_unexpected(_LOG, "reading", error)
                 self._has_snapshot = False
                 self.is_connected = False
--- a/tests/gateway/test_catalogue.py
+++ b/tests/gateway/test_catalogue.py
@@ -142,3 +142,23 @@
         item = dialects.PublishedItem("c", revision, b"x")
         fixture.catalogue.apply([item], revision, _STEADY)
     assert fixture.catalogue.table is table
+
+
+def test_item_that_fails_does_not_hold_back_the_others():
+    """They are known to the view by then, so no later reading brings them."""
+    fixture = _Fixture()
+    fixture.dialect.target_by_key["good"] = builders.target()
+    read_target = fixture.dialect.target
+
+    def target(item):
+        if item.value == b"bad":
+            raise RuntimeError("unexpected")
+        return read_target(item)
+
+    fixture.dialect.target = target
+    items = [
+        dialects.PublishedItem("t/0", 1, b"bad"),
+        dialects.PublishedItem("t/1", 2, b"good"),
+    ]
+    fixture.catalogue.apply(items, 2, _STEADY)
+    assert fixture.kinds() == ["TargetAdded"]
