--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+import contextlib
 import random
 
 import cbor2
@@ -18,9 +19,11 @@
 from slatechute.gateway import forwarding
 from slatechute.gateway import http_server
 from slatechute.gateway import peers as peer_groups
+from slatechute.gateway import published
 from slatechute.gateway import reader
 from slatechute.gateway import routing
 from slatechute.gateway import server
+from slatechute.gateway import serving
 from slatechute.gateway import settings as gateway_settings
 from slatechute.gateway import sharing
 from slatechute.util import addresses
@@ -32,6 +35,10 @@
 _LOG = logs.get_logger(__name__)
 
 _TICK_INTERVAL_S = 0.02
+# While no request is in flight or waits, only peers and the reader need steps.
+_IDLE_TICK_INTERVAL_S = 0.06
+# A standby without requests; the first one wakes it.
+_STANDBY_TICK_INTERVAL_S = 0.2
 # A longer interval between two ticks means that the process was paused.
 _MIN_PAUSE_MS = 400.0
 # A peer whose revision has been higher for this long has read changes that this
@@ -48,6 +55,25 @@
 # With one reader per data centre, changes would be late while the connection of
 # that reader is unresponsive.
 _READERS_PER_DATA_CENTRE = 2
+# For this long after its start, an entry reads the platform only if no peer of
+# its data centre has done so. Later the peers that read are known.
+_START_MS = 1_200.0
+# A starting entry waits this long for peers before it reads, and a random time
+# that grows with their number, so that only the first of a fleet reads.
+_DISCOVERY_MS = 60.0
+_MIN_READ_SPREAD_MS = 100.0
+_READ_SPREAD_PER_PEER_MS = 12.0
+# Without any peer, as the hosts of the seeds may start later than this one. At
+# the first start of the fleet there is time until the callers arrive.
+_NO_PEERS_MS = 200.0
+_NO_PEERS_BOOTSTRAP_MS = 800.0
+# Changes that need more datagrams than this are fetched by the peers.
+_MAX_CHANGE_DATAGRAMS = 12
+_MAX_CHANGE_BYTES = 1_200
+_BUSY_INTERVAL_MS = 500.0
+# Processor time of a request with its reports and probes, at usual speed.
+_REQUEST_PROCESSOR_MS = 5.0
+_BUSY_WEIGHT = 0.5
 _MAX_ADDRESSES = 64
 _PEER_VIEW_PATH = "/published"
 
@@ -79,6 +105,11 @@
         self._peer_view_task: asyncio.Task | None = None
         self._behind_since_ms: float | None = None
         self._started_ms = self.clock.now_ms()
+        self._role = serving.ActiveRole()
+        self._busy = _BusyShare(settings.processor_share)
+        self._sent_revision = 0
+        self._request_arrived = asyncio.Event()
+        self._first_read_share = random.random()
         self.catalogue = catalogues.Catalogue(settings, dialect, self)
         self._reader = reader.PlatformReader(
             source,
@@ -86,9 +117,7 @@
             self.clock,
             self.metrics.count_platform_call,
             self._platform_source,
-            lambda: self.group.broadcast(
-                self._presence(), self.group.local_peers()
-            ),
+            self._send_changes,
         )
         self._create_components()
 
@@ -127,6 +156,7 @@
             self.clock,
             self.metrics,
             self._sharing,
+            lambda: self._role.is_active,
         )
         self._caller_server = server.CallerServer(
             settings,
@@ -135,6 +165,7 @@
             self._forwarder,
             self.clock,
             self.metrics,
+            self._request_arrived.set,
         )
         self.metrics.bind_gauges(
             in_flight=lambda: self._caller_server.in_flight,
@@ -177,8 +208,8 @@
             await auxiliary_server.start()
         if self.settings.callers_address:
             await self._caller_server.start()
-        self._reader.set_active(True)
         self._sharing.start()
+        self.group.tick()
         self._tick_task = asyncio.create_task(self._tick())
         _LOG.info(
             "gateway_started",
@@ -195,6 +226,7 @@
             False if requests were still in flight when the time limit ended.
         """
         self._state = peer_groups.LEAVING
+        self._role.release()
         self.group.announce()
         start_ms = self.clock.now_ms()
         limit_ms = self.settings.shutdown_timeout_s * 1000 - _STOP_MARGIN_MS
@@ -230,55 +262,114 @@
         self.group.set_seeds(settings.seeds)
         _LOG.info("settings_reloaded", seeds=list(settings.seeds))
 
-    def _periodic_steps(self) -> Sequence[tuple[str, int, Callable[[], None]]]:
-        """Return the name, interval in ticks and action of periodic steps."""
+    def _periodic_steps(self) -> Sequence[tuple[str, float, Callable]]:
+        """Return the name, interval in ms and action of periodic steps."""
         now_ms = self.clock.now_ms
         return (
-            ("queues", 1, lambda: self.balancer.tick(now_ms())),
-            ("sharing", 3, lambda: self._sharing.tick()),
-            ("behind", 3, lambda: self._check_behind(now_ms())),
-            ("peers", 6, lambda: self.group.tick()),
-            ("reader", 6, self._update_reader),
-            ("probes", 6, lambda: self._prober.update_assignment()),
+            ("queues", 0, lambda: self.balancer.tick(now_ms())),
+            ("sharing", 50, lambda: self._sharing.tick()),
+            ("behind", 50, lambda: self._check_behind(now_ms())),
+            ("peers", 100, lambda: self.group.tick()),
+            ("role", 100, self._update_role),
+            ("reader", 100, self._update_reader),
+            ("probes", 100, lambda: self._prober.update_assignment()),
             (
                 "lapses",
-                6,
+                100,
                 lambda: self.catalogue.remove_expired(self._steady_ms()),
             ),
         )
 
     async def _tick(self) -> None:
         periodic_steps = self._periodic_steps()
+        due_ms_by_step = {name: 0.0 for name, _, _ in periodic_steps}
         last_ms = self.clock.now_ms()
-        tick_count = 0
         while True:
-            await asyncio.sleep(_TICK_INTERVAL_S)
+            await self._wait_tick()
             now_ms = self.clock.now_ms()
             pause_ms, last_ms = now_ms - last_ms, now_ms
             if pause_ms > _MIN_PAUSE_MS:
                 steps.run_step(
                     _LOG, "resume", lambda ms=pause_ms: self._handle_pause(ms)
                 )
-            tick_count += 1
-            for name, period, action in periodic_steps:
-                if tick_count % period == 0:
+            for name, interval_ms, action in periodic_steps:
+                if now_ms >= due_ms_by_step[name]:
+                    due_ms_by_step[name] = now_ms + interval_ms
                     steps.run_step(_LOG, name, action)
 
+    async def _wait_tick(self) -> None:
+        if self._caller_server.in_flight or (self._state != peer_groups.READY):
+            await asyncio.sleep(_TICK_INTERVAL_S)
+        elif self._role.is_active:
+            await asyncio.sleep(_IDLE_TICK_INTERVAL_S)
+        else:
+            self._request_arrived.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_STANDBY_TICK_INTERVAL_S):
+                    await self._request_arrived.wait()
+
+    def _update_role(self) -> None:
+        """Become active or a standby, as the data centre needs."""
+        now_ms = self.clock.now_ms()
+        self._busy.update(self._caller_server.requests, now_ms)
+        if self._state != peer_groups.READY:
+            return
+        peers = [
+            peer.presence
+            for peer in self.group.local_peers()
+            if peer.presence.state != peer_groups.LEAVING
+        ]
+        if not self._role.update(self._presence(), peers, now_ms):
+            return
+        _LOG.notice(
+            "role_changed",
+            active=self._role.is_active,
+            active_peers=sum(presence.is_active for presence in peers),
+            peers=len(peers),
+        )
+        # The intervals of the heartbeats that this entry gets change as well.
+        self.group.reset_timeouts()
+        self.group.announce()
+
     def _update_reader(self) -> None:
         """Read the platform unless enough peers of the data centre do so.
 
-        Other entries fetch the published items from these peers, which saves
+        Other entries get the published items from these peers, which saves
         requests to the platform.
         """
-        entry_id = self.settings.entry_id
+        uptime_ms = self.clock.now_ms() - self._started_ms
+        if uptime_ms < _START_MS:
+            if not self._reader.is_active and self._may_read_first(uptime_ms):
+                self._reader.is_first = True
+                self._reader.set_active(True)
+            return
+        own_rank = _reader_rank(self._presence())
         active_readers = sum(
             1
             for peer in self.group.local_peers()
-            if peer.presence.entry_id < entry_id and peer.presence.steady_ms > 0
+            if _reader_rank(peer.presence) < own_rank
+            and peer.presence.steady_ms > 0
         )
         self._reader.is_first = not active_readers
         self._reader.set_active(active_readers < _READERS_PER_DATA_CENTRE)
 
+    def _may_read_first(self, uptime_ms: float) -> bool:
+        """Return whether this entry reads the platform soon after its start."""
+        peers = self.group.local_peers()
+        if any(peer.presence.revision for peer in peers):
+            return False
+        spread_ms = max(
+            _MIN_READ_SPREAD_MS, _READ_SPREAD_PER_PEER_MS * len(peers)
+        )
+        delay_ms = _DISCOVERY_MS
+        if not peers:
+            delay_ms = (
+                _NO_PEERS_BOOTSTRAP_MS
+                if self.settings.is_first_start
+                else _NO_PEERS_MS
+            )
+        return uptime_ms >= delay_ms + self._first_read_share * spread_ms
+
     def _steady_ms(self) -> float:
         """Return the longest uninterrupted connection to the platform in ms.
 
@@ -317,6 +408,7 @@
         self._caller_server.discard_removed_routes()
         if self._state == peer_groups.STARTING:
             self._state = peer_groups.READY
+            self._update_role()
             self.group.announce()
             started_ms = self.clock.now_ms() - self._started_ms
             _LOG.info(
@@ -358,6 +450,40 @@
             table.version if table else 0,
             self.catalogue.view.revision,
             self._reader.steady_ms(),
+            self._role.is_active,
+            settings.processor_share,
+            self._busy.share,
+        )
+
+    def _send_changes(self) -> None:
+        """Send the changes that were read from the platform to the peers.
+
+        A peer that misses one fetches the changes once it gets a heartbeat with
+        the new revision.
+        """
+        after, view = self._sent_revision, self.catalogue.view
+        self._sent_revision = view.revision
+        peers = self.group.local_peers()
+        reports = _change_reports(after, view, self._reader.steady_ms())
+        for report in reports or [self._presence()]:
+            self.group.broadcast(report, peers)
+
+    def _apply_changes(
+        self, peer: peer_groups.Peer, report: messages.PublishedChanges
+    ) -> None:
+        """Adopt the changes that a peer has read, if none before is missing."""
+        revision = self.catalogue.view.revision
+        peer.presence.revision = max(peer.presence.revision, report.revision)
+        if report.revision <= revision:
+            return
+        if report.after > revision or not revision:
+            self._check_behind(self.clock.now_ms())
+            return
+        items = [dialects.PublishedItem(*change) for change in report.changes]
+        self.catalogue.apply(
+            items,
+            report.revision,
+            catalogues.Source(peer.presence.entry_id, report.steady_ms),
         )
 
     def _handle_message(
@@ -368,6 +494,8 @@
                 self._check_behind(self.clock.now_ms())
         elif isinstance(message, messages.LoadReport):
             self._sharing.handle_report(peer, message)
+        elif isinstance(message, messages.PublishedChanges):
+            self._apply_changes(peer, message)
         elif isinstance(message, messages.CrashReport):
             self._forwarder.quarantine.record_crash(
                 message.fingerprint,
@@ -414,16 +542,18 @@
             )
 
     async def _fetch_peer_view(self, peer: peer_groups.Peer) -> None:
-        """Fetch the published items from a peer and adopt newer ones."""
+        """Fetch the changes from a peer and adopt them."""
+        replaced = self.catalogue.view.revision
         try:
             response = await self._peer_client.get(
                 peer.presence.control_address,
-                _PEER_VIEW_PATH,
+                f"{_PEER_VIEW_PATH}?after={replaced}",
                 _PEER_VIEW_TIMEOUT_S,
             )
             content = cbor2.loads(response.body)
             items = [dialects.PublishedItem(*item) for item in content["items"]]
             revision, steady_ms = content["revision"], content["steady_ms"]
+            is_complete = content.get("is_complete", True)
         except (
             connections.ExchangeError,
             TimeoutError,
@@ -438,14 +568,18 @@
             )
             return
         source = catalogues.Source(peer.presence.entry_id, steady_ms)
+        if revision <= self.catalogue.view.revision:
+            return
         _LOG.info(
             "peer_view_adopted",
             peer=peer.presence.entry_id,
             revision=revision,
-            replaced=self.catalogue.view.revision,
+            replaced=replaced,
         )
-        if revision > self.catalogue.view.revision:
+        if is_complete:
             self.catalogue.replace(items, revision, source)
+        else:
+            self.catalogue.apply(items, revision, source)
 
     # Auxiliary servers.
 
@@ -480,8 +614,11 @@
         # A caller of another data centre sends its query here because no entry
         # there has responded, and heartbeats from there are seconds old.
         local = [p for p in ready if p.data_centre == presence.data_centre]
+        active = [p for p in local if p.is_active]
         chosen = [
-            p.callers_address for p in local or ready if p.callers_address
+            p.callers_address
+            for p in active or local or ready
+            if p.callers_address
         ]
         random.shuffle(chosen)
         return chosen[:_MAX_ADDRESSES]
@@ -489,13 +626,17 @@
     async def _get_published(
         self, request: http_server.Request
     ) -> http_server.Response:
-        del request
+        """Return the changes after the revision in the query, or all items."""
         view = self.catalogue.view
+        after = request.target.rpartition("after=")[2]
+        items = view.changes_since(int(after)) if after.isdigit() else None
         content = {
             "revision": view.revision,
             "steady_ms": self._reader.steady_ms(),
+            "is_complete": items is None,
             "items": [
-                [item.key, item.revision, item.value] for item in view.items()
+                [item.key, item.revision, item.value]
+                for item in (view.items() if items is None else items)
             ],
         }
         return http_server.Response(200, cbor2.dumps(content))
@@ -509,3 +650,73 @@
             self.metrics.export(),
             [("Content-Type", metrics.CONTENT_TYPE)],
         )
+
+
+class _BusyShare:
+    """Estimate of the share of the allowed processor time that is used.
+
+    Args:
+        processor_share: Allowed processor time in cores.
+
+    Attributes:
+        share: Moving average of the share.
+    """
+
+    def __init__(self, processor_share: float):
+        self.share = 0.0
+        self._processor_share = max(0.01, processor_share)
+        self._measured_ms = 0.0
+        self._requests = 0
+
+    def update(self, requests: int, now_ms: float) -> None:
+        """Estimate again when the interval is over.
+
+        Args:
+            requests: Requests of callers since the start.
+            now_ms: Current time.
+        """
+        elapsed_ms = now_ms - self._measured_ms
+        if elapsed_ms < _BUSY_INTERVAL_MS:
+            return
+        used_ms = (requests - self._requests) * _REQUEST_PROCESSOR_MS
+        sample = used_ms / elapsed_ms / self._processor_share
+        self.share += _BUSY_WEIGHT * (sample - self.share)
+        self._measured_ms, self._requests = now_ms, requests
+
+
+def _reader_rank(presence: messages.Presence) -> tuple:
+    """Return the sort key by which entries read the platform.
+
+    Active entries send changes to their peers soonest, and strong hosts have
+    the links for it.
+    """
+    return not presence.is_active, *serving.rank(presence)
+
+
+def _change_reports(
+    after: int, view: published.PublishedView, steady_ms: float
+) -> list[messages.PublishedChanges]:
+    """Return messages with the changes of a view, empty if they are large."""
+    changes = view.changes_since(after) or []
+    reports: list[messages.PublishedChanges] = []
+    size = _MAX_CHANGE_BYTES
+    for item in changes:
+        item_size = len(item.key) + len(item.value or b"")
+        if item_size > _MAX_CHANGE_BYTES:
+            return []
+        size += item_size
+        if size > _MAX_CHANGE_BYTES:
+            start = reports[-1].revision if reports else after
+            reports.append(
+                messages.PublishedChanges(start, start, steady_ms, [])
+            )
+            size = item_size
+        reports[-1].changes.append(
+            messages.PublishedChange(item.key, item.revision, item.value)
+        )
+        reports[-1].revision = item.revision
+    if len(reports) > _MAX_CHANGE_DATAGRAMS:
+        return []
+    if reports:
+        reports[-1].revision = view.revision
+    return reports
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -118,6 +118,8 @@
         load_by_id: Loads of its targets by target id.
         waiting: Requests that wait at this entry.
         peer_waiting_by_id: Number of requests that wait at peers, by entry id.
+        last_used_ms: When a request of this entry or a peer was last known to
+            be sent to one of its targets.
     """
 
     def __init__(self):
@@ -125,6 +127,7 @@
         self.load_by_id: dict[str, loads.TargetLoad] = {}
         self.waiting: list[QueuedRequest] = []
         self.peer_waiting_by_id: dict[str, int] = {}
+        self.last_used_ms = float("-inf")
 
     def throughput_per_ms(
         self, work_ms: float, limit_ms: float, now_ms: float
@@ -272,6 +275,7 @@
     ) -> loads.Exchange:
         """Start an exchange and count it as in flight."""
         exchange = load.start(request.work_key, now_ms)
+        self.pool(request.service).last_used_ms = now_ms
         self._on_load_change(load)
         return exchange
 
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -435,7 +435,7 @@
             ) from error
         except BaseException:
             step["result"] = "cancelled"
-            load.record_cancellation(exchange)
+            load.record_abandonment(exchange, self._clock.now_ms())
             raise
         finally:
             if connection is not None:
--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -139,6 +139,14 @@
         return head + self.body
 
 
+class _RefusedError(Exception):
+    """A request is refused before its body has arrived."""
+
+    def __init__(self, response: Response):
+        super().__init__(response.status)
+        self.response = response
+
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -151,6 +159,7 @@
         connections: Open connections.
         active_requests: Requests whose headers have arrived and whose response
             is not sent completely.
+        requests: Requests whose headers have arrived.
         last_request_s: Event loop time of the last request.
     """
 
@@ -160,6 +169,7 @@
         handler: Handler,
         *,
         limits: Callable[[], Limits] = Limits,
+        refuse_early: Callable[[Request], Response | None] = lambda _: None,
         max_connections: int = 1_000,
         on_refused: Callable[[errors.Reason], None] = lambda reason: None,
     ):
@@ -169,15 +179,19 @@
             address: IP address and port to listen on.
             handler: Returns the response to a request.
             limits: Returns the current limits.
+            refuse_early: Returns a refusal of a request whose headers have
+                arrived, or None to receive its body. Its connection is closed.
             max_connections: Connections that are served at a time.
             on_refused: Called with the reason for each connection or request
                 that is refused or closed without a call of the handler.
         """
         self.connections: set[Connection] = set()
         self.active_requests = 0
+        self.requests = 0
         self.last_request_s = 0.0
         self.handler = handler
         self.limits = limits
+        self.refuse_early = refuse_early
         self.max_connections = max_connections
         self.on_refused = on_refused
         self._address = address
@@ -302,13 +316,12 @@
         except httptools.HttpParserUpgrade:
             self._refuse(400, errors.Reason.BAD_REQUEST)
             return
-        except errors.RequestError as error:
-            self._refuse(error.status, error.reason)
-            return
         except httptools.HttpParserError as error:
             # Exceptions of callbacks arrive wrapped.
             cause = error.__context__
-            if isinstance(cause, errors.RequestError):
+            if isinstance(cause, _RefusedError):
+                self._end_with(cause.response)
+            elif isinstance(cause, errors.RequestError):
                 self._refuse(cause.status, cause.reason)
             else:
                 self._refuse(400, errors.Reason.BAD_REQUEST)
@@ -368,6 +381,7 @@
         """Check the length of the body.
 
         Raises:
+            _RefusedError: The server refuses the request.
             errors.RequestError: The body is too large, or the host is
                 ambiguous.
         """
@@ -378,12 +392,16 @@
         request.started_s = asyncio.get_running_loop().time()
         self._head_bytes, self._head_started_s = 0, 0.0
         self._server.active_requests += 1
+        self._server.requests += 1
         self._server.last_request_s = request.started_s
         hosts = [name for name, _ in request.headers if name.lower() == "host"]
         if len(hosts) > 1:
             raise errors.RequestError(
                 errors.Reason.BAD_REQUEST, errors.Step.ACCEPTED, status=400
             )
+        refusal = self._server.refuse_early(request)
+        if refusal is not None:
+            raise _RefusedError(refusal)
         length = request.header_by_name.get("content-length", "0")
         if length.isdigit():
             self._check_body_size(int(length))
@@ -457,13 +475,17 @@
     def _refuse(self, status: int, reason: errors.Reason) -> None:
         """Answer a request that cannot be received, and close."""
         self._server.on_refused(reason)
+        self._end_with(Response(status, f"{reason}\n".encode()))
+
+    def _end_with(self, response: Response) -> None:
+        """Send the last response, unless an earlier request is running."""
         self._is_refused = True
         request, self._incoming = self._incoming, None
         if request is not None and request.started_s:
             self._server.active_requests -= 1
         if self._task is not None or self._transport is None:
             return
-        response = Response(status, f"{reason}\n".encode(), close=True)
+        response.close = True
         self._transport.write(response.encode(request))
         self._linger()
 
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -148,6 +148,13 @@
         work = self._work_by_key.get(key)
         return work.value if work else _INITIAL_WORK_MS
 
+    def usual_work_ms(self) -> float:
+        """Return the shortest execution time of the kinds of requests."""
+        return min(
+            (work.value for work in self._work_by_key.values()),
+            default=_INITIAL_WORK_MS,
+        )
+
     def add_work(self, exchange: Exchange, elapsed_ms: float) -> None:
         """Update the estimates with the duration of a successful exchange."""
         work_ms = elapsed_ms / exchange.duration_factor
@@ -393,15 +400,19 @@
         if not self._end(exchange):
             return
         elapsed_ms = max(0.1, now_ms - exchange.started_ms)
-        ratio = elapsed_ms / exchange.expected_ms * exchange.slowness
+        self._add_slowness(
+            elapsed_ms / exchange.expected_ms * exchange.slowness, now_ms
+        )
+        self._model.add_work(exchange, elapsed_ms)
+        self.failure_share *= 1 - _FAILURE_WEIGHT
+        self._eject_duration_ms = _INITIAL_EJECT_MS
+
+    def _add_slowness(self, ratio: float, now_ms: float) -> None:
         ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
         self._log_slowness += _SLOWNESS_WEIGHT * (
             math.log(ratio) - self._log_slowness
         )
         self._slowness_updated_ms = now_ms
-        self._model.add_work(exchange, elapsed_ms)
-        self.failure_share *= 1 - _FAILURE_WEIGHT
-        self._eject_duration_ms = _INITIAL_EJECT_MS
 
     def record_failure(self, exchange: Exchange, now_ms: float) -> None:
         """End an exchange in which the target failed."""
@@ -432,6 +443,18 @@
             self.add_failure(now_ms)
         self.pause(_SHED_PAUSE_MS, now_ms)
 
+    def record_abandonment(self, exchange: Exchange, now_ms: float) -> None:
+        """End an exchange that was cancelled before there was a response.
+
+        The time that it has taken is a lower bound of its duration.
+        """
+        if not self._end(exchange):
+            return
+        elapsed_ms = now_ms - exchange.started_ms
+        ratio = elapsed_ms / exchange.expected_ms * exchange.slowness
+        if ratio > max(1.0, math.exp(self._log_slowness)):
+            self._add_slowness(ratio, now_ms)
+
     def record_cancellation(self, exchange: Exchange) -> None:
         """End an exchange that the entry cancelled."""
         self._end(exchange)
--- a/slatechute/gateway/peers.py
+++ b/slatechute/gateway/peers.py
@@ -8,23 +8,32 @@
 import asyncio
 from collections.abc import Callable, Iterable
 import dataclasses
+import math
 import random
 
 from slatechute import errors
 from slatechute import logs
 from slatechute import messages
+from slatechute.gateway import serving
 from slatechute.gateway import settings as gateway_settings
 from slatechute.util import clock as clocks
 
-__all__ = ["Peer", "PeerGroup"]
+__all__ = ["LEAVING", "READY", "STARTING", "Peer", "PeerGroup"]
 
 _LOG = logs.get_logger(__name__)
 
-# Heartbeat intervals within a data centre and to remote ones, where traffic is
-# paid for by the byte. The delegates of two data centres use a shorter one.
+# Heartbeat intervals between two active entries of a data centre, between an
+# active entry and a standby, and between two standbys.
 _LOCAL_HEARTBEAT_MS = 250.0
+_STANDBY_HEARTBEAT_MS = 1_000.0
+_BETWEEN_STANDBYS_HEARTBEAT_MS = 5_000.0
+# Heartbeat interval between active entries of two data centres, where traffic
+# is paid for by the byte. Their delegates use a shorter one.
 _DELEGATE_HEARTBEAT_MS = 800.0
 _REMOTE_HEARTBEAT_MS = 4_000.0
+# With more peers of a kind than this, their intervals grow in proportion, so
+# that the cost of an entry does not grow with the fleet.
+_MAX_PEERS_AT_FULL_RATE = 60
 # To a lost peer of the local data centre: the end of a partition must be
 # detected well within the 3 s after which hosts count as connected again.
 _LOST_PEER_HEARTBEAT_MS = 1_000.0
@@ -34,8 +43,16 @@
 # have been partitioned.
 _FORGET_PEER_MS = 60_000.0
 _SEED_INTERVAL_MS = 500.0
+# While no peer is known.
+_FIRST_SEED_INTERVAL_MS = 40.0
 _PEER_LIST_INTERVAL_MS = 5_000.0
-_MAX_LISTED_PEERS = 40
+_MAX_LISTED_PEERS = 50
+_MAX_LISTED_REMOTE_PEERS = 10
+# A peer without heartbeats, because it or this entry is a standby of another
+# data centre, is remembered this long to introduce others to it.
+_FORGET_REMOTE_STANDBY_MS = 15_000.0
+# A peer that was heard of more recently is not lost, whatever others report.
+_MIN_LOST_SILENCE_MS = 600.0
 _MAX_DATAGRAM_BYTES = 1_300
 
 STARTING, READY, LEAVING = "starting", "ready", "leaving"
@@ -62,9 +79,47 @@
     last_report_sequence: int = -1
 
 
+class _Intervals:
+    """Heartbeat intervals of an entry.
+
+    Args:
+        is_active: Whether the entry is active.
+        local_count: Number of live peers of its data centre.
+        remote_count: Number of live peers of other data centres.
+    """
+
+    def __init__(self, is_active: bool, local_count: int, remote_count: int):
+        self.is_active = is_active
+        self._local_scale = max(1.0, local_count / _MAX_PEERS_AT_FULL_RATE)
+        self._remote_scale = max(1.0, remote_count / _MAX_PEERS_AT_FULL_RATE)
+
+    def expected_ms(self, peer: Peer, is_local: bool) -> float:
+        """Return the interval of the heartbeats from a peer."""
+        active_count = self.is_active + peer.presence.is_active
+        if not is_local:
+            return _REMOTE_HEARTBEAT_MS * self._remote_scale
+        if active_count == 2:
+            return _LOCAL_HEARTBEAT_MS
+        if active_count == 1:
+            return _STANDBY_HEARTBEAT_MS * self._local_scale
+        return _BETWEEN_STANDBYS_HEARTBEAT_MS * self._local_scale
+
+    def to_send_ms(self, peer: Peer, is_local: bool) -> float:
+        """Return the interval of the heartbeats to a peer."""
+        if not is_local and not (self.is_active and peer.presence.is_active):
+            return math.inf
+        interval_ms = self.expected_ms(peer, is_local)
+        if is_local and not peer.is_alive and self.is_active:
+            interval_ms = _LOST_PEER_HEARTBEAT_MS * self._local_scale
+        return interval_ms
+
+
 class PeerGroup(asyncio.DatagramProtocol):
     """Membership by heartbeats, and datagrams to the members.
 
+    Every entry knows all entries of its data centre. Active entries also know
+    those of the other data centres.
+
     Attributes:
         peers_by_id: Entries whose heartbeat arrived within the last minute.
     """
@@ -87,6 +142,7 @@
             on_peer_lost: Called with a peer that was lost or has restarted.
         """
         self.peers_by_id: dict[str, Peer] = {}
+        self._peer_by_endpoint: dict[tuple[str, int], Peer] = {}
         self._settings = settings
         self._clock = clock
         self._local_presence = local_presence
@@ -130,30 +186,40 @@
             if p.presence.data_centre == data_centre
         ]
 
+    def active_peers(self) -> list[Peer]:
+        """Return the active peers of the local data centre."""
+        return [p for p in self.local_peers() if p.presence.is_active]
+
     def is_local(self, peer: Peer) -> bool:
         """Return whether a peer is in the local data centre."""
         return peer.presence.data_centre == self._settings.data_centre
 
-    def delegate(self, data_centre: str) -> Peer | None:
-        """Return the delegate of a remote data centre: the lowest live id."""
-        candidates = [
-            peer
-            for peer in self.live_peers()
-            if peer.presence.data_centre == data_centre
-        ]
-        return min(candidates, key=lambda p: p.presence.entry_id, default=None)
-
     def remote_delegates(self) -> list[Peer]:
-        """Return the delegates of all remote data centres."""
-        data_centres = {peer.presence.data_centre for peer in self.live_peers()}
-        data_centres.discard(self._settings.data_centre)
-        return [self.delegate(name) for name in sorted(data_centres)]
+        """Return the delegate of each remote data centre.
+
+        It is the first active peer by rank, as strong hosts have the links for
+        the reports.
+        """
+        delegate_by_data_centre: dict[str, Peer] = {}
+        for peer in self.live_peers():
+            name = peer.presence.data_centre
+            if name == self._settings.data_centre:
+                continue
+            if not peer.presence.is_active:
+                continue
+            other = delegate_by_data_centre.get(name)
+            if other is None or (
+                serving.rank(peer.presence) < serving.rank(other.presence)
+            ):
+                delegate_by_data_centre[name] = peer
+        return list(delegate_by_data_centre.values())
 
     def is_delegate(self) -> bool:
         """Return whether this entry is the delegate of its data centre."""
-        entry_id = self._settings.entry_id
-        return all(
-            entry_id < peer.presence.entry_id for peer in self.local_peers()
+        presence = self._local_presence()
+        return presence.is_active and all(
+            serving.rank(presence) < serving.rank(peer.presence)
+            for peer in self.active_peers()
         )
 
     # Sending.
@@ -182,11 +248,18 @@
     def tick(self) -> None:
         """Send heartbeats and peer lists that are due; detect lost peers."""
         now_ms = self._clock.now_ms()
-        data = messages.encode(self._local_presence())
+        presence = self._local_presence()
+        data = messages.encode(presence)
+        intervals = _Intervals(
+            presence.is_active,
+            len(self.local_peers()),
+            len(self.live_peers()) - len(self.local_peers()),
+        )
         delegates = self.remote_delegates() if self.is_delegate() else []
         for peer in list(self.peers_by_id.values()):
-            self._check_liveness(peer, now_ms)
-            interval_ms = self._heartbeat_interval_ms(peer)
+            is_local = self.is_local(peer)
+            self._check_liveness(peer, is_local, intervals, now_ms)
+            interval_ms = intervals.to_send_ms(peer, is_local)
             if peer in delegates:
                 interval_ms = _DELEGATE_HEARTBEAT_MS
             if now_ms - peer.last_sent_ms >= interval_ms:
@@ -200,24 +273,41 @@
             )
             self._send_peer_list()
 
-    def _heartbeat_interval_ms(self, peer: Peer) -> float:
-        if not self.is_local(peer):
-            return _REMOTE_HEARTBEAT_MS
-        return _LOCAL_HEARTBEAT_MS if peer.is_alive else _LOST_PEER_HEARTBEAT_MS
-
-    def _check_liveness(self, peer: Peer, now_ms: float) -> None:
+    def _check_liveness(
+        self,
+        peer: Peer,
+        is_local: bool,
+        intervals: "_Intervals",
+        now_ms: float,
+    ) -> None:
         silent_ms = now_ms - peer.last_received_ms
-        interval_ms = (
-            _LOCAL_HEARTBEAT_MS if self.is_local(peer) else _REMOTE_HEARTBEAT_MS
+        limit_ms = intervals.expected_ms(peer, is_local) * (
+            _MAX_MISSED_HEARTBEATS
         )
-        if peer.is_alive and silent_ms > interval_ms * _MAX_MISSED_HEARTBEATS:
-            peer.is_alive = False
-            _LOG.warning(
-                "peer_lost", peer=peer.presence.entry_id, silent_ms=silent_ms
-            )
-            self._on_peer_lost(peer)
-        if silent_ms > _FORGET_PEER_MS:
+        if peer.is_alive and silent_ms > limit_ms:
+            if math.isinf(intervals.to_send_ms(peer, is_local)):
+                # Neither side sends heartbeats.
+                peer.is_alive = False
+            else:
+                self._lose(peer, silent_ms)
+            if is_local and peer.presence.is_active and intervals.is_active:
+                report = messages.LostPeer(
+                    peer.presence.entry_id, peer.presence.boot_id
+                )
+                self.broadcast(report, self.local_peers())
+        forget_ms = _FORGET_PEER_MS
+        if not is_local and not peer.presence.is_active:
+            forget_ms = _FORGET_REMOTE_STANDBY_MS
+        if silent_ms > max(forget_ms, limit_ms if is_local else 0.0):
             del self.peers_by_id[peer.presence.entry_id]
+            self._peer_by_endpoint.pop(peer.endpoint, None)
+
+    def _lose(self, peer: Peer, silent_ms: float) -> None:
+        peer.is_alive = False
+        _LOG.warning(
+            "peer_lost", peer=peer.presence.entry_id, silent_ms=silent_ms
+        )
+        self._on_peer_lost(peer)
 
     def reset_timeouts(self) -> None:
         """Restart the timeouts of all live peers after a process pause."""
@@ -226,10 +316,15 @@
             peer.last_received_ms = now_ms
 
     def _contact_seeds(self, data: bytes, now_ms: float) -> None:
-        """Send a heartbeat to the seeds that are not live peers."""
-        self._seeds_due_ms = now_ms + _SEED_INTERVAL_MS
+        """Send a heartbeat to the seeds that are not live peers.
+
+        Standbys leave that to the active entries of their data centre.
+        """
+        self._seeds_due_ms = now_ms + _FIRST_SEED_INTERVAL_MS
         if self.live_peers():
             self._seeds_due_ms = now_ms + _PEER_LIST_INTERVAL_MS
+        if self.active_peers() and not self._local_presence().is_active:
+            return
         live_addresses = {
             peer.presence.control_address for peer in self.live_peers()
         }
@@ -242,16 +337,37 @@
         return host, self._settings.peer_port
 
     def _send_peer_list(self) -> None:
-        peers = self.live_peers()
+        peers = [
+            peer
+            for peer in self.live_peers()
+            if self.is_local(peer) or peer.presence.is_active
+        ]
         if peers:
-            self.send(random.choice(peers), self._peer_list())
+            peer = random.choice(peers)
+            self.send(peer, self._peer_list(peer.presence))
 
-    def _peer_list(self) -> messages.PeerList:
-        addresses = [
-            peer.presence.control_address for peer in self.live_peers()
-        ]
-        random.shuffle(addresses)
-        return messages.PeerList(addresses[:_MAX_LISTED_PEERS])
+    def _peer_list(self, receiver: messages.Presence) -> messages.PeerList:
+        """Return the peers that a peer should know.
+
+        These are the entries of its data centre, and active entries of other
+        ones if it is active or of another data centre itself.
+        """
+        nearby, remote = [], []
+        for peer in self.live_peers():
+            presence = peer.presence
+            if presence.data_centre == receiver.data_centre:
+                nearby.append(presence.control_address)
+            elif presence.is_active:
+                remote.append(presence.control_address)
+        is_local = receiver.data_centre == self._settings.data_centre
+        if is_local and not receiver.is_active:
+            remote.clear()
+        random.shuffle(nearby)
+        random.shuffle(remote)
+        remote = remote[:_MAX_LISTED_REMOTE_PEERS]
+        return messages.PeerList(
+            nearby[: _MAX_LISTED_PEERS - len(remote)] + remote
+        )
 
     # asyncio.DatagramProtocol
 
@@ -274,16 +390,22 @@
             self._handle_presence(message, addr)
         elif isinstance(message, messages.PeerList):
             self._handle_peer_list(message)
-        elif message is not None:
-            peer = self._peer_at(addr)
-            if peer is not None:
+        elif message is not None and (peer := self._peer_by_endpoint.get(addr)):
+            if isinstance(message, messages.LostPeer):
+                self._handle_lost_peer(message)
+            else:
                 self._on_message(peer, message)
 
-    def _peer_at(self, endpoint: tuple[str, int]) -> Peer | None:
-        for peer in self.peers_by_id.values():
-            if peer.endpoint == endpoint:
-                return peer
-        return None
+    def _handle_lost_peer(self, message: messages.LostPeer) -> None:
+        peer = self.peers_by_id.get(message.entry_id)
+        if peer is None or not peer.is_alive:
+            return
+        silent_ms = self._clock.now_ms() - peer.last_received_ms
+        if (
+            peer.presence.boot_id == message.boot_id
+            and silent_ms > _MIN_LOST_SILENCE_MS
+        ):
+            self._lose(peer, silent_ms)
 
     def _handle_presence(
         self, presence: messages.Presence, addr: tuple[str, int]
@@ -302,12 +424,15 @@
                 "peer_found", peer=presence.entry_id, boot_id=presence.boot_id
             )
             self.send(peer, self._local_presence())
-            self.send(peer, self._peer_list())
+            self.send(peer, self._peer_list(presence))
         elif not peer.is_alive:
             peer.is_alive = True
             _LOG.info("peer_regained", peer=presence.entry_id)
         peer.presence = presence
-        peer.endpoint = addr
+        if peer.endpoint != addr:
+            self._peer_by_endpoint.pop(peer.endpoint, None)
+            peer.endpoint = addr
+        self._peer_by_endpoint[addr] = peer
         peer.last_received_ms = now_ms
         self._on_message(peer, presence)
 
--- a/slatechute/gateway/published.py
+++ b/slatechute/gateway/published.py
@@ -30,10 +30,15 @@
     [None]
     >>> view.apply([item("a", 6, b"late")], 7)
     []
+    >>> [i.key for i in view.changes_since(5)], view.changes_since(3)
+    (['a'], None)
     """
 
     def __init__(self):
         self.revision = 0
+        # Removals before the first snapshot and those whose tombstone was
+        # dropped are not known.
+        self._first_revision: int | None = None
         self._item_by_key: dict[str, dialects.PublishedItem] = {}
         self._tombstones: dict[str, int] = {}
 
@@ -41,6 +46,28 @@
         """Return all items that exist."""
         return list(self._item_by_key.values())
 
+    def changes_since(
+        self, revision: int
+    ) -> list[dialects.PublishedItem] | None:
+        """Return the changes after a revision by ascending revision.
+
+        Returns:
+            The changes, or None if some may not be known any more.
+        """
+        if self._first_revision is None or revision < self._first_revision:
+            return None
+        changed = [
+            item
+            for item in self._item_by_key.values()
+            if item.revision > revision
+        ]
+        changed += [
+            dialects.PublishedItem(key, removed, None)
+            for key, removed in self._tombstones.items()
+            if removed > revision
+        ]
+        return sorted(changed, key=lambda item: item.revision)
+
     def apply(
         self, events: Iterable[dialects.PublishedItem], revision: int
     ) -> list[dialects.PublishedItem]:
@@ -56,6 +83,8 @@
 
         A missing key was removed, unless it changed after the revision.
         """
+        if self._first_revision is None:
+            self._first_revision = revision
         listed = {item.key: item for item in items}
         removed = [
             dialects.PublishedItem(key, revision, None)
@@ -76,5 +105,8 @@
             return True
         self._tombstones[item.key] = item.revision
         if len(self._tombstones) > _MAX_TOMBSTONES:
-            del self._tombstones[next(iter(self._tombstones))]
+            oldest = next(iter(self._tombstones))
+            self._first_revision = max(
+                self._first_revision or 0, self._tombstones.pop(oldest)
+            )
         return self._item_by_key.pop(item.key, None) is not None
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -1,7 +1,7 @@
 """Requests of callers: admission, responses, refusals and their logs."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import random
 
 from slatechute import errors
@@ -54,7 +54,9 @@
         forwarder: forwarding.Forwarder,
         clock: clocks.Clock,
         counters: metrics.Metrics,
+        on_request: Callable[[], None] = lambda: None,
     ):
+        self._on_request = on_request
         self._dialect = dialect
         self._catalogue = catalogue
         self._forwarder = forwarder
@@ -67,6 +69,7 @@
             settings.callers_address,
             self._handle,
             limits=self._limits,
+            refuse_early=self._refuse_while_starting,
             max_connections=settings.max_connections,
             on_refused=lambda reason: counters.count_refusal(
                 reason, errors.Outcome.NOT_RUN, ""
@@ -78,6 +81,11 @@
         """Number of in-flight requests."""
         return self._server.active_requests
 
+    @property
+    def requests(self) -> int:
+        """Number of requests since the start."""
+        return self._server.requests
+
     @property
     def idle_ms(self) -> float:
         """Time since the last request arrived, in ms."""
@@ -128,9 +136,27 @@
 
     # Requests.
 
+    def _refuse_while_starting(
+        self, http_request: http_server.Request
+    ) -> http_server.Response | None:
+        """Refuse a request while the limit of its body is not known."""
+        if self._catalogue.table is not None:
+            return None
+        error = errors.RequestError(
+            errors.Reason.STARTING, errors.Step.ACCEPTED
+        )
+        return self._build_refusal(
+            http_request,
+            None,
+            error,
+            forwarding.Trace(),
+            self._clock.now_ms(),
+        )
+
     async def _handle(
         self, http_request: http_server.Request
     ) -> http_server.Response:
+        self._on_request()
         now_ms = self._clock.now_ms()
         received_s = asyncio.get_running_loop().time() - http_request.started_s
         arrived_ms = now_ms - received_s * 1000
@@ -166,10 +192,6 @@
             errors.RequestError: The request cannot be accepted.
         """
         table = self._catalogue.table
-        if table is None:
-            raise errors.RequestError(
-                errors.Reason.STARTING, errors.Step.ACCEPTED
-            )
         headers = http_request.header_by_name
         path = http_request.target
         route = table.match(headers.get("host", ""), path)
--- /dev/null
+++ b/slatechute/gateway/serving.py
@@ -0,0 +1,125 @@
+"""Which entries of a data centre serve callers.
+
+Each entry that serves callers has to know the loads of all targets, so the
+reports, probes and connections of a data centre grow with the number of these
+entries. A few *active* entries serve the callers; the others are *standbys*:
+they know the configuration, the targets and the active entries, serve any
+request that reaches them, and become active when active ones are missing.
+
+Each entry decides for itself, from the heartbeats of its data centre. The
+module does no I/O and reads no clock.
+"""
+
+from collections.abc import Sequence
+import math
+
+from slatechute import messages
+
+__all__ = ["ActiveRole", "rank"]
+
+# The loss of half of the hosts of a data centre leaves all active entries dead
+# in one of 64 cases. Smaller data centres have active entries only.
+MIN_ACTIVE = 6
+# Share of its processor time up to which an active entry is used. Above it,
+# requests wait for each other; more entries become active.
+_MAX_BUSY_SHARE = 0.45
+# A standby whose turn it is may have failed without notice. The next ones wait
+# this long for it.
+_TURN_MS = 400.0
+# An entry that is not needed any more stays active for this long, so that the
+# set does not alternate while entries start.
+_MIN_SURPLUS_MS = 3_000.0
+
+
+def rank(presence: messages.Presence) -> tuple[float, str]:
+    """Return the sort key by which entries become active.
+
+    Strong hosts go first, as callers choose among active entries at random.
+    """
+    return -presence.processor_share, presence.entry_id
+
+
+def _wanted(active: Sequence[messages.Presence]) -> int:
+    """Return how many entries should be active.
+
+    Args:
+        active: The entries that are active.
+    """
+    if not active:
+        return MIN_ACTIVE
+    # A single busy host may only be slow, so the upper quartile counts.
+    busy = sorted(presence.busy for presence in active)
+    share = busy[len(busy) * 3 // 4]
+    return max(MIN_ACTIVE, math.ceil(len(active) * share / _MAX_BUSY_SHARE))
+
+
+class ActiveRole:
+    """Decides whether this entry is active.
+
+    Attributes:
+        is_active: Whether it is.
+    """
+
+    def __init__(self):
+        self.is_active = False
+        self._vacant_since_ms: float | None = None
+        self._surplus_since_ms: float | None = None
+
+    def update(
+        self,
+        own: messages.Presence,
+        peers: Sequence[messages.Presence],
+        now_ms: float,
+    ) -> bool:
+        """Decide again.
+
+        Args:
+            own: Presence of this entry; its `is_active` is not used.
+            peers: Presences of the live peers of the data centre that do not
+                leave, also of those that are still starting.
+            now_ms: Current time.
+
+        Returns:
+            Whether `is_active` has changed.
+        """
+        own_rank = rank(own)
+        active = [presence for presence in peers if presence.is_active]
+        wanted = _wanted([*active, own] if self.is_active else active)
+        was_active = self.is_active
+        if self.is_active:
+            ahead = sum(rank(presence) < own_rank for presence in active)
+            self.is_active = not self._is_surplus(ahead >= wanted, now_ms)
+        else:
+            self._surplus_since_ms = None
+            ahead = sum(rank(presence) < own_rank for presence in peers)
+            idle_ahead = sum(
+                rank(presence) < own_rank
+                for presence in peers
+                if not presence.is_active
+            )
+            self.is_active = ahead < wanted or self._is_turn(
+                len(active) < wanted, idle_ahead // wanted, now_ms
+            )
+        return self.is_active != was_active
+
+    def _is_surplus(self, is_unneeded: bool, now_ms: float) -> bool:
+        self._vacant_since_ms = None
+        if not is_unneeded:
+            self._surplus_since_ms = None
+            return False
+        if self._surplus_since_ms is None:
+            self._surplus_since_ms = now_ms
+        return now_ms - self._surplus_since_ms >= _MIN_SURPLUS_MS
+
+    def _is_turn(self, is_vacant: bool, turn: int, now_ms: float) -> bool:
+        if not is_vacant:
+            self._vacant_since_ms = None
+            return False
+        if self._vacant_since_ms is None:
+            self._vacant_since_ms = now_ms
+        return now_ms - self._vacant_since_ms >= turn * _TURN_MS
+
+    def release(self) -> None:
+        """Stop being active, as this entry leaves or is not ready."""
+        self.is_active = False
+        self._vacant_since_ms = self._surplus_since_ms = None
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -35,6 +35,7 @@
         max_connections: Limit of open connections from callers.
         processor_share: Processor time that the entry may use, in units of a
             core of usual speed. Hosts with more of it serve callers first.
+        is_first_start: Whether the whole fleet starts for the first time.
     """
 
     entry_id: str
@@ -55,3 +56,4 @@
     expired_target_hold_s: float = 2.0
     max_connections: int = 1500
     processor_share: float = 1.0
+    is_first_start: bool = False
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -1,6 +1,8 @@
 """Load reports between entries, and probes of the targets' health path."""
 
 import asyncio
+from collections.abc import Callable
+import math
 import random
 
 from slatechute import logs
@@ -28,17 +30,30 @@
 # remote data centres at this interval cost 12 KB/s for ten targets and three
 # data centres.
 _REMOTE_REPORT_INTERVAL_S = 0.08
+# How often an entry that is no delegate checks whether it has become one.
+_DELEGATE_CHECK_INTERVAL_S = 0.3
 # Older loads are not reported: they say nothing about the current speed.
 _MAX_REMOTE_REPORT_AGE_MS = 250.0
 _READINGS_PER_DATAGRAM = 24
 # Full reports at this interval compensate for lost datagrams.
 _FULL_REPORT_INTERVAL_MS = 500.0
+# An entry without requests stops to send full reports after this many.
+_MAX_EMPTY_REPORTS = 3
 # A target without requests is probed this often, because its host slows down
 # and recovers within a few hundred milliseconds.
 _MIN_PROBE_INTERVAL_S = 0.09
+# Share of the execution time of a request after which a target is probed. A
+# change of the speed of its host matters the less, the longer requests take.
+_PROBE_WORK_SHARE = 0.4
+# The targets of a service without requests for `_UNUSED_SERVICE_MS` are probed
+# at this interval.
+_UNUSED_PROBE_INTERVAL_S = 1.0
+_UNUSED_SERVICE_MS = 2_000.0
 # Share of the allowed probes that one entry uses: while the entries disagree on
 # the live peers, two of them may probe the same target.
 _PROBE_SHARE = 0.4
+# The interval of a service that is used again becomes short within this time.
+_MAX_PROBE_SLEEP_S = 0.25
 _PROBE_TIMEOUT_S = 0.5
 _PROBE_FAILURE_DELAY_S = 0.5
 # A target that does not report its load in the response is probed less often.
@@ -64,7 +79,9 @@
         self._sequence = 0
         self._full_report_due_ms = 0.0
         self._reported_waiting: dict[str, int] = {}
+        self._empty_reports = 0
         self._remote_task: asyncio.Task | None = None
+        self._remote_datagrams = 0
 
     def attach(
         self, group: peer_groups.PeerGroup, balancer: balancing.Balancer
@@ -87,7 +104,7 @@
             self._remote_task.cancel()
 
     def schedule_report(self, load: loads.TargetLoad) -> None:
-        """Report a changed load to the local peers after a short delay."""
+        """Report a changed load to the active peers after a short delay."""
         self._unreported_by_id[load.target.id] = load
         self._schedule_flush()
 
@@ -106,7 +123,12 @@
             for load in self.balancer.load_by_id.values():
                 if load.local_in_flight:
                     self._unreported_by_id[load.target.id] = load
-            self._flush(is_full=True)
+            is_empty = (
+                not self._unreported_by_id and not self._waiting_by_service()
+            )
+            self._empty_reports = self._empty_reports + 1 if is_empty else 0
+            if self._empty_reports <= _MAX_EMPTY_REPORTS:
+                self._flush(is_full=True)
         elif self._waiting_by_service() != self._reported_waiting:
             self._schedule_flush()
 
@@ -125,11 +147,11 @@
             list(self._unreported_by_id.values()),
             {},
         )
-        local_peers = self.group.local_peers()
-        if not local_peers:
+        peers = self.group.active_peers()
+        if not peers:
             return
         self._reported_waiting = self._waiting_by_service()
-        self._send(unreported, local_peers, is_full=is_full)
+        self._send(unreported, peers, is_full=is_full)
 
     def _send(
         self,
@@ -163,11 +185,14 @@
         traffic is free.
         """
         while True:
-            await asyncio.sleep(
-                _REMOTE_REPORT_INTERVAL_S * random.uniform(0.9, 1.1)
-            )
+            interval_s = _DELEGATE_CHECK_INTERVAL_S
             if self.group.is_delegate():
                 steps.run_step(_LOG, "far_loads", self._send_remote)
+                # One datagram to each delegate in each basic interval.
+                interval_s = _REMOTE_REPORT_INTERVAL_S * max(
+                    1, self._remote_datagrams
+                )
+            await asyncio.sleep(interval_s * random.uniform(0.9, 1.1))
 
     def _send_remote(self) -> None:
         now_ms = self._clock.now_ms()
@@ -178,6 +203,9 @@
             if now_ms - load.reported_ms < _MAX_REMOTE_REPORT_AGE_MS
         ]
         delegates = self.group.remote_delegates()
+        self._remote_datagrams = math.ceil(
+            len(readings) / _READINGS_PER_DATAGRAM
+        )
         for start in range(0, len(readings), _READINGS_PER_DATAGRAM):
             self._sequence += 1
             report = messages.LoadReport(
@@ -202,7 +230,7 @@
                 peer.last_report_sequence, report.sequence
             )
         if not self.group.is_local(peer):
-            self.group.broadcast(report, self.group.local_peers())
+            self.group.broadcast(report, self.group.active_peers())
         services = set()
         for reading in report.readings:
             load = self.balancer.load_by_id.get(reading.target_id)
@@ -210,6 +238,9 @@
                 continue
             if is_newer and is_local:
                 load.set_peer_in_flight(report.entry_id, reading.in_flight)
+                if reading.in_flight:
+                    pool = self.balancer.pool(load.target.service)
+                    pool.last_used_ms = now_ms
             if reading.age_ms >= 0:
                 reported_load = dialects.Load(
                     reading.running,
@@ -281,7 +312,9 @@
         clock: clocks.Clock,
         counters: metrics.Metrics,
         sharing: LoadSharing,
+        is_active: Callable[[], bool] = lambda: True,
     ):
+        self._is_active = is_active
         self.table: routing.RoutingTable | None = None
         self._settings = settings
         self._dialect = dialect
@@ -295,31 +328,34 @@
         # same id is another target.
         self._task_by_load: dict[loads.TargetLoad, asyncio.Task] = {}
         self._assignment_inputs: tuple[dict[str, str], frozenset] | None = None
-        self._interval_s = max(
+        self._min_interval_s = max(
             _MIN_PROBE_INTERVAL_S,
             1 / max(0.1, settings.probes_per_s * _PROBE_SHARE),
         )
 
     def update_assignment(self) -> None:
         """Start and stop probes so that they match the current assignment."""
-        data_centre_by_entry = {
-            peer.presence.entry_id: peer.presence.data_centre
-            for peer in self._group.live_peers()
-            if peer.presence.state == peer_groups.READY
-        }
-        data_centre_by_entry[self._settings.entry_id] = (
-            self._settings.data_centre
-        )
-        entry_id = self._settings.entry_id
+        if not self._is_active() and not self._task_by_load:
+            return
+        entries = self._probing_entries()
         targets = frozenset(self._balancer.load_by_id.values())
-        if (data_centre_by_entry, targets) == self._assignment_inputs:
+        if (entries, targets) == self._assignment_inputs:
             return
-        self._assignment_inputs = (data_centre_by_entry, targets)
+        self._assignment_inputs = (entries, targets)
+        own = self._settings.data_centre
+        served = set(entries.values())
+        entry_id = self._settings.entry_id
         assigned = {
             load
             for load in targets
-            if ownership.dispatcher_of(
-                load.target.id, load.target.data_centre, data_centre_by_entry
+            # The entries of its own data centre probe a target, if any.
+            if entry_id in entries
+            and (
+                load.target.data_centre == own
+                or load.target.data_centre not in served
+            )
+            and ownership.dispatcher_of(
+                load.target.id, load.target.data_centre, entries
             )
             == entry_id
         }
@@ -329,20 +365,46 @@
             task = asyncio.create_task(self._probe_periodically(load))
             self._task_by_load[load] = task
 
+    def _probing_entries(self) -> dict[str, str]:
+        """Return the data centres of the entries that probe, by entry id."""
+        presences = [
+            peer.presence
+            for peer in self._group.live_peers()
+            if peer.presence.state == peer_groups.READY
+            and peer.presence.is_active
+        ]
+        data_centre_by_entry = {p.entry_id: p.data_centre for p in presences}
+        if self._is_active():
+            data_centre_by_entry[self._settings.entry_id] = (
+                self._settings.data_centre
+            )
+        return data_centre_by_entry
+
     def stop(self) -> None:
         """End all probes."""
         for task in self._task_by_load.values():
             task.cancel()
         self._task_by_load.clear()
 
+    def _interval_s(self, load: loads.TargetLoad) -> float:
+        """Return the longest age of a report after which to probe."""
+        pool = self._balancer.pool(load.target.service)
+        if self._clock.now_ms() - pool.last_used_ms > _UNUSED_SERVICE_MS:
+            return max(self._min_interval_s, _UNUSED_PROBE_INTERVAL_S)
+        work_s = pool.model.usual_work_ms() / 1000
+        return max(self._min_interval_s, _PROBE_WORK_SHARE * work_s)
+
     async def _probe_periodically(self, load: loads.TargetLoad) -> None:
         connection = None
-        await asyncio.sleep(random.random() * self._interval_s)
+        await asyncio.sleep(random.random() * self._min_interval_s)
         try:
             while True:
+                interval_s = self._interval_s(load)
                 age_s = (self._clock.now_ms() - load.reported_ms) / 1000
-                if age_s < self._interval_s:
-                    await asyncio.sleep(self._interval_s - age_s)
+                if age_s < interval_s:
+                    await asyncio.sleep(
+                        min(interval_s - age_s, _MAX_PROBE_SLEEP_S)
+                    )
                     continue
                 try:
                     connection = await self._probe(load, connection)
@@ -358,7 +420,7 @@
                     steps.log_unexpected_error(_LOG, "probe", error)
                     await asyncio.sleep(_PROBE_FAILURE_DELAY_S)
                     continue
-                await asyncio.sleep(self._interval_s)
+                await asyncio.sleep(min(interval_s, _MAX_PROBE_SLEEP_S))
         finally:
             if connection is not None:
                 connection.close()
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -22,11 +22,14 @@
     "Hello",
     "InflightReport",
     "LoadReport",
+    "LostPeer",
     "MAX_FRAME_BYTES",
     "Message",
     "PeerList",
     "Presence",
     "Proof",
+    "PublishedChange",
+    "PublishedChanges",
     "ServiceLoad",
     "SlotCancel",
     "SlotGrant",
@@ -267,6 +270,10 @@
         version: Version of the active configuration, 0 for none.
         revision: Revision up to which it has received published items.
         steady_ms: Duration of its uninterrupted connection to the platform.
+        is_active: Whether it serves the callers of its data centre.
+        processor_share: Processor time that it may use, in cores of usual
+            speed.
+        busy: Estimated share of that processor time that its requests use.
     """
 
     TAG: ClassVar[int] = 16
@@ -280,6 +287,9 @@
     version: int = 0
     revision: int = 0
     steady_ms: float = 0.0
+    is_active: bool = True
+    processor_share: float = 1.0
+    busy: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -330,6 +340,45 @@
     is_complete: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class LostPeer(Message):
+    """Report to standbys that an active gateway entry was lost.
+
+    Standbys get heartbeats less often than active entries do.
+    """
+
+    TAG: ClassVar[int] = 19
+    entry_id: str
+    boot_id: str
+
+
+class PublishedChange(NamedTuple):
+    """A changed item of the platform; `value` is None if it was removed."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+@dataclasses.dataclass(slots=True)
+class PublishedChanges(Message):
+    """Send all changes of published items after a revision up to another one.
+
+    Attributes:
+        after: The receiver needs all changes up to this revision.
+        revision: Revision up to which the changes are complete.
+        steady_ms: Duration of the sender's uninterrupted connection to the
+            platform.
+        changes: The changes in the order of their revisions.
+    """
+
+    TAG: ClassVar[int] = 20
+    after: int
+    revision: int
+    steady_ms: float
+    changes: list[PublishedChange]
+
+
 _TYPES = [cls for cls in Message.__subclasses__() if cls.TAG]
 _FIELDS_BY_TAG = {
     cls.TAG: tuple(field.name for field in dataclasses.fields(cls))
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from slatechute.gateway import serving
 from tests import waiting
 from tests.gateway import builders
 from tests.gateway import scripted_target
@@ -52,6 +53,22 @@
     small_fleet.run(check)
 
 
+def test_entry_without_configuration_refuses_a_large_body_as_not_run():
+    """With a 413 callers would never send the body again."""
+
+    async def check(fleet):
+        app = await fleet.add()
+        url = f"http://{app.settings.callers_address}/a/x"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, data=b"x" * 300_000) as response,
+        ):
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 0
+
+    small_fleet.run(check)
+
+
 def test_unknown_route_answers_404():
     """With a 503, callers would retry a route that does not exist."""
 
@@ -225,3 +242,80 @@
         assert "slatechute_total_latency_seconds_bucket" in text
 
     small_fleet.run(check)
+
+
+async def _start_large_fleet(fleet):
+    """Start more entries than a data centre needs active ones."""
+    fleet.publish_routes(1, builders.route())
+    apps = [await fleet.add() for _ in range(9)]
+    await waiting.until(
+        lambda: all(len(app.group.local_peers()) == 8 for app in apps)
+    )
+    await waiting.until(
+        lambda: all(len(app.addresses()) == serving.MIN_ACTIVE for app in apps),
+        8.0,
+    )
+    return apps
+
+
+def test_standbys_return_the_active_entries():
+    """Callers that are sent to standbys cost reports between all entries."""
+
+    async def check(fleet):
+        apps = await _start_large_fleet(fleet)
+        assert len({tuple(sorted(app.addresses())) for app in apps}) == 1
+
+    small_fleet.run(check)
+
+
+def test_standby_serves_a_request():
+    """Callers keep the address of an entry that has become a standby."""
+
+    async def check(fleet):
+        async with scripted_target.ScriptedTarget(_ok) as target:
+            fleet.publish_target(address=target.address)
+            apps = await _start_large_fleet(fleet)
+            active = apps[0].addresses()
+            [standby, *_] = [
+                app
+                for app in apps
+                if app.settings.callers_address not in active
+            ]
+            await waiting.until(lambda: standby.balancer.load_by_id)
+            status, _, _ = await _get(standby)
+            assert status == 200
+
+    small_fleet.run(check)
+
+
+def test_change_is_active_at_standbys_within_two_seconds():
+    """Requests at standbys must not be routed by an older configuration."""
+
+    async def check(fleet):
+        apps = await _start_large_fleet(fleet)
+        fleet.publish_routes(2, builders.route(prefix="/b/"))
+        await waiting.until(
+            lambda: all(app.catalogue.table.version == 2 for app in apps), 2.0
+        )
+
+    small_fleet.run(check)
+
+
+def test_small_changes_need_no_request_of_the_peers():
+    """A request of every entry for every change loads the reader's link."""
+
+    async def check(fleet):
+        fleet.publish_routes(1, builders.route())
+        apps = [await fleet.add() for _ in range(3)]
+        await waiting.until(lambda: all(app.catalogue.table for app in apps))
+        fetched = []
+        for app in apps:
+            app._fetch_peer_view = fetched.append
+        await asyncio.sleep(0.4)
+        fleet.publish_target(target_id="t9")
+        await waiting.until(
+            lambda: all("t9" in app.balancer.load_by_id for app in apps), 2.0
+        )
+        assert not fetched
+
+    small_fleet.run(check)
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -120,3 +120,27 @@
         target.load.record_cancellation(other)
     expected_ms = target.model.work_ms("k") * target.model.crowded_factor
     assert expected_ms == pytest.approx(0.85 * _USUAL_MS, rel=0.05)
+
+
+def test_target_that_does_not_answer_costs_more():
+    """Requests that ended at their deadline left no trace of the target."""
+    target = _Target(slots=8)
+    target.answer(*[_USUAL_MS] * 20)
+    before_ms = target.cost_ms
+    for _ in range(3):
+        exchange = target.load.start("k", target.now_ms)
+        target.now_ms += 8 * _USUAL_MS
+        target.load.record_abandonment(exchange, target.now_ms)
+    assert target.cost_ms > 2 * before_ms
+
+
+def test_early_abandonment_says_nothing_about_the_target():
+    """Callers that leave soon would make fast targets look slow."""
+    target = _Target(slots=8)
+    target.answer(*[_USUAL_MS] * 20)
+    before_ms = target.cost_ms
+    for _ in range(5):
+        exchange = target.load.start("k", target.now_ms)
+        target.now_ms += 0.5 * _USUAL_MS
+        target.load.record_abandonment(exchange, target.now_ms)
+    assert target.cost_ms == pytest.approx(before_ms, rel=0.01)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -155,3 +155,78 @@
         peer.presence.entry_id for peer in fixture.group.remote_delegates()
     ]
     assert delegates == ["f1"]
+
+
+def _standby(entry_id, host, **fields):
+    return _presence(entry_id, host, is_active=False, **fields)
+
+
+def test_heartbeats_to_standbys_are_rare():
+    """At the rate of active entries, they would grow with the data centre."""
+    fixture = _Fixture()
+    for number in range(2, 42):
+        host = f"10.0.0.{number}"
+        fixture.receive(_standby(f"e{number}", host), host=host)
+    fixture.transport.sent.clear()
+    fixture.advance(3_000)
+    heartbeats = [
+        message
+        for message, _ in fixture.transport.sent
+        if isinstance(message, messages.Presence)
+    ]
+    assert len(heartbeats) <= 40 * 3
+
+
+def test_standbys_of_other_data_centres_get_no_heartbeats():
+    """Traffic between data centres is paid for by the byte."""
+    fixture = _Fixture()
+    host = "10.0.1.2"
+    fixture.receive(_standby("f2", host, data_centre="dc2"), host=host)
+    fixture.transport.sent.clear()
+    fixture.advance(20_000)
+    assert host not in fixture.contacted_hosts()
+    assert not fixture.group.peers_by_id
+
+
+def test_lost_active_entry_is_reported_to_standbys():
+    """Standbys would return its address to callers for seconds."""
+    fixture = _Fixture()
+    fixture.receive(_presence("e2", "10.0.0.2"))
+    fixture.receive(_standby("e3", "10.0.0.3"), host="10.0.0.3")
+    fixture.advance(1_000)
+    reports = [
+        (message.entry_id, endpoint[0])
+        for message, endpoint in fixture.transport.sent
+        if isinstance(message, messages.LostPeer)
+    ]
+    assert reports == [("e2", "10.0.0.3")]
+
+
+def test_reported_loss_needs_silence():
+    """The reporting entry may be the one that is cut off."""
+    fixture = _Fixture()
+    fixture.receive(_presence("e2", "10.0.0.2"))
+    fixture.receive(_presence("e3", "10.0.0.3"), host="10.0.0.3")
+    fixture.clock.advance(500)
+    fixture.receive(messages.LostPeer("e2", "b1"), host="10.0.0.3")
+    assert len(fixture.group.live_peers()) == 2
+    fixture.clock.advance(200)
+    fixture.receive(messages.LostPeer("e2", "other"), host="10.0.0.3")
+    assert len(fixture.group.live_peers()) == 2
+    fixture.receive(messages.LostPeer("e2", "b1"), host="10.0.0.3")
+    assert len(fixture.group.live_peers()) == 1
+
+
+def test_newcomer_of_another_data_centre_is_introduced_to_its_own():
+    """A seed of another data centre may be the only entry it knows."""
+    fixture = _Fixture()
+    for entry_id, host in (("f1", "10.0.1.1"), ("f2", "10.0.1.2")):
+        fixture.receive(_presence(entry_id, host, data_centre="dc2"), host=host)
+    lists = [
+        (endpoint[0], message.addresses)
+        for message, endpoint in fixture.transport.sent
+        if isinstance(message, messages.PeerList)
+    ]
+    assert ("10.0.1.2", ["10.0.1.1:2", "10.0.1.2:2"]) in [
+        (host, sorted(listed)) for host, listed in lists
+    ]
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -29,6 +29,9 @@
     def local_peers(self):
         return [peer for peer in self.peers if self.is_local(peer)]
 
+    def active_peers(self):
+        return [p for p in self.local_peers() if p.presence.is_active]
+
     def is_local(self, peer):
         return peer.presence.data_centre == "dc1"
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -44,9 +44,17 @@
     13: "860d62733203a1626b34627634f5627336",
     14: "840e6273320381626934",
     15: "840f62733203a1626b34627634",
-    16: "8b1062733262733362733462733562733607627338090afb4027000000000000",
+    16: "8e1062733262733362733462733562733607627338090afb402700000000"
+    "0000f4fb3fe0000000000000fb3fd0000000000000",
     17: "821181626932",
     18: "87126273326273330481876174010203040506a1626b3606f5",
+    19: "83136265326162",
+    20: "85140309fb3ff80000000000008283616105417883616209f6",
+}
+
+# Frames of earlier versions, which lack the fields that were added since.
+_OLD_FRAME_BY_TAG = {
+    16: "8b1062733262733362733462733562733607627338090afb4027000000000000",
 }
 
 # Kind and labels by metric.
@@ -200,6 +208,7 @@
     "process_paused": ["ms"],
     "process_was_paused": ["ms", "revision"],
     "relay_failed": ["error", "peer"],
+    "role_changed": ["active", "active_peers", "peers"],
     "settings_reloaded": ["seeds"],
     "settings_unusable": ["error"],
     "signal_received": ["signal"],
@@ -299,7 +308,7 @@
 }
 
 
-@pytest.mark.parametrize("tag", range(1, 19))
+@pytest.mark.parametrize("tag", range(1, 21))
 def test_frames_keep_their_bytes(tag):
     """Entries of two versions run side by side during a roll-out."""
     frame = bytes.fromhex(_FRAME_BY_TAG[tag])
@@ -308,6 +317,15 @@
     assert messages.decode(cbor2.dumps([99])) is None
 
 
+@pytest.mark.parametrize("tag", _OLD_FRAME_BY_TAG)
+def test_frames_of_earlier_versions_are_decoded(tag):
+    """Entries of two versions run side by side during a roll-out."""
+    old = messages.decode(bytes.fromhex(_OLD_FRAME_BY_TAG[tag]))
+    new = messages.decode(bytes.fromhex(_FRAME_BY_TAG[tag]))
+    assert type(old) is type(new)
+    assert old.is_active
+
+
 def test_metrics_keep_names_and_labels():
     """Alerts match these names."""
     registry = metrics.Metrics().registry
@@ -403,7 +421,12 @@
                 control = f"http://{app.settings.control_address}"
                 async with session.get(f"{control}/published") as response:
                     view = cbor2.loads(await response.read())
-            assert set(view) == {"items", "revision", "steady_ms"}
+            assert set(view) == {
+                "is_complete",
+                "items",
+                "revision",
+                "steady_ms",
+            }
 
     try:
         small_fleet.run(check)
