Count the network link of a host when deciding how many entries are active

Cause: on the grown sites most hosts have links of 5 Mbit/s, and large responses go through the active entries only, so the request rate alone does not show that a link is nearly full.

The test fails before the change (the share stayed at the request rate's). Ruled out: ranking by the link alone, as the strong hosts of the sites have both more processor time and the wider links.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -106,7 +106,7 @@
         self._behind_since_ms: float | None = None
         self._started_ms = self.clock.now_ms()
         self._role = serving.ActiveRole()
-        self._busy = _BusyShare(settings.processor_share)
+        self._busy = _BusyShare(settings)
         self._sent_revision = 0
         self._request_arrived = asyncio.Event()
         self._first_read_share = random.random()
@@ -311,7 +311,9 @@
     def _update_role(self) -> None:
         """Become active or a standby, as the data centre needs."""
         now_ms = self.clock.now_ms()
-        self._busy.update(self._caller_server.requests, now_ms)
+        self._busy.update(
+            self._caller_server.requests, self._caller_server.body_bytes, now_ms
+        )
         if self._state != peer_groups.READY:
             return
         peers = [
@@ -653,35 +655,41 @@
 
 
 class _BusyShare:
-    """Estimate of the share of the allowed processor time that is used.
+    """Estimate of the share of this host that its requests use.
 
     Args:
-        processor_share: Allowed processor time in cores.
+        settings: Settings of the entry.
 
     Attributes:
-        share: Moving average of the share.
+        share: Moving average of the share of the processor time or of the
+            network link, whichever is higher.
     """
 
-    def __init__(self, processor_share: float):
+    def __init__(self, settings: gateway_settings.GatewaySettings):
         self.share = 0.0
-        self._processor_share = max(0.01, processor_share)
+        self._processor_share = max(0.01, settings.processor_share)
+        self._link_bytes_per_ms = max(0.1, settings.link_mbps) * 125
         self._measured_ms = 0.0
         self._requests = 0
+        self._body_bytes = 0
 
-    def update(self, requests: int, now_ms: float) -> None:
+    def update(self, requests: int, body_bytes: int, now_ms: float) -> None:
         """Estimate again when the interval is over.
 
         Args:
             requests: Requests of callers since the start.
+            body_bytes: Bytes of their bodies and of the responses.
             now_ms: Current time.
         """
         elapsed_ms = now_ms - self._measured_ms
         if elapsed_ms < _BUSY_INTERVAL_MS:
             return
         used_ms = (requests - self._requests) * _REQUEST_PROCESSOR_MS
-        sample = used_ms / elapsed_ms / self._processor_share
+        sent_ms = (body_bytes - self._body_bytes) / self._link_bytes_per_ms
+        sample = max(used_ms / self._processor_share, sent_ms) / elapsed_ms
         self.share += _BUSY_WEIGHT * (sample - self.share)
-        self._measured_ms, self._requests = now_ms, requests
+        self._measured_ms = now_ms
+        self._requests, self._body_bytes = requests, body_bytes
 
 
 def _reader_rank(presence: messages.Presence) -> tuple:
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -44,7 +44,11 @@
 
 
 class CallerServer:
-    """Accepts requests of callers and returns the responses of targets."""
+    """Accepts requests of callers and returns the responses of targets.
+
+    Attributes:
+        body_bytes: Bytes of the bodies of requests and responses so far.
+    """
 
     def __init__(
         self,
@@ -56,6 +60,7 @@
         counters: metrics.Metrics,
         on_request: Callable[[], None] = lambda: None,
     ):
+        self.body_bytes = 0
         self._on_request = on_request
         self._dialect = dialect
         self._catalogue = catalogue
@@ -283,6 +288,7 @@
         total_ms = self._clock.now_ms() - request.arrived_ms
         added_ms = min(total_ms, trace.steps[-1]["at_ms"])
         self._counters.observe_latencies(total_ms / 1e3, added_ms / 1e3)
+        self.body_bytes += len(request.body) + len(target_response.body)
         event = "request_answered"
         if target_response.status >= 500:
             event = "request_failed_at_target"
--- a/slatechute/gateway/serving.py
+++ b/slatechute/gateway/serving.py
@@ -20,8 +20,8 @@
 # The loss of half of the hosts of a data centre leaves all active entries dead
 # in one of 64 cases. Smaller data centres have active entries only.
 MIN_ACTIVE = 6
-# Share of its processor time up to which an active entry is used. Above it,
-# requests wait for each other; more entries become active.
+# Share of its processor time or network link up to which an active entry is
+# used. Above it, requests wait for each other; more entries become active.
 _MAX_BUSY_SHARE = 0.45
 # A standby whose turn it is may have failed without notice. The next ones wait
 # this long for it.
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -35,6 +35,7 @@
         max_connections: Limit of open connections from callers.
         processor_share: Processor time that the entry may use, in units of a
             core of usual speed. Hosts with more of it serve callers first.
+        link_mbps: Bandwidth of the network link of the host, in Mbit/s.
         is_first_start: Whether the whole fleet starts for the first time.
     """
 
@@ -56,4 +57,5 @@
     expired_target_hold_s: float = 2.0
     max_connections: int = 1500
     processor_share: float = 1.0
+    link_mbps: float = 1_000.0
     is_first_start: bool = False
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -273,7 +273,8 @@
         is_active: Whether it serves the callers of its data centre.
         processor_share: Processor time that it may use, in cores of usual
             speed.
-        busy: Estimated share of that processor time that its requests use.
+        busy: Estimated share of its processor time or network link that its
+            requests use, whichever is higher.
     """
 
     TAG: ClassVar[int] = 16
--- a/tests/gateway/small_fleet.py
+++ b/tests/gateway/small_fleet.py
@@ -75,7 +75,11 @@
         self.source.put(f"t/{target.id}", text.encode())
 
     async def add(
-        self, *, source: MemorySource | None = None, data_centre: str = "dc1"
+        self,
+        *,
+        source: MemorySource | None = None,
+        data_centre: str = "dc1",
+        **fields: object,
     ) -> application.GatewayApplication:
         number = len(self.apps) + 1
         host = f"127.0.0.{number}"
@@ -91,6 +95,7 @@
             seeds=(f"127.0.0.1:{control}",),
             shutdown_timeout_s=1.5,
             address_ttl_s=0.1,
+            **fields,
         )
         app = application.GatewayApplication(
             settings, self.dialect, source or self.source
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -319,3 +319,23 @@
         assert not fetched
 
     small_fleet.run(check)
+
+
+def test_entry_with_a_slow_link_reports_that_it_is_busy():
+    """Large responses fill the link of a host long before its processor."""
+
+    async def check(fleet):
+        async with scripted_target.ScriptedTarget(
+            lambda request: scripted_target.response(
+                request, body=b"x" * 50_000
+            )
+        ) as target:
+            fleet.publish_routes(1, builders.route())
+            fleet.publish_target(address=target.address)
+            app = await fleet.add(link_mbps=1.0)
+            await waiting.until(lambda: app.balancer.load_by_id)
+            for _ in range(4):
+                await _get(app)
+            await waiting.until(lambda: app._presence().busy > 0.5, 2.0)
+
+    small_fleet.run(check)
--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -18,7 +18,7 @@
   },
   "port_range": [7200, 7215],
   "seeds": ["10.1.0.18:8382"],
-  "limits": {"max_fds": 4100, "cpu_share": 0.5, "cores": 3},
+  "limits": {"max_fds": 4100, "cpu_share": 0.5, "cores": 3, "link_mbps": 5},
   "bounds": {"grace_s": 6, "retry_budget": 0.2, "ttl_max_s": 1, "fenced": true},
   "platform": {"address": "10.200.1.7:8384"},
   "something_new": {"of": "later"}
@@ -36,6 +36,7 @@
     assert settings.shutdown_timeout_s == 6.0
     assert settings.address_ttl_s == 1.0
     assert settings.processor_share == 1.5
+    assert settings.link_mbps == 5.0
 
 
 @pytest.mark.parametrize("text", ["", "[]", '{"node": 1}', "{", "a: b: c"])
