Send the last response of a connection completely before closing it

Cause: after a response with Connection: close, the new server closed the connection after 2 s, also when the caller had not read all of it. The test failed before the change.

Ruled out: a longer fixed time (a slow caller needs as long as its link does); closing without waiting for the caller's end (unread bytes reset the connection, which drops the response).

--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -498,7 +498,16 @@
             self._transport.write_eof()
         self._transport.resume_reading()
         loop = asyncio.get_running_loop()
-        loop.call_later(_LINGERING_S, self.abort)
+        loop.call_later(_LINGERING_S, self._end_lingering)
+
+    def _end_lingering(self) -> None:
+        """Close the connection once the response is sent."""
+        transport = self._transport
+        if transport is not None and transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LINGERING_S, self._end_lingering)
+        else:
+            self.abort()
 
     def check_timeouts(self, limits: Limits, now_s: float) -> None:
         """Close the connection if its caller is too slow or idle for long."""
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -301,3 +301,47 @@
         assert await _read_response(reader) == (200, b"/b")
 
     _run(check)
+
+
+class _SlowTransport(asyncio.Transport):
+    """Transport whose caller has not read all of the response yet."""
+
+    def __init__(self):
+        super().__init__()
+        self.unsent = 100
+        self.is_aborted = False
+
+    def write(self, data):
+        del data
+
+    def can_write_eof(self):
+        return True
+
+    def write_eof(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def get_write_buffer_size(self):
+        return self.unsent
+
+    def abort(self):
+        self.is_aborted = True
+
+
+def test_last_response_is_sent_before_the_connection_is_closed(monkeypatch):
+    """A draining entry would cut responses to callers with slow links."""
+    monkeypatch.setattr(http_server, "_LINGERING_S", 0.05)
+
+    async def check(fixture):
+        transport = _SlowTransport()
+        connection = http_server.Connection(fixture.server)
+        connection.connection_made(transport)
+        connection.data_received(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.2)
+        assert not transport.is_aborted
+        transport.unsent = 0
+        await waiting.until(lambda: transport.is_aborted)
+
+    _run(check)
