Clear the ended requests of peers in one way for all full reports

A full report of one datagram is one that is complete since its own sequence number, so the second way of clearing goes. The number of local peers is counted once a tick. Found by reading the change again; behaviour is meant to stay.

--- a/slatechute/gateway/peers.py
+++ b/slatechute/gateway/peers.py
@@ -250,11 +250,9 @@
         now_ms = self._clock.now_ms()
         presence = self._local_presence()
         data = messages.encode(presence)
-        intervals = _Intervals(
-            presence.is_active,
-            len(self.local_peers()),
-            len(self.live_peers()) - len(self.local_peers()),
-        )
+        local_count = len(self.local_peers())
+        remote_count = len(self.live_peers()) - local_count
+        intervals = _Intervals(presence.is_active, local_count, remote_count)
         delegates = self.remote_delegates() if self.is_delegate() else []
         for peer in list(self.peers_by_id.values()):
             is_local = self.is_local(peer)
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -258,13 +258,7 @@
             services.add(load.target.service)
         if is_newer and is_local:
             self._apply_waiting(report)
-            if report.is_complete:
-                self._clear_unlisted(report)
-            elif report.complete_since:
-                for load in self.balancer.load_by_id.values():
-                    load.clear_peer_before(
-                        report.entry_id, report.complete_since
-                    )
+            self._clear_ended(report)
         for service in services:
             self.balancer.dispatch_waiting(service, now_ms)
 
@@ -276,11 +270,14 @@
             else:
                 pool.peer_waiting_by_id.pop(report.entry_id, None)
 
-    def _clear_unlisted(self, report: messages.LoadReport) -> None:
-        listed_ids = {reading.target_id for reading in report.readings}
-        for target_id, load in self.balancer.load_by_id.items():
-            if target_id not in listed_ids:
-                load.set_peer_in_flight(report.entry_id, 0)
+    def _clear_ended(self, report: messages.LoadReport) -> None:
+        """Drop the requests that a full report of a peer does not list."""
+        since = report.complete_since
+        if report.is_complete:
+            since = report.sequence
+        if since:
+            for load in self.balancer.load_by_id.values():
+                load.clear_peer_before(report.entry_id, since)
 
 
 def _reading(load: loads.TargetLoad, now_ms: float) -> messages.TargetReading:
