--- /dev/null
+++ b/slatechute/gateway/announcements.py
@@ -0,0 +1,83 @@
+"""What targets announce about themselves in their responses.
+
+The module does no I/O and reads no clock.
+"""
+
+from slatechute import logs
+from slatechute.gateway import dialects
+
+__all__ = ["AnnouncedState"]
+
+_LOG = logs.get_logger(__name__)
+
+
+class AnnouncedState:
+    """What one target has announced, as far as this entry knows.
+
+    Attributes:
+        rate_limit_per_s: Requests a second that the target takes from all
+            entries together, or None without a limit.
+        observed_ms: Clock time of the response that told so.
+    """
+
+    def __init__(self, target_id: str):
+        self.rate_limit_per_s: float | None = None
+        self.observed_ms = float("-inf")
+        self._target_id = target_id
+        self._logged_invalid: set[str] = set()
+
+    def observe(
+        self,
+        announcement: dialects.Announcement,
+        now_ms: float,
+        *,
+        is_conclusive: bool,
+    ) -> bool:
+        """Update the state with a response of the target.
+
+        Args:
+            announcement: Announcement in the response.
+            now_ms: Current time.
+            is_conclusive: Whether a limit that the response does not name has
+                ended. Probes and refusals need not name it.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        for name in set(announcement.invalid) - self._logged_invalid:
+            self._logged_invalid.add(name)
+            _LOG.warning(
+                "announcement_invalid", target=self._target_id, header=name
+            )
+        limit_per_s = announcement.rate_limit_per_s
+        if limit_per_s is None and (announcement.invalid or not is_conclusive):
+            return False
+        return self.adopt_rate_limit(limit_per_s, now_ms, "target")
+
+    def adopt_rate_limit(
+        self, limit_per_s: float | None, observed_ms: float, source: str
+    ) -> bool:
+        """Adopt a limit unless a newer response is known.
+
+        Args:
+            limit_per_s: The limit, or None if the target has none.
+            observed_ms: Clock time of the response of the target.
+            source: Where the news comes from, for the log.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        if observed_ms < self.observed_ms:
+            return False
+        self.observed_ms = observed_ms
+        if limit_per_s == self.rate_limit_per_s:
+            return False
+        _LOG.notice(
+            "target_rate_limit_changed",
+            target=self._target_id,
+            limit_per_s=limit_per_s,
+            replaced_per_s=self.rate_limit_per_s,
+            source=source,
+        )
+        self.rate_limit_per_s = limit_per_s
+        return True
--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -76,7 +76,8 @@
         status: HTTP status.
         headers: Headers in order, with names as received.
         body: Complete body.
-        header_by_name: The same headers by lower-case name.
+        header_by_name: The same headers by lower-case name. The values of a
+            repeated header are joined with commas.
     """
 
     status: int
@@ -225,7 +226,12 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in self._response_head.headers.raw_items()
         ]
-        by_name = {name.lower(): value for name, value in headers}
+        by_name: dict[str, str] = {}
+        for name, value in headers:
+            key = name.lower()
+            by_name[key] = (
+                f"{by_name[key]}, {value}" if key in by_name else value
+            )
         response = TargetResponse(
             self._response_head.status_code,
             headers,
--- a/slatechute/gateway/dialects.py
+++ b/slatechute/gateway/dialects.py
@@ -10,6 +10,7 @@
 from slatechute.gateway import routing
 
 __all__ = [
+    "Announcement",
     "ResponseMetadata",
     "Dialect",
     "Load",
@@ -36,6 +37,20 @@
     slowdown: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a target announces about itself in a response.
+
+    Attributes:
+        rate_limit_per_s: Requests a second that it takes from all entries
+            together, None if it names no limit.
+        invalid: Names of headers whose values cannot be used.
+    """
+
+    rate_limit_per_s: float | None = None
+    invalid: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """Metadata from the status and headers of a response.
@@ -47,6 +62,7 @@
         wrong_target: Whether the address now belongs to another target.
         target_id: Id of the target that answered, empty if absent.
         load: Load of the target, None if absent.
+        announcement: What the target announces about itself.
     """
 
     request_id: str = ""
@@ -55,6 +71,7 @@
     wrong_target: bool = False
     target_id: str = ""
     load: Load | None = None
+    announcement: Announcement = Announcement()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -421,6 +421,9 @@
             "slowness": round(exchange.slowness, 2),
             "place": exchange.position,
         }
+        if load.announced.rate_limit_per_s is not None:
+            step["limit_per_s"] = load.announced.rate_limit_per_s
+            self._counters.count_limited_request()
         trace.steps.append(step)
         connection = None
         try:
@@ -547,6 +550,10 @@
         is_other_response = (
             metadata.request_id and metadata.request_id != request.id
         )
+        if not metadata.wrong_target and not is_other_response:
+            load.announced.observe(
+                metadata.announcement, now_ms, is_conclusive=metadata.signed
+            )
         if metadata.wrong_target:
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
             load.record_cancellation(exchange)
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -6,6 +6,7 @@
 import dataclasses
 import math
 
+from slatechute.gateway import announcements
 from slatechute.gateway import dialects
 
 __all__ = ["Exchange", "ServiceModel", "TargetLoad", "uncrowded_slots"]
@@ -207,6 +208,7 @@
 
     Attributes:
         target: Registration of the target.
+        announced: What the target has announced in its responses.
         local_in_flight: Number of in-flight requests of this entry.
         peer_in_flight_by_id: Number of in-flight requests of peers, by entry
             id.
@@ -225,6 +227,7 @@
         now_ms: float,
     ):
         self.target = target
+        self.announced = announcements.AnnouncedState(target.id)
         self.local_in_flight = 0
         self.peer_in_flight_by_id: dict[str, int] = {}
         self.reported_load: dialects.Load | None = None
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -459,7 +459,11 @@
         if metadata.target_id and metadata.target_id != target.id:
             # Another target uses this address and the registration is outdated.
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
-        elif metadata.load is None:
+            return connection
+        load.announced.observe(
+            metadata.announcement, now_ms, is_conclusive=False
+        )
+        if metadata.load is None:
             await asyncio.sleep(_NO_LOAD_DELAY_S)
         elif load.apply_report(metadata.load, now_ms):
             self._sharing.schedule_report(load)
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -106,6 +106,10 @@
             "Faults of peers and the platform in spreading documents.",
             "kind",
         )
+        self._limited_requests = self._counter(
+            "limited_requests",
+            "Requests sent to targets that had announced a rate limit.",
+        )
         self._platform_calls = self._counter(
             "platform_calls", "Calls to the platform service."
         )
@@ -213,6 +217,10 @@
         self._probes.inc()
         self._probe_bytes.inc(size_bytes)
 
+    def count_limited_request(self) -> None:
+        """Count a request sent to a target with an announced rate limit."""
+        self._limited_requests.inc()
+
     def count_platform_call(self) -> None:
         """Count a request to the platform service."""
         self._platform_calls.inc()
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -93,11 +93,13 @@
     def parse_response(
         self, status: int, headers: Mapping[str, str]
     ) -> dialects.ResponseMetadata:
+        limit = headers.get("limit")
         return dialects.ResponseMetadata(
             request_id=headers.get("id", ""),
             signed="signed" in headers,
             not_run="not-run" in headers or status == 421,
             wrong_target=status == 421,
+            announcement=dialects.Announcement(float(limit) if limit else None),
         )
 
     def refusal_headers(self, retry_after_s: float) -> dict[str, str]:
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -170,6 +170,26 @@
     assert _WIRE.parse_response(200, {"x-server-load": text}).load is None
 
 
+def test_rate_limit_of_a_target():
+    """A limit that is not read is exceeded by every entry."""
+    metadata = _WIRE.parse_response(200, {"server-limit": "4.3"})
+    assert metadata.announcement.rate_limit_per_s == 4.3
+    metadata = _WIRE.parse_response(200, {})
+    assert metadata.announcement.rate_limit_per_s is None
+
+
+@pytest.mark.parametrize(
+    "text", ["", "-1", "inf", "nan", "1_0", "4, 5", "many", "9" * 400]
+)
+def test_invalid_rate_limit_is_ignored(text):
+    """An invalid value must neither fail the request nor stop the target."""
+    announcement = _WIRE.parse_response(
+        200, {"server-limit": text}
+    ).announcement
+    assert announcement.rate_limit_per_s is None
+    assert announcement.invalid
+
+
 def test_deadline_of_a_caller():
     """An invalid value must not be treated like a missing deadline."""
     assert _WIRE.deadline_ms({}) is None
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -66,6 +66,7 @@
     "slatechute_configuration_revision": ("gauge",),
     "slatechute_duplicates_refused": ("counter",),
     "slatechute_hedges": ("counter",),
+    "slatechute_limited_requests": ("counter",),
     "slatechute_peer_bytes": ("counter", "direction"),
     "slatechute_peer_frame_errors": ("counter", "kind"),
     "slatechute_peer_frames": ("counter", "direction"),
@@ -159,6 +160,7 @@
 
 # Fields by event of the log.
 _LOG_FIELDS = {
+    "announcement_invalid": ["header", "target"],
     "admin_listening": ["address"],
     "configuration_in_force": [
         "replaced",
@@ -232,6 +234,12 @@
         "source",
         "target",
     ],
+    "target_rate_limit_changed": [
+        "limit_per_s",
+        "replaced_per_s",
+        "source",
+        "target",
+    ],
     "unexpected_error": ["error", "place", "step"],
     "unhandled_error": ["exc_info", "message"],
     "unknown_variable": ["variable"],
