--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -26,6 +26,7 @@
 from slatechute.gateway import serving
 from slatechute.gateway import settings as gateway_settings
 from slatechute.gateway import sharing
+from slatechute.gateway import token_sharing
 from slatechute.util import addresses
 from slatechute.util import clock as clocks
 from slatechute.util import steps
@@ -124,8 +125,13 @@
     def _create_components(self) -> None:
         settings = self.settings
         self._sharing = sharing.LoadSharing(settings, self.boot_id, self.clock)
+        self._token_sharing = token_sharing.TokenSharing(
+            settings, self.clock, lambda: self._role.is_active
+        )
         self.balancer = balancing.Balancer(
-            settings.data_centre, self._sharing.schedule_report
+            settings.data_centre,
+            self._sharing.schedule_report,
+            on_token_request=self._token_sharing.request,
         )
         self.group = peer_groups.PeerGroup(
             settings,
@@ -135,6 +141,7 @@
             lambda peer: self.balancer.forget_peer(peer.presence.entry_id),
         )
         self._sharing.attach(self.group, self.balancer)
+        self._token_sharing.attach(self.group, self.balancer)
         self._pool = connections.ConnectionPool()
         self._peer_client = connections.HttpClient()
         self._forwarder = forwarding.Forwarder(
@@ -146,6 +153,7 @@
             self.metrics,
             self._broadcast_crash,
             self._sharing.schedule_report,
+            self._token_sharing.report,
         )
         self._prober = sharing.LoadProber(
             settings,
@@ -156,6 +164,7 @@
             self.clock,
             self.metrics,
             self._sharing,
+            self._token_sharing.report,
             lambda: self._role.is_active,
         )
         self._caller_server = server.CallerServer(
@@ -267,6 +276,7 @@
         now_ms = self.clock.now_ms
         return (
             ("queues", 0, lambda: self.balancer.tick(now_ms())),
+            ("tokens", 0, lambda: self._token_sharing.tick()),
             ("sharing", 50, lambda: self._sharing.tick()),
             ("behind", 50, lambda: self._check_behind(now_ms())),
             ("peers", 100, lambda: self.group.tick()),
@@ -496,6 +506,12 @@
                 self._check_behind(self.clock.now_ms())
         elif isinstance(message, messages.LoadReport):
             self._sharing.handle_report(peer, message)
+        elif isinstance(message, messages.TokenRequest):
+            self._token_sharing.handle_request(peer, message)
+        elif isinstance(message, messages.TokenGrant):
+            self._token_sharing.handle_grant(message)
+        elif isinstance(message, messages.RateLimitReport):
+            self._token_sharing.handle_report(peer, message)
         elif isinstance(message, messages.PublishedChanges):
             self._apply_changes(peer, message)
         elif isinstance(message, messages.CrashReport):
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Set
 import dataclasses
 import enum
+import math
 import random
 
 from slatechute import errors
@@ -148,7 +149,9 @@
             if slots > loads.uncrowded_slots(load.slots):
                 time_ms *= self.model.crowded_factor
             if time_ms <= limit_ms:
-                total += slots / max(1.0, time_ms)
+                total += min(
+                    slots / max(1.0, time_ms), load.max_rate_per_ms(now_ms)
+                )
         return total
 
     def wait_ms(
@@ -178,6 +181,8 @@
         on_load_change: Called with the load of a target when the number of
             in-flight requests of this entry has changed.
         generator: Random source, by default a new one.
+        on_token_request: Called with the load of a target and the number of
+            tokens to ask for, because its rate limit holds requests up.
     """
 
     def __init__(
@@ -185,11 +190,15 @@
         data_centre: str,
         on_load_change: Callable[[loads.TargetLoad], None] = lambda load: None,
         generator: random.Random | None = None,
+        on_token_request: Callable[
+            [loads.TargetLoad, int], None
+        ] = lambda load, count: None,
     ):
         self.pool_by_service: dict[str, ServicePool] = {}
         self.load_by_id: dict[str, loads.TargetLoad] = {}
         self._data_centre = data_centre
         self._on_load_change = on_load_change
+        self._on_token_request = on_token_request
         self._random = generator or random.Random()
 
     def pool(self, service: str) -> ServicePool:
@@ -256,9 +265,67 @@
         self, request: DispatchRequest, now_ms: float
     ) -> tuple[loads.TargetLoad | None, float]:
         """Return the target of lowest cost, or None, and the cost in ms."""
+        best, best_ms, _ = self._rank_targets(request, now_ms)
+        return best, best_ms
+
+    def _select_target(
+        self, request: DispatchRequest, now_ms: float, *, is_queued: bool
+    ) -> tuple[loads.TargetLoad | None, float]:
+        """Return the best target like `_best_target`, and ask for tokens.
+
+        A token is asked for where the request would have gone without the rate
+        limit.
+        """
+        best, best_ms, limited = self._rank_targets(request, now_ms)
+        if limited:
+            wanted = 1
+            if best is None:
+                waiting = len(self.pool(request.service).waiting)
+                wanted = waiting if is_queued else waiting + 1
+            self._request_tokens(limited, wanted, best_ms, now_ms)
+        return best, best_ms
+
+    def _request_tokens(
+        self,
+        limited: dict[loads.TargetLoad, float],
+        wanted: int,
+        max_cost_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Ask for the wanted tokens that are not on their way yet.
+
+        Args:
+            limited: Costs of the targets that may be asked for.
+            wanted: Number of tokens.
+            max_cost_ms: Only targets of lower cost are asked for.
+            now_ms: Current time.
+        """
+        wanted -= sum(load.tokens.pending(now_ms) for load in limited)
+        usable = [
+            load
+            for load in sorted(limited, key=limited.get)
+            if limited[load] < max_cost_ms and load.tokens.may_request(now_ms)
+        ]
+        for index, load in enumerate(usable):
+            if wanted <= 0:
+                return
+            count = math.ceil(wanted / (len(usable) - index))
+            wanted -= count
+            load.tokens.request(count, now_ms)
+            self._on_token_request(load, count)
+
+    def _rank_targets(
+        self, request: DispatchRequest, now_ms: float
+    ) -> tuple[loads.TargetLoad | None, float, dict[loads.TargetLoad, float]]:
+        """Return the target of lowest cost, or None, and the cost in ms.
+
+        The third value has the costs of the targets whose rate limit allows no
+        request now.
+        """
         pool = self.pool(request.service)
         work_ms = pool.model.work_ms(request.work_key)
-        best, best_ms = None, float("inf")
+        best, best_ms = None, math.inf
+        limited: dict[loads.TargetLoad, float] = {}
         for load in self._candidates(pool, request, now_ms):
             if load.is_paused(now_ms) or load.target.id in request.excluded:
                 continue
@@ -266,9 +333,11 @@
             if load.target.data_centre != self._data_centre:
                 cost_ms += _REMOTE_COST_MS
             cost_ms *= 1 + _COST_JITTER * self._random.random()
-            if cost_ms < best_ms:
+            if load.lacks_token(now_ms):
+                limited[load] = cost_ms
+            elif cost_ms < best_ms:
                 best, best_ms = load, cost_ms
-        return best, best_ms
+        return best, best_ms, limited
 
     def start(
         self, request: DispatchRequest, load: loads.TargetLoad, now_ms: float
@@ -288,7 +357,7 @@
             The exchange, or None if the request should wait or be refused.
         """
         pool = self.pool(request.service)
-        load, cost_ms = self._best_target(request, now_ms)
+        load, cost_ms = self._select_target(request, now_ms, is_queued=False)
         if load is None:
             return None
         if cost_ms > request.objective_ms - now_ms:
@@ -382,7 +451,13 @@
         return {
             "targets": len(pool.load_by_id),
             "unpaused": len(usable),
-            "with_room": sum(load.has_room() for load in usable),
+            "rate_limited": sum(
+                load.announced.rate_limit_per_s is not None for load in usable
+            ),
+            "with_room": sum(
+                load.has_room() and not load.lacks_token(now_ms)
+                for load in usable
+            ),
             "slots": sum(load.slots for load in usable),
             "occupied": sum(load.occupancy() for load in usable),
             "work_ms": round(work_ms, 1),
@@ -443,10 +518,18 @@
             for load in pool.load_by_id.values()
         )
 
+    def _is_rate_limited(self, pool: ServicePool, now_ms: float) -> bool:
+        """Return whether no target can take a request for lack of tokens."""
+        return all(
+            load.lacks_token(now_ms) and load.tokens.is_scarce(now_ms)
+            for load in pool.load_by_id.values()
+            if not load.is_paused(now_ms)
+        )
+
     def _try_start_queued(
         self, request: DispatchRequest, now_ms: float
     ) -> loads.Exchange | None:
-        load, cost_ms = self._best_target(request, now_ms)
+        load, cost_ms = self._select_target(request, now_ms, is_queued=True)
         if load is None:
             return None
         left_ms = request.objective_ms - now_ms
@@ -462,7 +545,11 @@
         if not pool.load_by_id.keys() - request.excluded:
             return True
         work_ms = pool.model.work_ms(request.work_key)
-        return now_ms + work_ms > request.deadline_ms
+        if now_ms + work_ms > request.deadline_ms:
+            return True
+        return self._is_rate_limited(pool, now_ms) and not self._may_be_in_time(
+            pool, request, now_ms
+        )
 
     def _refuse_unservable(self, pool: ServicePool, now_ms: float) -> None:
         for queued in list(pool.waiting):
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -136,6 +136,7 @@
         counters: metrics.Metrics,
         on_suspected_crash: Callable[[str, str, float], None],
         on_load_report: Callable[[loads.TargetLoad], None],
+        on_announcement: Callable[[loads.TargetLoad], None] = lambda load: None,
     ):
         """Create the forwarder.
 
@@ -150,6 +151,8 @@
                 in ms when a target may have crashed while it ran a request.
             on_load_report: Called with the load of a target when the target has
                 reported it.
+            on_announcement: Called with the load of a target when it has
+                announced something new about itself.
         """
         self.quarantine = quarantine.Quarantine()
         self._settings = settings
@@ -160,6 +163,7 @@
         self._counters = counters
         self._on_suspected_crash = on_suspected_crash
         self._on_load_report = on_load_report
+        self._on_announcement = on_announcement
         self._budget_by_service: dict[str, budgets.RatioBudget] = {}
 
     def _budget(self, service: str) -> budgets.RatioBudget:
@@ -550,10 +554,14 @@
         is_other_response = (
             metadata.request_id and metadata.request_id != request.id
         )
-        if not metadata.wrong_target and not is_other_response:
-            load.announced.observe(
+        if (
+            not metadata.wrong_target
+            and not is_other_response
+            and load.announced.observe(
                 metadata.announcement, now_ms, is_conclusive=metadata.signed
             )
+        ):
+            self._on_announcement(load)
         if metadata.wrong_target:
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
             load.record_cancellation(exchange)
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -8,6 +8,7 @@
 
 from slatechute.gateway import announcements
 from slatechute.gateway import dialects
+from slatechute.gateway import rate_limits
 
 __all__ = ["Exchange", "ServiceModel", "TargetLoad", "uncrowded_slots"]
 
@@ -209,6 +210,7 @@
     Attributes:
         target: Registration of the target.
         announced: What the target has announced in its responses.
+        tokens: Tokens of this entry, needed while the target has a rate limit.
         local_in_flight: Number of in-flight requests of this entry.
         peer_in_flight_by_id: Number of in-flight requests of peers, by entry
             id.
@@ -228,6 +230,7 @@
     ):
         self.target = target
         self.announced = announcements.AnnouncedState(target.id)
+        self.tokens = rate_limits.TokenSupply()
         self.local_in_flight = 0
         self.peer_in_flight_by_id: dict[str, int] = {}
         self.reported_load: dialects.Load | None = None
@@ -345,6 +348,24 @@
         """Return whether no request is sent to the target for now."""
         return now_ms < self.paused_until_ms
 
+    def lacks_token(self, now_ms: float) -> bool:
+        """Return whether the rate limit of the target allows no request now."""
+        return (
+            self.announced.rate_limit_per_s is not None
+            and not self.tokens.has_token(now_ms)
+        )
+
+    def max_rate_per_ms(self, now_ms: float) -> float:
+        """Return the rate that the target's limit allows, or infinity.
+
+        While tokens arrive as soon as they are asked for, the limit does not
+        hold requests up.
+        """
+        limit_per_s = self.announced.rate_limit_per_s
+        if limit_per_s is None or not self.tokens.is_scarce(now_ms):
+            return math.inf
+        return limit_per_s / 1000
+
     def has_room(self) -> bool:
         """Return whether the target can usefully run one more request."""
         return self.occupancy() < self._model.useful_slots(self.slots)
@@ -413,6 +434,7 @@
         )
         self.local_in_flight += 1
         self.sent += 1
+        self.tokens.take()
         self._exchanges[exchange] = None
         return exchange
 
--- a/slatechute/gateway/peers.py
+++ b/slatechute/gateway/peers.py
@@ -190,6 +190,24 @@
         """Return the active peers of the local data centre."""
         return [p for p in self.local_peers() if p.presence.is_active]
 
+    def active_entries(self, is_active: bool) -> dict[str, str]:
+        """Return the data centres of the active entries, by entry id.
+
+        Args:
+            is_active: Whether this entry is active itself.
+        """
+        presences = [
+            peer.presence
+            for peer in self.live_peers()
+            if peer.presence.state == READY and peer.presence.is_active
+        ]
+        data_centre_by_entry = {p.entry_id: p.data_centre for p in presences}
+        if is_active:
+            data_centre_by_entry[self._settings.entry_id] = (
+                self._settings.data_centre
+            )
+        return data_centre_by_entry
+
     def is_local(self, peer: Peer) -> bool:
         """Return whether a peer is in the local data centre."""
         return peer.presence.data_centre == self._settings.data_centre
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -50,6 +50,8 @@
 # at this interval.
 _UNUSED_PROBE_INTERVAL_S = 1.0
 _UNUSED_SERVICE_MS = 2_000.0
+# A target that limits the rate of requests is not burdened with probes.
+_LIMITED_PROBE_INTERVAL_S = 2.0
 # Share of the allowed probes that one entry uses: while the entries disagree on
 # the live peers, two of them may probe the same target.
 _PROBE_SHARE = 0.4
@@ -320,8 +322,10 @@
         clock: clocks.Clock,
         counters: metrics.Metrics,
         sharing: LoadSharing,
+        on_announcement: Callable[[loads.TargetLoad], None] = lambda load: None,
         is_active: Callable[[], bool] = lambda: True,
     ):
+        self._on_announcement = on_announcement
         self._is_active = is_active
         self.table: routing.RoutingTable | None = None
         self._settings = settings
@@ -345,7 +349,7 @@
         """Start and stop probes so that they match the current assignment."""
         if not self._is_active() and not self._task_by_load:
             return
-        entries = self._probing_entries()
+        entries = self._group.active_entries(self._is_active())
         targets = frozenset(self._balancer.load_by_id.values())
         if (entries, targets) == self._assignment_inputs:
             return
@@ -373,21 +377,6 @@
             task = asyncio.create_task(self._probe_periodically(load))
             self._task_by_load[load] = task
 
-    def _probing_entries(self) -> dict[str, str]:
-        """Return the data centres of the entries that probe, by entry id."""
-        presences = [
-            peer.presence
-            for peer in self._group.live_peers()
-            if peer.presence.state == peer_groups.READY
-            and peer.presence.is_active
-        ]
-        data_centre_by_entry = {p.entry_id: p.data_centre for p in presences}
-        if self._is_active():
-            data_centre_by_entry[self._settings.entry_id] = (
-                self._settings.data_centre
-            )
-        return data_centre_by_entry
-
     def stop(self) -> None:
         """End all probes."""
         for task in self._task_by_load.values():
@@ -397,6 +386,8 @@
     def _interval_s(self, load: loads.TargetLoad) -> float:
         """Return the longest age of a report after which to probe."""
         pool = self._balancer.pool(load.target.service)
+        if load.announced.rate_limit_per_s is not None:
+            return max(self._min_interval_s, _LIMITED_PROBE_INTERVAL_S)
         if self._clock.now_ms() - pool.last_used_ms > _UNUSED_SERVICE_MS:
             return max(self._min_interval_s, _UNUSED_PROBE_INTERVAL_S)
         work_s = pool.model.usual_work_ms() / 1000
@@ -460,9 +451,10 @@
             # Another target uses this address and the registration is outdated.
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
             return connection
-        load.announced.observe(
+        if load.announced.observe(
             metadata.announcement, now_ms, is_conclusive=False
-        )
+        ):
+            self._on_announcement(load)
         if metadata.load is None:
             await asyncio.sleep(_NO_LOAD_DELAY_S)
         elif load.apply_report(metadata.load, now_ms):
--- /dev/null
+++ b/slatechute/gateway/token_sharing.py
@@ -0,0 +1,224 @@
+"""Messages by which entries share the rate limits of targets."""
+
+import asyncio
+from collections.abc import Callable
+
+from slatechute import logs
+from slatechute import messages
+from slatechute import ownership
+from slatechute.gateway import balancing
+from slatechute.gateway import loads
+from slatechute.gateway import peers as peer_groups
+from slatechute.gateway import rate_limits
+from slatechute.gateway import settings as gateway_settings
+from slatechute.util import clock as clocks
+
+__all__ = ["TokenSharing"]
+
+_LOG = logs.get_logger(__name__)
+
+# More tokens would expire before they are used.
+_MAX_TOKENS = 64
+# A changed limit is reported to the peers at most this often; its begin and end
+# are reported at once.
+_REPORT_INTERVAL_MS = 200.0
+
+
+class TokenSharing:
+    """Asks for tokens of limited targets, and allocates those of some.
+
+    Args:
+        settings: Settings of the entry.
+        clock: Monotonic clock.
+        is_active: Returns whether this entry is active.
+    """
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        clock: clocks.Clock,
+        is_active: Callable[[], bool],
+    ):
+        self.group: peer_groups.PeerGroup | None = None
+        self.balancer: balancing.Balancer | None = None
+        self._settings = settings
+        self._clock = clock
+        self._is_active = is_active
+        self._allocator_by_load: dict[
+            loads.TargetLoad, rate_limits.TokenAllocator
+        ] = {}
+        self._reported_by_load: dict[
+            loads.TargetLoad, tuple[float, float | None]
+        ] = {}
+
+    def attach(
+        self, group: peer_groups.PeerGroup, balancer: balancing.Balancer
+    ) -> None:
+        """Set the group of the peers and the balancer to update."""
+        self.group = group
+        self.balancer = balancer
+
+    def _allocator_id(self, load: loads.TargetLoad) -> str | None:
+        """Return the entry that allocates the tokens of a target."""
+        return ownership.dispatcher_of(
+            load.target.id,
+            load.target.data_centre,
+            self.group.active_entries(self._is_active()),
+        )
+
+    # Tokens for this entry.
+
+    def request(self, load: loads.TargetLoad, count: int) -> None:
+        """Ask the allocator of a target for tokens."""
+        count = min(_MAX_TOKENS, count)
+        allocator_id = self._allocator_id(load)
+        if allocator_id == self._settings.entry_id:
+            self._allocate_to(load, allocator_id, count)
+            return
+        request = messages.TokenRequest(
+            load.target.id, count, *_announced(load, self._clock.now_ms())
+        )
+        self.group.broadcast(request, self._peers(allocator_id))
+
+    def _peers(self, entry_id: str | None) -> list[peer_groups.Peer]:
+        return [
+            peer
+            for peer in self.group.live_peers()
+            if peer.presence.entry_id == entry_id
+        ]
+
+    def handle_grant(self, message: messages.TokenGrant) -> None:
+        """Add tokens that the allocator has sent, or note that it has none."""
+        load = self.balancer.load_by_id.get(message.target_id)
+        if load is not None:
+            self._add_tokens(load, min(_MAX_TOKENS, message.count))
+
+    def _add_tokens(self, load: loads.TargetLoad, count: int) -> None:
+        now_ms = self._clock.now_ms()
+        if count > 0:
+            load.tokens.add(count, now_ms)
+        else:
+            load.tokens.deny(now_ms)
+        self.balancer.dispatch_waiting(load.target.service, now_ms)
+
+    # Tokens for all entries.
+
+    def handle_request(
+        self, peer: peer_groups.Peer, message: messages.TokenRequest
+    ) -> None:
+        """Allocate tokens to a peer, if this entry is the allocator."""
+        load = self.balancer.load_by_id.get(message.target_id)
+        if load is None:
+            return
+        self._adopt(peer, load, message.limit_per_s, message.age_ms)
+        if load.announced.rate_limit_per_s is None:
+            # The peer has missed the report that the limit has ended.
+            self.group.broadcast(self._report(load), [peer])
+        elif self._allocator_id(load) == self._settings.entry_id:
+            count = min(_MAX_TOKENS, message.count)
+            self._allocate_to(load, peer.presence.entry_id, count)
+
+    def _allocate_to(
+        self, load: loads.TargetLoad, entry_id: str, count: int
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        allocator = self._allocator_by_load.get(load)
+        if allocator is None:
+            allocator = rate_limits.TokenAllocator(now_ms)
+            self._allocator_by_load[load] = allocator
+        allocator.request(entry_id, count, now_ms)
+        count_by_entry = self._allocate(load, allocator)
+        if entry_id not in count_by_entry:
+            self._grant(load, entry_id, 0)
+
+    def _allocate(
+        self, load: loads.TargetLoad, allocator: rate_limits.TokenAllocator
+    ) -> dict[str, int]:
+        count_by_entry = allocator.allocate(
+            load.announced.rate_limit_per_s, self._clock.now_ms()
+        )
+        for entry_id, count in count_by_entry.items():
+            self._grant(load, entry_id, count)
+        return count_by_entry
+
+    def _grant(self, load: loads.TargetLoad, entry_id: str, count: int) -> None:
+        """Send tokens to an entry, or 0 if it has to wait for them."""
+        if entry_id == self._settings.entry_id:
+            # The caller may be in the middle of a decision about a request.
+            asyncio.get_running_loop().call_soon(self._add_tokens, load, count)
+        else:
+            grant = messages.TokenGrant(load.target.id, count)
+            self.group.broadcast(grant, self._peers(entry_id))
+
+    def tick(self) -> None:
+        """Allocate new tokens and forget targets that need none any more."""
+        for load, allocator in list(self._allocator_by_load.items()):
+            if (
+                load.announced.rate_limit_per_s is None
+                or not self._is_listed(load)
+                or self._allocator_id(load) != self._settings.entry_id
+            ):
+                del self._allocator_by_load[load]
+            else:
+                self._allocate(load, allocator)
+        for load in list(self._reported_by_load):
+            if not self._is_listed(load):
+                del self._reported_by_load[load]
+
+    def _is_listed(self, load: loads.TargetLoad) -> bool:
+        return self.balancer.load_by_id.get(load.target.id) is load
+
+    # News about limits.
+
+    def report(self, load: loads.TargetLoad) -> None:
+        """Report a changed limit that this entry has observed."""
+        now_ms = self._clock.now_ms()
+        limit_per_s = load.announced.rate_limit_per_s
+        reported_ms, reported_per_s = self._reported_by_load.get(
+            load, (float("-inf"), None)
+        )
+        is_same_state = (limit_per_s is None) == (reported_per_s is None)
+        if is_same_state and now_ms - reported_ms < _REPORT_INTERVAL_MS:
+            return
+        self._reported_by_load[load] = now_ms, limit_per_s
+        peers = [
+            peer for peer in self.group.live_peers() if peer.presence.is_active
+        ]
+        self.group.broadcast(self._report(load), peers)
+
+    def _report(self, load: loads.TargetLoad) -> messages.RateLimitReport:
+        return messages.RateLimitReport(
+            load.target.id, *_announced(load, self._clock.now_ms())
+        )
+
+    def handle_report(
+        self, peer: peer_groups.Peer, message: messages.RateLimitReport
+    ) -> None:
+        """Adopt a limit that a peer has observed."""
+        load = self.balancer.load_by_id.get(message.target_id)
+        if load is not None:
+            self._adopt(peer, load, message.limit_per_s, message.age_ms)
+            if load.announced.rate_limit_per_s is None:
+                self.balancer.dispatch_waiting(
+                    load.target.service, self._clock.now_ms()
+                )
+
+    def _adopt(
+        self,
+        peer: peer_groups.Peer,
+        load: loads.TargetLoad,
+        limit_per_s: float | None,
+        age_ms: float,
+    ) -> None:
+        observed_ms = self._clock.now_ms() - max(0.0, age_ms)
+        load.announced.adopt_rate_limit(
+            limit_per_s, observed_ms, peer.presence.entry_id
+        )
+
+
+def _announced(
+    load: loads.TargetLoad, now_ms: float
+) -> tuple[float | None, float]:
+    """Return the limit of a target and the age of the knowledge in ms."""
+    announced = load.announced
+    return announced.rate_limit_per_s, now_ms - announced.observed_ms
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -382,6 +382,53 @@
     changes: list[PublishedChange]
 
 
+@dataclasses.dataclass(slots=True)
+class RateLimitReport(Message):
+    """Report the rate limit that a target has announced in a response.
+
+    Attributes:
+        target_id: Id of the target.
+        limit_per_s: Requests a second that it takes from all entries together;
+            None if it names no limit.
+        age_ms: Age of the response.
+    """
+
+    TAG: ClassVar[int] = 21
+    target_id: str
+    limit_per_s: float | None
+    age_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class TokenRequest(Message):
+    """Ask for tokens of a target with a rate limit.
+
+    Attributes:
+        target_id: Id of the target.
+        count: Number of tokens that the sender needs now.
+        limit_per_s: Limit of the target as known to the sender.
+        age_ms: Age of that knowledge.
+    """
+
+    TAG: ClassVar[int] = 22
+    target_id: str
+    count: int
+    limit_per_s: float | None
+    age_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class TokenGrant(Message):
+    """Allow the receiver to send requests to a target with a rate limit.
+
+    A `count` of 0 means that it has to wait for tokens.
+    """
+
+    TAG: ClassVar[int] = 23
+    target_id: str
+    count: int
+
+
 _TYPES = [cls for cls in Message.__subclasses__() if cls.TAG]
 _FIELDS_BY_TAG = {
     cls.TAG: tuple(field.name for field in dataclasses.fields(cls))
--- a/tests/gateway/small_fleet.py
+++ b/tests/gateway/small_fleet.py
@@ -62,8 +62,13 @@
         self.apps: list[application.GatewayApplication] = []
         self._ports = free_ports(4)
 
-    def publish_routes(self, version: int, *routes: routing.Route) -> None:
-        table = routing.RoutingTable(version, routes)
+    def publish_routes(
+        self,
+        version: int,
+        *routes: routing.Route,
+        services: tuple[routing.Service, ...] = (),
+    ) -> None:
+        table = routing.RoutingTable(version, routes, services)
         revision = self.source.revision + 1
         self.dialect.table_by_revision[revision] = table
         self.source.put("c", b"x")
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -5,11 +5,15 @@
 import time
 
 import aiohttp
+import pytest
 
+from slatechute import ownership
+from slatechute.gateway import routing
 from tests import waiting
 from tests.gateway import builders
 from tests.gateway import scripted_target
 from tests.gateway import small_fleet
+from tests.gateway import token_fleet
 
 _LIMIT_PER_S = 4.0
 # The users' bound in any window: 1.5 times the limit, and 5 requests.
@@ -83,3 +87,111 @@
         assert most_in_a_window(counted_s) <= _BOUND
 
     small_fleet.run(check)
+
+
+def _limited_fleet(entries, *, limit_per_s=_LIMIT_PER_S, limited=2, **fields):
+    fleet = token_fleet.TokenFleet(entries, 15, **fields)
+    fleet.run(2.0, 300.0)
+    for target_id in fleet.target_ids[:limited]:
+        fleet.limit_per_s_by_target[target_id] = limit_per_s
+    return fleet
+
+
+def _assert_limits_hold(fleet):
+    for target_id, limit_per_s in fleet.limit_per_s_by_target.items():
+        bound = token_fleet.bound(limit_per_s)
+        assert fleet.most_in_a_window(target_id) <= bound
+
+
+@pytest.mark.parametrize("entries", [4, 18, 100])
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.5, 2.8, 40.0])
+def test_limit_holds_at_any_number_of_entries(entries, limit_per_s):
+    """Fixed shares round up: each entry would send a first request at once."""
+    fleet = _limited_fleet(entries, limit_per_s=limit_per_s, data_centres=4)
+    fleet.run(8.0, 300.0)
+    _assert_limits_hold(fleet)
+    assert not fleet.refused
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_limit_holds_when_messages_are_lost(seed):
+    """An entry without an answer must not send on its own account."""
+    fleet = _limited_fleet(12, seed=seed, data_centres=4)
+    fleet.loss_share = 0.3
+    fleet.run(8.0, 300.0)
+    _assert_limits_hold(fleet)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_limit_holds_when_the_allocator_ends(seed):
+    """The next allocator must not hand out the same tokens again."""
+    fleet = _limited_fleet(6, seed=seed)
+    fleet.run(4.0, 300.0)
+    active = dict.fromkeys(fleet.entries_by_id, "dc0")
+    allocator_id = ownership.dispatcher_of("t0", "dc0", active)
+    fleet.entries_by_id[allocator_id].is_up = False
+    killed_ms = fleet.clock.now_ms()
+    fleet.run(6.0, 300.0)
+    _assert_limits_hold(fleet)
+    # The limit is still used.
+    assert fleet.arrivals_at("t0", killed_ms) > 0.5 * 6 * _LIMIT_PER_S
+
+
+def test_ended_limit_is_forgotten_by_all_entries():
+    """The target would stay nearly idle while the others are crowded."""
+    fleet = _limited_fleet(12, data_centres=4)
+    fleet.loss_share = 0.3
+    fleet.run(4.0, 300.0)
+    fleet.limit_per_s_by_target.clear()
+    fleet.run(2.0, 300.0)
+    since_ms = fleet.clock.now_ms()
+    fleet.run(4.0, 300.0)
+    assert fleet.arrivals_at("t0", since_ms) > 0.5 * 4 * 300 / 15
+
+
+@pytest.mark.parametrize("entries", [4, 12])
+def test_service_with_limited_targets_only_serves_what_they_take(entries):
+    """Requests below the sum of the limits must neither wait nor be refused."""
+    fleet = _limited_fleet(entries, limited=15, data_centres=4)
+    fleet.run(2.0, 30.0)
+    fleet.refused = fleet.late = 0
+    fleet.run(10.0, 30.0)
+    _assert_limits_hold(fleet)
+    assert fleet.refused + fleet.late <= 0.02 * 10 * 30
+
+
+def test_overload_of_limited_targets_is_refused_before_the_objective():
+    """A request that gets no token in time would wait until its deadline."""
+    fleet = _limited_fleet(12, limited=15, data_centres=4)
+    fleet.run(2.0, 300.0)
+    fleet.refused = fleet.late = 0
+    since_ms = fleet.clock.now_ms()
+    fleet.run(6.0, 300.0)
+    served = sum(item.at_ms >= since_ms for item in fleet.arrivals)
+    assert served > 0.75 * 6 * 15 * _LIMIT_PER_S
+    assert fleet.late < 0.05 * served
+    assert fleet.longest_refused_wait_ms < token_fleet.OBJECTIVE_MS
+
+
+def test_limited_target_is_rarely_probed():
+    """Probes add to the requests that a target in need has to answer."""
+
+    async def check(fleet):
+        async with scripted_target.ScriptedTarget(
+            scripted_target.response
+        ) as target:
+            table_route = builders.route()
+            fleet.publish_routes(
+                1, table_route, services=(routing.Service("s", "/health", 10),)
+            )
+            fleet.publish_target(address=target.address)
+            app = await fleet.add()
+            await waiting.until(lambda: app.balancer.load_by_id)
+            load = app.balancer.load_by_id["t1"]
+            load.announced.adopt_rate_limit(2.0, app.clock.now_ms(), "test")
+            await asyncio.sleep(0.5)
+            before = len(target.requests)
+            await asyncio.sleep(2.0)
+            assert len(target.requests) - before <= 2
+
+    small_fleet.run(check)
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -32,6 +32,14 @@
     def active_peers(self):
         return [p for p in self.local_peers() if p.presence.is_active]
 
+    def active_entries(self, is_active):
+        entries = {
+            peer.presence.entry_id: peer.presence.data_centre
+            for peer in self.peers
+            if peer.presence.is_active
+        }
+        return entries | ({"e1": "dc1"} if is_active else {})
+
     def is_local(self, peer):
         return peer.presence.data_centre == "dc1"
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -51,6 +51,9 @@
     18: "88126273326273330481876174010203040506a1626b3606f509",
     19: "83136265326162",
     20: "85140309fb3ff80000000000008283616105417883616209f6",
+    21: "8415626273fb4012000000000000fb401c000000000000",
+    22: "851662627303fb4012000000000000fb401c000000000000",
+    23: "831762627303",
 }
 
 # Frames of earlier versions, which lack the fields that were added since.
@@ -294,6 +297,7 @@
     "outcome",
     "path",
     "peer",
+    "rate_limited",
     "reason",
     "retry_after_ms",
     "slots",
@@ -318,7 +322,7 @@
 }
 
 
-@pytest.mark.parametrize("tag", range(1, 21))
+@pytest.mark.parametrize("tag", range(1, 24))
 def test_frames_keep_their_bytes(tag):
     """Entries of two versions run side by side during a roll-out."""
     frame = bytes.fromhex(_FRAME_BY_TAG[tag])
