--- a/slatechute/gateway/announcements.py
+++ b/slatechute/gateway/announcements.py
@@ -18,11 +18,17 @@
         rate_limit_per_s: Requests a second that the target takes from all
             entries together, or None without a limit.
         observed_ms: Clock time of the response that told so.
+        paused_until_ms: Clock time until which the target wants no request
+            from this entry.
+        is_leaving: Whether the target takes no new requests any more. A target
+            does not return from this: a new start has another registration.
     """
 
     def __init__(self, target_id: str):
         self.rate_limit_per_s: float | None = None
         self.observed_ms = float("-inf")
+        self.paused_until_ms = float("-inf")
+        self.is_leaving = False
         self._target_id = target_id
         self._logged_invalid: set[str] = set()
 
@@ -42,17 +48,44 @@
                 ended. Probes and refusals need not name it.
 
         Returns:
-            Whether the limit has changed.
+            Whether there is news for the peers. A pause holds for the entry
+            whose request was turned away, and is not reported.
         """
         for name in set(announcement.invalid) - self._logged_invalid:
             self._logged_invalid.add(name)
             _LOG.warning(
                 "announcement_invalid", target=self._target_id, header=name
             )
+        if announcement.pause_ms is not None:
+            self._pause(announcement.pause_ms, now_ms)
+        has_news = announcement.is_leaving and self.adopt_leaving("target")
         limit_per_s = announcement.rate_limit_per_s
         if limit_per_s is None and (announcement.invalid or not is_conclusive):
+            return has_news
+        return self.adopt_rate_limit(limit_per_s, now_ms, "target") or has_news
+
+    def _pause(self, pause_ms: float, now_ms: float) -> None:
+        until_ms = now_ms + pause_ms
+        if until_ms <= self.paused_until_ms:
+            return
+        _LOG.notice(
+            "target_pause_announced", target=self._target_id, pause_ms=pause_ms
+        )
+        self.paused_until_ms = until_ms
+
+    def adopt_leaving(self, source: str) -> bool:
+        """Adopt that the target leaves, and return whether this is new.
+
+        Args:
+            source: Where the news comes from, for the log.
+        """
+        if self.is_leaving:
             return False
-        return self.adopt_rate_limit(limit_per_s, now_ms, "target")
+        self.is_leaving = True
+        _LOG.notice(
+            "target_leaving_announced", target=self._target_id, source=source
+        )
+        return True
 
     def adopt_rate_limit(
         self, limit_per_s: float | None, observed_ms: float, source: str
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -12,6 +12,7 @@
 from slatechute import logs
 from slatechute import messages
 from slatechute import metrics
+from slatechute.gateway import announcement_sharing
 from slatechute.gateway import balancing
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import connections
@@ -125,8 +126,14 @@
     def _create_components(self) -> None:
         settings = self.settings
         self._sharing = sharing.LoadSharing(settings, self.boot_id, self.clock)
+        self._announcements = announcement_sharing.AnnouncementSharing(
+            self.clock, lambda load: self._pool.close_idle(load.target.address)
+        )
         self._token_sharing = token_sharing.TokenSharing(
-            settings, self.clock, lambda: self._role.is_active
+            settings,
+            self.clock,
+            self._announcements,
+            lambda: self._role.is_active,
         )
         self.balancer = balancing.Balancer(
             settings.data_centre,
@@ -141,6 +148,7 @@
             lambda peer: self.balancer.forget_peer(peer.presence.entry_id),
         )
         self._sharing.attach(self.group, self.balancer)
+        self._announcements.attach(self.group, self.balancer)
         self._token_sharing.attach(self.group, self.balancer)
         self._pool = connections.ConnectionPool()
         self._peer_client = connections.HttpClient()
@@ -153,7 +161,7 @@
             self.metrics,
             self._broadcast_crash,
             self._sharing.schedule_report,
-            self._token_sharing.report,
+            self._announcements.report,
         )
         self._prober = sharing.LoadProber(
             settings,
@@ -164,7 +172,7 @@
             self.clock,
             self.metrics,
             self._sharing,
-            self._token_sharing.report,
+            self._announcements.report,
             lambda: self._role.is_active,
         )
         self._caller_server = server.CallerServer(
@@ -277,6 +285,7 @@
         return (
             ("queues", 0, lambda: self.balancer.tick(now_ms())),
             ("tokens", 0, lambda: self._token_sharing.tick()),
+            ("announcements", 1_000, lambda: self._announcements.tick()),
             ("sharing", 50, lambda: self._sharing.tick()),
             ("behind", 50, lambda: self._check_behind(now_ms())),
             ("peers", 100, lambda: self.group.tick()),
@@ -510,8 +519,8 @@
             self._token_sharing.handle_request(peer, message)
         elif isinstance(message, messages.TokenGrant):
             self._token_sharing.handle_grant(message)
-        elif isinstance(message, messages.RateLimitReport):
-            self._token_sharing.handle_report(peer, message)
+        elif isinstance(message, messages.AnnouncementReport):
+            self._announcements.handle_report(peer, message)
         elif isinstance(message, messages.PublishedChanges):
             self._apply_changes(peer, message)
         elif isinstance(message, messages.CrashReport):
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -167,11 +167,22 @@
         """
         throughput_per_ms = self.throughput_per_ms(work_ms, limit_ms, now_ms)
         if throughput_per_ms <= 0:
-            return float("inf")
+            return self._resume_ms(now_ms) - now_ms
         return (
             ahead + sum(self.peer_waiting_by_id.values()) + 1
         ) / throughput_per_ms
 
+    def _resume_ms(self, now_ms: float) -> float:
+        """Return when the first announced pause ends, or infinity."""
+        return min(
+            (
+                load.announced.paused_until_ms
+                for load in self.load_by_id.values()
+                if load.announced.paused_until_ms > now_ms
+            ),
+            default=math.inf,
+        )
+
 
 class Balancer:
     """Targets of all services and the requests that wait for them.
@@ -233,6 +244,10 @@
         if load is not None:
             self.pool(load.target.service).load_by_id.pop(target_id, None)
 
+    def is_listed(self, load: loads.TargetLoad) -> bool:
+        """Return whether requests are sent to a target."""
+        return self.load_by_id.get(load.target.id) is load
+
     def forget_peer(self, entry_id: str) -> None:
         """Drop the request counts of a removed peer."""
         for load in self.load_by_id.values():
@@ -518,12 +533,12 @@
             for load in pool.load_by_id.values()
         )
 
-    def _is_rate_limited(self, pool: ServicePool, now_ms: float) -> bool:
-        """Return whether no target can take a request for lack of tokens."""
+    def _is_held_back(self, pool: ServicePool, now_ms: float) -> bool:
+        """Return whether all targets have announced to take no request now."""
         return all(
-            load.lacks_token(now_ms) and load.tokens.is_scarce(now_ms)
+            load.announced.paused_until_ms > now_ms
+            or (load.lacks_token(now_ms) and load.tokens.is_scarce(now_ms))
             for load in pool.load_by_id.values()
-            if not load.is_paused(now_ms)
         )
 
     def _try_start_queued(
@@ -547,7 +562,7 @@
         work_ms = pool.model.work_ms(request.work_key)
         if now_ms + work_ms > request.deadline_ms:
             return True
-        return self._is_rate_limited(pool, now_ms) and not self._may_be_in_time(
+        return self._is_held_back(pool, now_ms) and not self._may_be_in_time(
             pool, request, now_ms
         )
 
--- a/slatechute/gateway/dialects.py
+++ b/slatechute/gateway/dialects.py
@@ -44,10 +44,15 @@
     Attributes:
         rate_limit_per_s: Requests a second that it takes from all entries
             together, None if it names no limit.
+        pause_ms: How long it wants no request from this entry, None if it did
+            not turn the request away for a time.
+        is_leaving: Whether it is leaving and accepts no new requests.
         invalid: Names of headers whose values cannot be used.
     """
 
     rate_limit_per_s: float | None = None
+    pause_ms: float | None = None
+    is_leaving: bool = False
     invalid: tuple[str, ...] = ()
 
 
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -453,6 +453,8 @@
             failure = self._classify_response(request, exchange, response)
         finally:
             self._handle_exchange_end(exchange)
+            if load.announced.is_leaving:
+                self._pool.close_idle(target.address)
         step["result"] = failure.reason if failure else response.status
         if failure is None:
             return response
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -346,7 +346,9 @@
 
     def is_paused(self, now_ms: float) -> bool:
         """Return whether no request is sent to the target for now."""
-        return now_ms < self.paused_until_ms
+        return now_ms < max(
+            self.paused_until_ms, self.announced.paused_until_ms
+        )
 
     def lacks_token(self, now_ms: float) -> bool:
         """Return whether the rate limit of the target allows no request now."""
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -398,6 +398,14 @@
         await asyncio.sleep(random.random() * self._min_interval_s)
         try:
             while True:
+                paused_ms = (
+                    load.announced.paused_until_ms - self._clock.now_ms()
+                )
+                if paused_ms > 0:
+                    await asyncio.sleep(
+                        min(paused_ms / 1000, _MAX_PROBE_SLEEP_S)
+                    )
+                    continue
                 interval_s = self._interval_s(load)
                 age_s = (self._clock.now_ms() - load.reported_ms) / 1000
                 if age_s < interval_s:
--- a/slatechute/gateway/token_sharing.py
+++ b/slatechute/gateway/token_sharing.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from slatechute import logs
 from slatechute import messages
 from slatechute import ownership
+from slatechute.gateway import announcement_sharing
 from slatechute.gateway import balancing
 from slatechute.gateway import loads
 from slatechute.gateway import peers as peer_groups
@@ -15,13 +15,8 @@
 
 __all__ = ["TokenSharing"]
 
-_LOG = logs.get_logger(__name__)
-
 # More tokens would expire before they are used.
 _MAX_TOKENS = 64
-# A changed limit is reported to the peers at most this often; its begin and end
-# are reported at once.
-_REPORT_INTERVAL_MS = 200.0
 
 
 class TokenSharing:
@@ -30,6 +25,7 @@
     Args:
         settings: Settings of the entry.
         clock: Monotonic clock.
+        announcements: Adopts the limits that requests for tokens tell.
         is_active: Returns whether this entry is active.
     """
 
@@ -37,19 +33,18 @@
         self,
         settings: gateway_settings.GatewaySettings,
         clock: clocks.Clock,
+        announcements: announcement_sharing.AnnouncementSharing,
         is_active: Callable[[], bool],
     ):
         self.group: peer_groups.PeerGroup | None = None
         self.balancer: balancing.Balancer | None = None
         self._settings = settings
         self._clock = clock
+        self._announcements = announcements
         self._is_active = is_active
         self._allocator_by_load: dict[
             loads.TargetLoad, rate_limits.TokenAllocator
         ] = {}
-        self._reported_by_load: dict[
-            loads.TargetLoad, tuple[float, float | None]
-        ] = {}
 
     def attach(
         self, group: peer_groups.PeerGroup, balancer: balancing.Balancer
@@ -75,8 +70,12 @@
         if allocator_id == self._settings.entry_id:
             self._allocate_to(load, allocator_id, count)
             return
+        announced = load.announced
         request = messages.TokenRequest(
-            load.target.id, count, *_announced(load, self._clock.now_ms())
+            load.target.id,
+            count,
+            announced.rate_limit_per_s,
+            self._clock.now_ms() - announced.observed_ms,
         )
         self.group.broadcast(request, self._peers(allocator_id))
 
@@ -110,10 +109,12 @@
         load = self.balancer.load_by_id.get(message.target_id)
         if load is None:
             return
-        self._adopt(peer, load, message.limit_per_s, message.age_ms)
+        self._announcements.adopt_rate_limit(
+            peer, load, message.limit_per_s, message.age_ms
+        )
         if load.announced.rate_limit_per_s is None:
             # The peer has missed the report that the limit has ended.
-            self.group.broadcast(self._report(load), [peer])
+            self._announcements.report_to(load, [peer])
         elif self._allocator_id(load) == self._settings.entry_id:
             count = min(_MAX_TOKENS, message.count)
             self._allocate_to(load, peer.presence.entry_id, count)
@@ -151,74 +152,13 @@
             self.group.broadcast(grant, self._peers(entry_id))
 
     def tick(self) -> None:
-        """Allocate new tokens and forget targets that need none any more."""
+        """Allocate new tokens, and stop to where another entry does."""
         for load, allocator in list(self._allocator_by_load.items()):
             if (
                 load.announced.rate_limit_per_s is None
-                or not self._is_listed(load)
+                or not self.balancer.is_listed(load)
                 or self._allocator_id(load) != self._settings.entry_id
             ):
                 del self._allocator_by_load[load]
             else:
                 self._allocate(load, allocator)
-        for load in list(self._reported_by_load):
-            if not self._is_listed(load):
-                del self._reported_by_load[load]
-
-    def _is_listed(self, load: loads.TargetLoad) -> bool:
-        return self.balancer.load_by_id.get(load.target.id) is load
-
-    # News about limits.
-
-    def report(self, load: loads.TargetLoad) -> None:
-        """Report a changed limit that this entry has observed."""
-        now_ms = self._clock.now_ms()
-        limit_per_s = load.announced.rate_limit_per_s
-        reported_ms, reported_per_s = self._reported_by_load.get(
-            load, (float("-inf"), None)
-        )
-        is_same_state = (limit_per_s is None) == (reported_per_s is None)
-        if is_same_state and now_ms - reported_ms < _REPORT_INTERVAL_MS:
-            return
-        self._reported_by_load[load] = now_ms, limit_per_s
-        peers = [
-            peer for peer in self.group.live_peers() if peer.presence.is_active
-        ]
-        self.group.broadcast(self._report(load), peers)
-
-    def _report(self, load: loads.TargetLoad) -> messages.RateLimitReport:
-        return messages.RateLimitReport(
-            load.target.id, *_announced(load, self._clock.now_ms())
-        )
-
-    def handle_report(
-        self, peer: peer_groups.Peer, message: messages.RateLimitReport
-    ) -> None:
-        """Adopt a limit that a peer has observed."""
-        load = self.balancer.load_by_id.get(message.target_id)
-        if load is not None:
-            self._adopt(peer, load, message.limit_per_s, message.age_ms)
-            if load.announced.rate_limit_per_s is None:
-                self.balancer.dispatch_waiting(
-                    load.target.service, self._clock.now_ms()
-                )
-
-    def _adopt(
-        self,
-        peer: peer_groups.Peer,
-        load: loads.TargetLoad,
-        limit_per_s: float | None,
-        age_ms: float,
-    ) -> None:
-        observed_ms = self._clock.now_ms() - max(0.0, age_ms)
-        load.announced.adopt_rate_limit(
-            limit_per_s, observed_ms, peer.presence.entry_id
-        )
-
-
-def _announced(
-    load: loads.TargetLoad, now_ms: float
-) -> tuple[float | None, float]:
-    """Return the limit of a target and the age of the knowledge in ms."""
-    announced = load.announced
-    return announced.rate_limit_per_s, now_ms - announced.observed_ms
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -383,20 +383,24 @@
 
 
 @dataclasses.dataclass(slots=True)
-class RateLimitReport(Message):
-    """Report the rate limit that a target has announced in a response.
+class AnnouncementReport(Message):
+    """Report what a target has announced about itself in a response.
 
     Attributes:
         target_id: Id of the target.
+        incarnation: Number of its process start.
         limit_per_s: Requests a second that it takes from all entries together;
             None if it names no limit.
         age_ms: Age of the response.
+        is_leaving: Whether it takes no new requests any more.
     """
 
     TAG: ClassVar[int] = 21
     target_id: str
+    incarnation: int
     limit_per_s: float | None
     age_ms: float
+    is_leaving: bool
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -99,7 +99,11 @@
             signed="signed" in headers,
             not_run="not-run" in headers or status == 421,
             wrong_target=status == 421,
-            announcement=dialects.Announcement(float(limit) if limit else None),
+            announcement=dialects.Announcement(
+                float(limit) if limit else None,
+                float(headers["pause"]) if "pause" in headers else None,
+                "leaving" in headers,
+            ),
         )
 
     def refusal_headers(self, retry_after_s: float) -> dict[str, str]:
--- a/tests/gateway/token_fleet.py
+++ b/tests/gateway/token_fleet.py
@@ -13,6 +13,7 @@
 
 from slatechute import errors
 from slatechute import messages
+from slatechute.gateway import announcement_sharing
 from slatechute.gateway import balancing
 from slatechute.gateway import dialects
 from slatechute.gateway import peers as peer_groups
@@ -72,15 +73,20 @@
         settings = builders.gateway_settings(
             entry_id=self.id, data_centre=data_centre
         )
+        self.announcements = announcement_sharing.AnnouncementSharing(
+            fleet.clock
+        )
         self.sharing = token_sharing.TokenSharing(
-            settings, fleet.clock, lambda: True
+            settings, fleet.clock, self.announcements, lambda: True
         )
         self.balancer = balancing.Balancer(
             data_centre,
             generator=fleet.random,
             on_token_request=self.sharing.request,
         )
-        self.sharing.attach(_Group(fleet, self.id, data_centre), self.balancer)
+        group = _Group(fleet, self.id, data_centre)
+        self.announcements.attach(group, self.balancer)
+        self.sharing.attach(group, self.balancer)
         self.told_ms_by_target: dict[str, float] = {}
 
     def receive(self, sender: peer_groups.Peer, frame: bytes) -> None:
@@ -90,7 +96,7 @@
         elif isinstance(message, messages.TokenGrant):
             self.sharing.handle_grant(message)
         else:
-            self.sharing.handle_report(sender, message)
+            self.announcements.handle_report(sender, message)
 
 
 @dataclasses.dataclass
@@ -253,7 +259,7 @@
             if exchange.load.announced.observe(
                 dialects.Announcement(limit_per_s), end_ms, is_conclusive=True
             ):
-                entry.sharing.report(exchange.load)
+                entry.announcements.report(exchange.load)
             entry.balancer.handle_exchange_end(exchange.load, end_ms)
 
         self.at(self._work_ms, respond)
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -190,6 +190,33 @@
     assert announcement.invalid
 
 
+def test_pause_of_a_target():
+    """Only a target that turns a request away wants nothing for a time."""
+
+    def pause_ms(status, text):
+        metadata = _WIRE.parse_response(status, {"retry-after": text})
+        return metadata.announcement.pause_ms
+
+    assert pause_ms(503, "1.5") == 1500.0
+    assert pause_ms(200, "1.5") is None
+    assert pause_ms(503, "Fri, 04 Dec 2026 08:00:00 GMT") is None
+    assert pause_ms(503, "-1") is None
+
+
+def test_target_that_leaves():
+    """Another value than 1 must not take a target out of use."""
+
+    def announcement(**headers):
+        return _WIRE.parse_response(200, headers).announcement
+
+    assert not announcement().is_leaving
+    assert announcement(**{"server-leaving": "1"}).is_leaving
+    assert not announcement(**{"server-leaving": "0"}).is_leaving
+    invalid = announcement(**{"server-leaving": "1, 1"})
+    assert not invalid.is_leaving
+    assert invalid.invalid
+
+
 def test_deadline_of_a_caller():
     """An invalid value must not be treated like a missing deadline."""
     assert _WIRE.deadline_ms({}) is None
