--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -394,14 +394,19 @@
     def _steady_ms(self) -> float:
         """Return the longest uninterrupted connection to the platform in ms.
 
-        Counts this entry and the peers that do not know a newer revision.
+        Counts this entry and the peers that do not know a newer revision. A
+        peer whose view is of an earlier era has not seen the platform since it
+        was restored.
         """
         now_ms = self.clock.now_ms()
+        view = self.catalogue.view
         known = [
             peer.presence.steady_ms
             for peer in self.group.live_peers()
             if now_ms - peer.last_received_ms < _MAX_HEARTBEAT_AGE_MS
-            and peer.presence.revision <= self.catalogue.view.revision
+            and peer.presence.revision <= view.revision
+            and published.era_of(peer.presence.revision)
+            == published.era_of(view.revision)
         ]
         return max(self._reader.steady_ms(), *known, 0.0)
 
--- a/slatechute/gateway/catalogue.py
+++ b/slatechute/gateway/catalogue.py
@@ -84,27 +84,51 @@
         source: Source,
     ) -> None:
         """Adopt changes up to a revision."""
-        self._adopt(self.view.apply(changes, revision), source)
+        self._adopt(self.view.apply(changes, revision), source, False)
 
     def replace(
         self, items: list[dialects.PublishedItem], revision: int, source: Source
     ) -> None:
-        """Adopt the complete set of published items as of a revision."""
-        self._adopt(self.view.replace(items, revision), source)
+        """Adopt the complete set of published items as of a revision.
+
+        After the platform was restored from a copy, the operator and the
+        targets write again what the copy lacks. Until then the newest
+        configuration stays in force, and known targets stay in use like those
+        whose registrations expire during an outage.
+        """
+        is_restored = self.view.revision > 0 and self.view.is_older_era(
+            revision
+        )
+        if is_restored:
+            _LOG.warning(
+                "platform_restored",
+                era=published.era_of(revision),
+                revision=published.revision_of(revision),
+                replaced=published.revision_of(self.view.revision),
+                source=source.name,
+            )
+        self._adopt(self.view.replace(items, revision), source, is_restored)
 
     def _adopt(
-        self, changes: list[dialects.PublishedItem], source: Source
+        self,
+        changes: list[dialects.PublishedItem],
+        source: Source,
+        is_restored: bool,
     ) -> None:
         for item in changes:
             # The view holds all changes already and does not return them
             # again, so an error must not skip the remaining ones.
             steps.run_step(
-                _LOG, "adopt", functools.partial(self._adopt_item, item, source)
+                _LOG,
+                "adopt",
+                functools.partial(self._adopt_item, item, source, is_restored),
             )
 
-    def _adopt_item(self, item: dialects.PublishedItem, source: Source) -> None:
+    def _adopt_item(
+        self, item: dialects.PublishedItem, source: Source, is_restored: bool
+    ) -> None:
         if self._dialect.is_target_key(item.key):
-            self._adopt_target(item, source)
+            self._adopt_target(item, source, is_restored)
         elif item.value is not None:
             self._adopt_table(item, source)
 
@@ -136,13 +160,15 @@
         self._observer.routing_adopted(table)
 
     def _adopt_target(
-        self, item: dialects.PublishedItem, source: Source
+        self, item: dialects.PublishedItem, source: Source, is_restored: bool
     ) -> None:
         current = self._target_by_key.get(item.key)
         target = (
             None if item.value is None else self._dialect.parse_target(item)
         )
-        if target is not None and self._is_outdated(item.key, target):
+        if target is not None and self._is_outdated(
+            item.key, target, is_restored
+        ):
             _LOG.warning(
                 "target_entry_overtaken",
                 target=target.id,
@@ -156,13 +182,24 @@
         elif current is not None:
             self._handle_removal(item, current, source)
 
-    def _is_outdated(self, key: str, target: dialects.PublishedTarget) -> bool:
+    def _is_outdated(
+        self, key: str, target: dialects.PublishedTarget, is_restored: bool
+    ) -> bool:
         """Return whether a registration is older than one already seen.
 
-        A delayed write may arrive after the registration was removed.
+        A delayed write may arrive after the registration was removed, and a
+        copy of the platform has registrations that were removed since.
         """
         version = (target.incarnation, target.sequence)
-        if version < self._newest_version_by_key.get(key, version):
+        newest = self._newest_version_by_key.get(key)
+        if newest is not None and (
+            version < newest
+            or (
+                is_restored
+                and version == newest
+                and key not in self._target_by_key
+            )
+        ):
             return True
         self._newest_version_by_key[key] = version
         if len(self._newest_version_by_key) > _MAX_REMEMBERED_TARGETS:
--- a/slatechute/gateway/published.py
+++ b/slatechute/gateway/published.py
@@ -3,19 +3,49 @@
 The view holds the newest value of each key and the revision up to which it is
 complete. The views of two entries differ only by that revision, so an entry
 that cannot read the platform adopts the whole view of a peer with a higher one.
+
+The platform may be restored from an older copy of its content. Its revisions
+then go back and are given out again, and its *era* rises. All revisions here
+are therefore positions, which have the era in their upper bits and order by era
+first. Nothing is known of the changes between two eras, so that a view of an
+older era is replaced as a whole.
 """
 
 from collections.abc import Iterable
 
 from slatechute.gateway import dialects
 
-__all__ = ["PublishedView"]
+__all__ = ["PublishedView", "era_of", "position", "revision_of"]
+
+# At 13,000 changes a day, revisions stay below it for 200,000 years.
+_REVISIONS_PER_ERA = 1 << 40
+# Positions are encoded as 64-bit integers.
+MAX_ERA = (1 << 22) - 1
 
 # Revisions of removed keys are kept, so that a late event does not restore a
 # removed key. The limit is far above the number of removals within one watch.
 _MAX_TOMBSTONES = 4096
 
 
+def position(era: int, revision: int) -> int:
+    """Return the position of a revision of the platform within an era.
+
+    >>> position(0, 7), position(2, 1) > position(1, 9)
+    (7, True)
+    """
+    return era * _REVISIONS_PER_ERA + revision
+
+
+def era_of(position: int) -> int:
+    """Return the era of a position."""
+    return position // _REVISIONS_PER_ERA
+
+
+def revision_of(position: int) -> int:
+    """Return the revision of the platform at a position."""
+    return position % _REVISIONS_PER_ERA
+
+
 class PublishedView:
     """Newest published items by key.
 
@@ -83,8 +113,9 @@
 
         A missing key was removed, unless it changed after the revision.
         """
-        if self._first_revision is None:
+        if self._first_revision is None or self.is_older_era(revision):
             self._first_revision = revision
+            self._tombstones.clear()
         listed = {item.key: item for item in items}
         removed = [
             dialects.PublishedItem(key, revision, None)
@@ -93,7 +124,13 @@
         ]
         return self.apply([*listed.values(), *removed], revision)
 
+    def is_older_era(self, revision: int) -> bool:
+        """Return whether the view is of an earlier era than a revision."""
+        return era_of(self.revision) < era_of(revision)
+
     def _apply_item(self, item: dialects.PublishedItem) -> bool:
+        if era_of(item.revision) < era_of(self.revision):
+            return False
         current = self._item_by_key.get(item.key)
         if current is not None and current.revision >= item.revision:
             return False
--- a/slatechute/gateway/reader.py
+++ b/slatechute/gateway/reader.py
@@ -36,11 +36,17 @@
 
 
 class HistoryCompactedError(errors.PlatformError):
-    """The platform has discarded the changes after a revision."""
+    """The platform does not have the changes after a revision.
+
+    It has discarded them, or was restored from a copy.
+    """
 
 
 class PublishedSource(Protocol):
-    """Client of the platform service."""
+    """Client of the platform service.
+
+    Revisions are positions as in `published`.
+    """
 
     async def snapshot(self) -> Snapshot:
         """Return all items and the revision up to which they are complete.
@@ -166,6 +172,10 @@
         if not self._has_snapshot:
             items, revision = await self._source.snapshot()
             self._record_success()
+            if self._catalogue.view.is_older_era(revision):
+                # Registrations that the copy lacks count as expired for as long
+                # as the targets need to write them again.
+                self._connected_since_ms = self._clock.now_ms()
             self._catalogue.replace(items, revision, self._describe_source())
             self._has_snapshot = True
             self._on_change()
--- a/tests/gateway/small_fleet.py
+++ b/tests/gateway/small_fleet.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 
 from slatechute import errors
 from slatechute.gateway import application
 from slatechute.gateway import dialects
+from slatechute.gateway import published
 from slatechute.gateway import reader
 from slatechute.gateway import routing
 from tests import waiting
@@ -18,6 +20,7 @@
 
     def __init__(self):
         self.items: dict[str, dialects.PublishedItem] = {}
+        self.era = 0
         self.revision = 0
         self.is_down = False
         self.compacted_revision = 0
@@ -26,18 +29,43 @@
 
     def put(self, key: str, value: bytes | None) -> int:
         self.revision += 1
-        item = dialects.PublishedItem(key, self.revision, value)
+        item = dialects.PublishedItem(key, self._position(self.revision), value)
         self.items[key] = item
+        self._notify()
+        return self.revision
+
+    def _position(self, revision: int) -> int:
+        return published.position(self.era, revision)
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return self.revision
+
+    def copy(self) -> tuple[dict[str, dialects.PublishedItem], int]:
+        """Return a copy for `restore`."""
+        return dict(self.items), self.revision
+
+    def restore(
+        self, copy: tuple[dict[str, dialects.PublishedItem], int]
+    ) -> None:
+        """Come back from an earlier copy."""
+        items, self.revision = copy
+        self.era += 1
+        self.items = {
+            key: dataclasses.replace(
+                item,
+                revision=self._position(published.revision_of(item.revision)),
+            )
+            for key, item in items.items()
+        }
+        self._notify()
 
     async def snapshot(self) -> reader.Snapshot:
         self.calls += 1
         if self.is_down:
             raise errors.PlatformError("down")
         present = [i for i in self.items.values() if i.value is not None]
-        return present, self.revision
+        return present, self._position(self.revision)
 
     async def watch(self, after: int, wait_s: float) -> reader.Snapshot:
         self.calls += 1
@@ -45,12 +73,14 @@
             raise errors.PlatformError("down")
         if after < self.compacted_revision:
             raise reader.HistoryCompactedError("gone")
-        if self.revision <= after:
+        if self._position(self.revision) <= after:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
+        if self.era != published.era_of(after):
+            raise reader.HistoryCompactedError("restored")
         changes = [i for i in self.items.values() if i.revision > after]
-        return changes, self.revision
+        return changes, self._position(self.revision)
 
 
 class SmallFleet:
@@ -69,7 +99,7 @@
         services: tuple[routing.Service, ...] = (),
     ) -> None:
         table = routing.RoutingTable(version, routes, services)
-        revision = self.source.revision + 1
+        revision = published.position(self.source.era, self.source.revision + 1)
         self.dialect.table_by_revision[revision] = table
         self.source.put("c", b"x")
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -210,6 +210,12 @@
     "platform_history_gone": ["revision"],
     "platform_lost": ["error", "revision"],
     "platform_reading": ["active"],
+    "platform_restored": [
+        "era",
+        "replaced",
+        "revision",
+        "source",
+    ],
     "platform_regained": ["revision"],
     "probe_failed": ["error", "target"],
     "process_paused": ["ms"],
