--- a/tests/gateway/test_leaving_and_pauses.py
+++ b/tests/gateway/test_leaving_and_pauses.py
@@ -14,6 +14,7 @@
 from tests.gateway import builders
 from tests.gateway import scripted_target
 from tests.gateway import small_fleet
+from tests.gateway import token_fleet
 
 
 async def _get(app, number=0):
@@ -235,3 +236,15 @@
         load.record_refusal(exchange, 0.0)
     assert load.is_paused(99.0)
     assert not load.is_paused(101.0)
+
+
+@pytest.mark.parametrize("entries", [4, 18, 100])
+def test_pause_of_half_of_the_targets_costs_no_request(entries):
+    """A target is asked by each entry, and again and again, while it pauses."""
+    fleet = token_fleet.TokenFleet(entries, 15, data_centres=4)
+    fleet.run(2.0, 300.0)
+    fleet.pause(3_000.0, fleet.target_ids[::2])
+    fleet.run(4.0, 300.0)
+    # The users' bound for each entry and target.
+    assert fleet.most_at_a_paused_target() <= 2
+    assert fleet.refused + fleet.late <= 0.02 * 4 * 300
--- a/tests/gateway/token_fleet.py
+++ b/tests/gateway/token_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import heapq
@@ -114,6 +115,8 @@
 
     Attributes:
         limit_per_s_by_target: Limit that each target announces now, if any.
+        paused_until_ms_by_target: Until when targets turn requests away with an
+            announced pause.
         arrivals: Requests at the targets.
         refused: Requests that were refused.
         late: Requests that were answered after their objective.
@@ -134,11 +137,13 @@
         self.clock = clocks.ManualClock(1_000.0)
         self.random = random.Random(seed)
         self.limit_per_s_by_target: dict[str, float] = {}
+        self.paused_until_ms_by_target: dict[str, float] = {}
         self.arrivals: list[Arrival] = []
         self.refused = 0
         self.late = 0
         self.longest_refused_wait_ms = 0.0
         self.loss_share = 0.0
+        self.paused_ms = 0.0
         self._work_ms = work_ms
         self._latency_ms = latency_ms
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -211,16 +216,18 @@
             # Runs what the entries have scheduled for themselves.
             await asyncio.sleep(0)
 
-    def _request(self, entry: _Entry) -> None:
+    def _request(
+        self, entry: _Entry, request: balancing.DispatchRequest | None = None
+    ) -> None:
         now_ms = self.clock.now_ms()
-        request = builders.dispatch_request(
+        request = request or builders.dispatch_request(
             now_ms,
             objective_ms=now_ms + OBJECTIVE_MS,
             deadline_ms=now_ms + _DEADLINE_MS,
         )
         exchange = entry.balancer.try_start(request, now_ms)
         if exchange is not None:
-            self._exchange(entry, exchange)
+            self._exchange(entry, exchange, request)
         elif (
             entry.balancer.decide(request, now_ms) is balancing.Decision.REFUSE
         ):
@@ -236,11 +243,11 @@
                     )
                     return
                 self.late += waited_ms + self._work_ms > OBJECTIVE_MS
-                self._exchange(entry, result)
+                self._exchange(entry, result, request)
 
             entry.balancer.enqueue(balancing.QueuedRequest(request, on_result))
 
-    def _exchange(self, entry: _Entry, exchange) -> None:
+    def _exchange(self, entry: _Entry, exchange, request) -> None:
         now_ms = self.clock.now_ms()
         target_id = exchange.load.target.id
         told_ms = entry.told_ms_by_target.get(target_id, float("inf"))
@@ -248,6 +255,14 @@
             Arrival(now_ms, entry.id, target_id, now_ms > told_ms + _SETTLE_MS)
         )
 
+        pause_ms = self.paused_until_ms_by_target.get(target_id, 0.0) - now_ms
+        if pause_ms > 0:
+            self.at(
+                self._latency_ms,
+                lambda: self._turn_away(entry, exchange, request, pause_ms),
+            )
+            return
+
         def respond():
             if not entry.is_up:
                 return
@@ -264,6 +279,43 @@
 
         self.at(self._work_ms, respond)
 
+    def _turn_away(self, entry: _Entry, exchange, request, pause_ms) -> None:
+        now_ms = self.clock.now_ms()
+        exchange.load.announced.observe(
+            dialects.Announcement(pause_ms=pause_ms),
+            now_ms,
+            is_conclusive=False,
+        )
+        exchange.load.record_refusal(exchange, now_ms)
+        entry.balancer.handle_exchange_end(exchange.load, now_ms)
+        request.excluded |= {exchange.load.target.id}
+        self._request(entry, request)
+
+    def most_at_a_paused_target(self) -> int:
+        """Return the most requests of an entry at a target it knew to pause.
+
+        It knows of the pause half a second after the first request that was
+        turned away.
+        """
+        first_ms: dict[tuple[str, str], float] = {}
+        counts = collections.Counter()
+        for item in self.arrivals:
+            until_ms = self.paused_until_ms_by_target.get(item.target_id, 0.0)
+            key = item.entry_id, item.target_id
+            if item.at_ms >= until_ms or item.at_ms < self.paused_ms:
+                continue
+            first_ms.setdefault(key, item.at_ms)
+            counts[key] += item.at_ms > first_ms[key] + _SETTLE_MS
+        return max(counts.values(), default=0)
+
+    def pause(self, pause_ms: float, target_ids: list[str]) -> None:
+        """Let targets turn requests away for some time."""
+        self.paused_ms = self.clock.now_ms()
+        for target_id in target_ids:
+            self.paused_until_ms_by_target[target_id] = (
+                self.paused_ms + pause_ms
+            )
+
     def arrivals_at(self, target_id: str, since_ms: float = 0.0) -> int:
         """Return the number of requests at a target since a time."""
         return sum(
