--- a/slatechute/gateway/announcement_sharing.py
+++ b/slatechute/gateway/announcement_sharing.py
@@ -47,12 +47,14 @@
     ) -> None:
         """Report to some peers what a target has announced."""
         announced = load.announced
+        now_ms = self._clock.now_ms()
         report = messages.AnnouncementReport(
             load.target.id,
             load.target.incarnation,
             announced.rate_limit_per_s,
-            self._clock.now_ms() - announced.observed_ms,
+            now_ms - announced.observed_ms,
             announced.is_leaving,
+            max(0.0, announced.paused_until_ms - now_ms),
         )
         self.group.broadcast(report, peers)
 
@@ -66,10 +68,9 @@
         if message.is_leaving:
             load.announced.adopt_leaving(peer.presence.entry_id)
             self._remove(load)
-        else:
-            self.adopt_rate_limit(
-                peer, load, message.limit_per_s, message.age_ms
-            )
+            return
+        load.announced.adopt_pause(message.pause_ms, self._clock.now_ms())
+        self.adopt_rate_limit(peer, load, message.limit_per_s, message.age_ms)
 
     def adopt_rate_limit(
         self,
--- a/slatechute/gateway/announcements.py
+++ b/slatechute/gateway/announcements.py
@@ -10,6 +10,10 @@
 
 _LOG = logs.get_logger(__name__)
 
+# Two entries that are turned away learn ends of the same pause that differ by
+# the time of their responses.
+_SAME_PAUSE_MS = 500.0
+
 
 class AnnouncedState:
     """What one target has announced, as far as this entry knows.
@@ -20,6 +24,8 @@
         observed_ms: Clock time of the response that told so.
         paused_until_ms: Clock time until which the target wants no request
             from this entry.
+        avoided_until_ms: Clock time until which the target wants no request
+            from some other entry.
         is_leaving: Whether the target takes no new requests any more. A target
             does not return from this: a new start has another registration.
     """
@@ -28,6 +34,7 @@
         self.rate_limit_per_s: float | None = None
         self.observed_ms = float("-inf")
         self.paused_until_ms = float("-inf")
+        self.avoided_until_ms = float("-inf")
         self.is_leaving = False
         self._target_id = target_id
         self._logged_invalid: set[str] = set()
@@ -48,31 +55,44 @@
                 ended. Probes and refusals need not name it.
 
         Returns:
-            Whether there is news for the peers: a limit begins or ends, or the
-            target leaves. Other values of a limit go with the requests for
-            tokens. A pause holds for the entry that was turned away.
+            Whether there is news for the peers: a limit begins or ends, a pause
+            begins that they may not know, or the target leaves. Other values of
+            a limit go with the requests for tokens.
         """
         for name in set(announcement.invalid) - self._logged_invalid:
             self._logged_invalid.add(name)
             _LOG.warning(
                 "announcement_invalid", target=self._target_id, header=name
             )
+        has_news = False
         if announcement.pause_ms is not None:
-            self._pause(announcement.pause_ms, now_ms)
-        has_news = announcement.is_leaving and self.adopt_leaving("target")
+            has_news = self._pause(announcement.pause_ms, now_ms)
+        if announcement.is_leaving:
+            has_news |= self.adopt_leaving("target")
         limit_per_s = announcement.rate_limit_per_s
         if limit_per_s is None and (announcement.invalid or not is_conclusive):
             return has_news
         return self.adopt_rate_limit(limit_per_s, now_ms, "target") or has_news
 
-    def _pause(self, pause_ms: float, now_ms: float) -> None:
+    def _pause(self, pause_ms: float, now_ms: float) -> bool:
         until_ms = now_ms + pause_ms
         if until_ms <= self.paused_until_ms:
-            return
+            return False
+        is_known = until_ms <= max(
+            self.paused_until_ms, self.avoided_until_ms + _SAME_PAUSE_MS
+        )
         _LOG.notice(
             "target_pause_announced", target=self._target_id, pause_ms=pause_ms
         )
         self.paused_until_ms = until_ms
+        return not is_known
+
+    def adopt_pause(self, pause_ms: float, now_ms: float) -> None:
+        """Adopt that the target wants no request of a peer for some time.
+
+        It has not said so to this entry, which therefore only avoids it.
+        """
+        self.avoided_until_ms = max(self.avoided_until_ms, now_ms + pause_ms)
 
     def adopt_leaving(self, source: str) -> bool:
         """Adopt that the target leaves, and return whether this is new.
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -284,7 +284,7 @@
         now_ms = self.clock.now_ms
         return (
             ("queues", 0, lambda: self.balancer.tick(now_ms())),
-            ("tokens", 0, lambda: self._token_sharing.tick()),
+            ("tokens", 100, lambda: self._token_sharing.tick()),
             ("sharing", 50, lambda: self._sharing.tick()),
             ("behind", 50, lambda: self._check_behind(now_ms())),
             ("peers", 100, lambda: self.group.tick()),
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -60,6 +60,9 @@
 _MAX_EJECT_MS = 4_000.0
 # A refusal shows a full queue, which has room again once a request finishes.
 _SHED_PAUSE_MS = 25.0
+# A target that has turned requests of a peer away for a time is used when the
+# others are much slower, as it may still take those of this entry.
+_AVOIDED_FACTOR = 4.0
 # A new target that has received no request after this time is preferred once,
 # so that it warms up before it is needed.
 _UNUSED_MS = 1_000.0
@@ -413,6 +416,8 @@
         )
         if not self.sent and now_ms - self._listed_ms > _UNUSED_MS:
             cost *= _UNUSED_FACTOR
+        if now_ms < self.announced.avoided_until_ms:
+            cost *= _AVOIDED_FACTOR
         return cost
 
     # Exchanges of this entry.
--- a/slatechute/gateway/rate_limits.py
+++ b/slatechute/gateway/rate_limits.py
@@ -11,17 +11,15 @@
 """
 
 import collections
-import dataclasses
 import math
 
 __all__ = ["TokenAllocator", "TokenSupply"]
 
 # A token that is used later adds to the requests of a later second.
 _TOKEN_LIFETIME_MS = 400.0
-# Several round trips between data centres. Until then an entry waits for the
-# answer to a request for tokens; later it asks for them elsewhere, and the
-# allocator forgets the request.
-_REQUEST_LIFETIME_MS = 100.0
+# Several round trips between data centres. Without an answer by then, an entry
+# asks for tokens elsewhere.
+_REQUEST_TIMEOUT_MS = 100.0
 # An entry that was denied a token does not ask this allocator again until then.
 _DENIAL_MS = 100.0
 # For this long after a denial, requests are expected to have to wait.
@@ -72,7 +70,7 @@
     def pending(self, now_ms: float) -> int:
         """Return how many tokens may still arrive."""
         if self._pending and (
-            now_ms - self._requested_ms > _REQUEST_LIFETIME_MS
+            now_ms - self._requested_ms > _REQUEST_TIMEOUT_MS
         ):
             self.deny(now_ms)
         return self._pending
@@ -89,38 +87,24 @@
         return now_ms - self._denied_ms < _SCARCE_MS
 
 
-@dataclasses.dataclass(slots=True)
-class _Request:
-    """Tokens that an entry has asked for."""
-
-    count: int
-    received_ms: float
-
-
 class TokenAllocator:
     """Hands out the tokens of one target.
 
     It starts without tokens, as another entry may just have handed out some.
+    Entries that are denied a token ask again; to keep their requests until
+    there are tokens was weighed, but an entry that has asked several targets
+    then gets more tokens than it can use.
     """
 
     def __init__(self, now_ms: float):
         self._level = 0.0
         self._refilled_ms = now_ms
-        # In the order in which the entries get their next token.
-        self._request_by_entry: dict[str, _Request] = {}
-
-    def request(self, entry_id: str, count: int, now_ms: float) -> None:
-        """Ask for tokens, in place of those that the entry still waits for."""
-        request = self._request_by_entry.get(entry_id)
-        if request is None:
-            self._request_by_entry[entry_id] = _Request(count, now_ms)
-        else:
-            request.count, request.received_ms = count, now_ms
 
-    def allocate(self, limit_per_s: float, now_ms: float) -> dict[str, int]:
-        """Return the tokens that entries get now, by entry id.
+    def take(self, count: int, limit_per_s: float, now_ms: float) -> int:
+        """Return how many tokens an entry gets, up to a count.
 
         Args:
+            count: Number of tokens that the entry asks for.
             limit_per_s: Current limit of the target.
             now_ms: Current time.
         """
@@ -130,16 +114,6 @@
         self._level = min(
             1 + limit_per_s * _BURST_S, self._level + limit_per_s * elapsed_s
         )
-        for entry_id, request in list(self._request_by_entry.items()):
-            if now_ms - request.received_ms > _REQUEST_LIFETIME_MS:
-                del self._request_by_entry[entry_id]
-        count_by_entry: dict[str, int] = {}
-        while self._level >= 1 and self._request_by_entry:
-            entry_id = next(iter(self._request_by_entry))
-            request = self._request_by_entry.pop(entry_id)
-            self._level -= 1
-            count_by_entry[entry_id] = count_by_entry.get(entry_id, 0) + 1
-            request.count -= 1
-            if request.count > 0:
-                self._request_by_entry[entry_id] = request
-        return count_by_entry
+        granted = min(count, int(self._level))
+        self._level -= granted
+        return granted
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -397,7 +397,8 @@
         connection = None
         await asyncio.sleep(random.random() * self._min_interval_s)
         try:
-            while True:
+            # The task is only cancelled with the next assignment.
+            while self._balancer.is_listed(load):
                 paused_ms = (
                     load.announced.paused_until_ms - self._clock.now_ms()
                 )
--- a/slatechute/gateway/token_sharing.py
+++ b/slatechute/gateway/token_sharing.py
@@ -127,20 +127,8 @@
         if allocator is None:
             allocator = rate_limits.TokenAllocator(now_ms)
             self._allocator_by_load[load] = allocator
-        allocator.request(entry_id, count, now_ms)
-        count_by_entry = self._allocate(load, allocator)
-        if entry_id not in count_by_entry:
-            self._grant(load, entry_id, 0)
-
-    def _allocate(
-        self, load: loads.TargetLoad, allocator: rate_limits.TokenAllocator
-    ) -> dict[str, int]:
-        count_by_entry = allocator.allocate(
-            load.announced.rate_limit_per_s, self._clock.now_ms()
-        )
-        for entry_id, count in count_by_entry.items():
-            self._grant(load, entry_id, count)
-        return count_by_entry
+        granted = allocator.take(count, load.announced.rate_limit_per_s, now_ms)
+        self._grant(load, entry_id, granted)
 
     def _grant(self, load: loads.TargetLoad, entry_id: str, count: int) -> None:
         """Send tokens to an entry, or 0 if it has to wait for them."""
@@ -152,13 +140,11 @@
             self.group.broadcast(grant, self._peers(entry_id))
 
     def tick(self) -> None:
-        """Allocate new tokens where this entry still is the allocator."""
-        for load, allocator in list(self._allocator_by_load.items()):
+        """End the allocators of targets that need none here any more."""
+        for load in list(self._allocator_by_load):
             if (
                 load.announced.rate_limit_per_s is None
                 or not self.balancer.is_listed(load)
                 or self._allocator_id(load) != self._settings.entry_id
             ):
                 del self._allocator_by_load[load]
-            else:
-                self._allocate(load, allocator)
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -393,6 +393,7 @@
             None if it names no limit.
         age_ms: Age of the response.
         is_leaving: Whether it takes no new requests any more.
+        pause_ms: For how much longer it wants no request from the sender.
     """
 
     TAG: ClassVar[int] = 21
@@ -400,7 +401,8 @@
     incarnation: int
     limit_per_s: float | None
     age_ms: float
-    is_leaving: bool
+    is_leaving: bool = False
+    pause_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/gateway/test_leaving_and_pauses.py
+++ b/tests/gateway/test_leaving_and_pauses.py
@@ -89,6 +89,8 @@
                 sequence=2,
                 warmup_ms=1.0,
             )
+            # A probe may be on its way while the entries learn it.
+            await asyncio.sleep(0.1)
             before = len(leaving.times_s)
             statuses = [
                 await _get(app, number) for number in range(10) for app in apps
--- a/tests/gateway/token_fleet.py
+++ b/tests/gateway/token_fleet.py
@@ -281,11 +281,12 @@
 
     def _turn_away(self, entry: _Entry, exchange, request, pause_ms) -> None:
         now_ms = self.clock.now_ms()
-        exchange.load.announced.observe(
+        if exchange.load.announced.observe(
             dialects.Announcement(pause_ms=pause_ms),
             now_ms,
             is_conclusive=False,
-        )
+        ):
+            entry.announcements.report(exchange.load)
         exchange.load.record_refusal(exchange, now_ms)
         entry.balancer.handle_exchange_end(exchange.load, now_ms)
         request.excluded |= {exchange.load.target.id}
