--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -1,7 +1,10 @@
 """Tests of header names and data formats of the users' platform."""
 
 import json
+import math
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 import wire
 
@@ -223,3 +226,21 @@
     assert _WIRE.deadline_ms({"x-deadline-ms": "1500"}) == 1500.0
     with pytest.raises(ValueError, match="deadline"):
         _WIRE.deadline_ms({"x-deadline-ms": "-5"})
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    status=strategies.integers(100, 599),
+    headers=strategies.dictionaries(
+        strategies.sampled_from(
+            ["server-limit", "server-leaving", "retry-after", "x-server-load"]
+        ),
+        strategies.text(strategies.characters(max_codepoint=255), max_size=20)
+        | strategies.from_regex(r"[0-9.,+\-eE ]{0,12}", fullmatch=True),
+    ),
+)
+def test_any_header_values_are_accepted(status, headers):
+    """An error for an odd value would lose the response of the target."""
+    announcement = _WIRE.parse_response(status, headers).announcement
+    for value in (announcement.rate_limit_per_s, announcement.pause_ms):
+        assert value is None or 0 <= value < math.inf
