--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -314,7 +314,6 @@
             return
         self._tick_before_pause_ms = last_ms
         _LOG.warning("entry_was_paused", ms=now_ms - last_ms)
-        self._links.restart_dialers()
         reachable = self.membership.reachable()
         # The digests are requested before the take-over messages are sent, so
         # that peers announce newer documents before they send the in-flight
--- a/slatechute/peers/dialer.py
+++ b/slatechute/peers/dialer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-import contextlib
 import random
 
 __all__ = ["BACKOFF_MAX_S", "BACKOFF_MIN_S", "Dialer", "backoff_s"]
@@ -43,7 +42,6 @@
         self._is_first = True
         self._unlinked = asyncio.Event()
         self._unlinked.set()
-        self._restarted = asyncio.Event()
         self._linked_at_s = 0.0
         self._task = asyncio.create_task(self._run())
 
@@ -64,15 +62,6 @@
         if lifetime_s >= BACKOFF_MAX_S:
             self._failures = 0
 
-    def restart(self) -> None:
-        """Connect again soon, whatever failed before.
-
-        For a process that was paused: its peers have closed the links because
-        of the pause, and it needs their documents before it serves requests.
-        """
-        self._failures = 0
-        self._restarted.set()
-
     def stop(self) -> None:
         """Stop connecting; an open connection stays open."""
         self._task.cancel()
@@ -80,18 +69,11 @@
     async def _run(self) -> None:
         while True:
             await self._unlinked.wait()
-            await self._wait_delay()
+            await asyncio.sleep(self._delay_s())
             if self._unlinked.is_set():
                 self._failures += 1
                 await self._connect()
 
-    async def _wait_delay(self) -> None:
-        self._restarted.clear()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._delay_s()):
-                await self._restarted.wait()
-                await asyncio.sleep(self._delay_s())
-
     def _delay_s(self) -> float:
         if self._is_first:
             self._is_first = False
--- a/slatechute/peers/links.py
+++ b/slatechute/peers/links.py
@@ -336,11 +336,6 @@
         connection.attach(self, link)
         return connection
 
-    def restart_dialers(self) -> None:
-        """Connect again soon to all peers without a link, after a pause."""
-        for peer_dialer in self._dialer_by_id.values():
-            peer_dialer.restart()
-
     def _start_dialer(self, peer: peer_module.Peer) -> None:
         if self._server is None or peer.entry_id in self._dialer_by_id:
             return
