--- a/tests/gateway/test_leaving_and_pauses.py
+++ b/tests/gateway/test_leaving_and_pauses.py
@@ -217,12 +217,11 @@
     """All that wait would crowd the target at the end of its pause."""
     _pause(balancer, 100.0, "a", "b")
     results = []
+    # Enough time for every target, so that the random part of its cost does not
+    # decide.
+    request = builders.dispatch_request(0.0, objective_ms=400.0)
     for _ in range(10):
-        balancer.enqueue(
-            balancing.QueuedRequest(
-                builders.dispatch_request(0.0), results.append
-            )
-        )
+        balancer.enqueue(balancing.QueuedRequest(request, results.append))
     balancer.dispatch_waiting("s", 101.0)
     assert len(results) == sum(
         load.slots for load in balancer.load_by_id.values()
