--- a/slatechute/gateway/announcements.py
+++ b/slatechute/gateway/announcements.py
@@ -78,9 +78,7 @@
         until_ms = now_ms + pause_ms
         if until_ms <= self.paused_until_ms:
             return False
-        is_known = until_ms <= max(
-            self.paused_until_ms, self.avoided_until_ms + _SAME_PAUSE_MS
-        )
+        is_known = until_ms <= self.avoided_until_ms + _SAME_PAUSE_MS
         _LOG.notice(
             "target_pause_announced", target=self._target_id, pause_ms=pause_ms
         )
--- a/slatechute/gateway/published.py
+++ b/slatechute/gateway/published.py
@@ -15,7 +15,7 @@
 
 from slatechute.gateway import dialects
 
-__all__ = ["PublishedView", "era_of", "position", "revision_of"]
+__all__ = ["MAX_ERA", "PublishedView", "era_of", "position", "revision_of"]
 
 # At 13,000 changes a day, revisions stay below it for 200,000 years.
 _REVISIONS_PER_ERA = 1 << 40
