--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -467,6 +467,14 @@
         return {
             "targets": len(pool.load_by_id),
             "unpaused": len(usable),
+            "unconnected": sum(
+                load.path.has_failed for load in pool.load_by_id.values()
+            ),
+            "heard_by_peers": sum(
+                load.path.has_failed
+                and load.path.is_heard_after(load.path.failed_ms)
+                for load in pool.load_by_id.values()
+            ),
             "rate_limited": sum(
                 load.announced.rate_limit_per_s is not None for load in usable
             ),
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -434,7 +434,10 @@
             connection = await self._pool.acquire(
                 target.address, repeatable=request.route.repeatable
             )
+            is_new = not connection.used
             response = await self._send(request, trace, connection, target)
+            if is_new:
+                load.path.restore()
         except connections.ExchangeError as error:
             step["result"] = str(error)
             raise self._handle_exchange_error(
@@ -506,6 +509,8 @@
             )
         if error.not_run:
             trace.connect_failures += 1
+            self._counters.count_connect_failure()
+            load.path.failed_ms = exchange.started_ms
             load.record_connect_failure(exchange, now_ms)
             return _AttemptError(
                 errors.Reason.CONNECT_FAILED,
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -8,6 +8,7 @@
 
 from slatechute.gateway import announcements
 from slatechute.gateway import dialects
+from slatechute.gateway import paths
 from slatechute.gateway import rate_limits
 
 __all__ = ["Exchange", "ServiceModel", "TargetLoad", "uncrowded_slots"]
@@ -214,6 +215,7 @@
         target: Registration of the target.
         announced: What the target has announced in its responses.
         tokens: Tokens of this entry, needed while the target has a rate limit.
+        path: What this entry believes of its path to the target.
         local_in_flight: Number of in-flight requests of this entry.
         peer_in_flight_by_id: Number of in-flight requests of peers, by entry
             id.
@@ -234,6 +236,7 @@
         self.target = target
         self.announced = announcements.AnnouncedState(target.id)
         self.tokens = rate_limits.TokenSupply()
+        self.path = paths.TargetPath()
         self.local_in_flight = 0
         self.peer_in_flight_by_id: dict[str, int] = {}
         self.reported_load: dialects.Load | None = None
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -256,7 +256,9 @@
                     reading.slots,
                     reading.slowdown_percent / 100,
                 )
-                load.apply_report(reported_load, now_ms - reading.age_ms)
+                heard_ms = now_ms - reading.age_ms
+                load.apply_report(reported_load, heard_ms)
+                load.path.heard_ms = max(load.path.heard_ms, heard_ms)
             services.add(load.target.service)
         if is_newer and is_local:
             self._apply_waiting(report)
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -110,6 +110,9 @@
             "limited_requests",
             "Requests sent to targets that had announced a rate limit.",
         )
+        self._connect_failures = self._counter(
+            "connect_failures", "Connections to targets that were not opened."
+        )
         self._platform_calls = self._counter(
             "platform_calls", "Calls to the platform service."
         )
@@ -221,6 +224,10 @@
         """Count a request sent to a target with an announced rate limit."""
         self._limited_requests.inc()
 
+    def count_connect_failure(self) -> None:
+        """Count a connection to a target that was not opened."""
+        self._connect_failures.inc()
+
     def count_platform_call(self) -> None:
         """Count a request to the platform service."""
         self._platform_calls.inc()
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -67,6 +67,7 @@
     "slatechute_added_latency_seconds": ("histogram",),
     "slatechute_configuration_age_seconds": ("gauge",),
     "slatechute_configuration_revision": ("gauge",),
+    "slatechute_connect_failures": ("counter",),
     "slatechute_duplicates_refused": ("counter",),
     "slatechute_hedges": ("counter",),
     "slatechute_limited_requests": ("counter",),
@@ -301,6 +302,7 @@
 _REFUSED_FIELDS = _ANSWERED_FIELDS | {
     "best_ms",
     "crowded_factor",
+    "heard_by_peers",
     "occupied",
     "outcome",
     "path",
@@ -311,6 +313,7 @@
     "slots",
     "step",
     "targets",
+    "unconnected",
     "unpaused",
     "usual_slowdown",
     "waiting",
