--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -94,11 +94,13 @@
         self, status: int, headers: Mapping[str, str]
     ) -> dialects.ResponseMetadata:
         limit = headers.get("limit")
+        load = headers.get("load")
         return dialects.ResponseMetadata(
             request_id=headers.get("id", ""),
             signed="signed" in headers,
             not_run="not-run" in headers or status == 421,
             wrong_target=status == 421,
+            load=dialects.Load(*map(int, load.split(","))) if load else None,
             announcement=dialects.Announcement(
                 float(limit) if limit else None,
                 float(headers["pause"]) if "pause" in headers else None,
