Bound what a target can send and how long its bytes are parsed

A target in trouble may send bytes that are no answer without end.

Cause: a whole read of 256 KB was parsed at once by a parser in Python, at some 30 us a chunk, and the bound of 16 MB is for one response, not for all together.

One connection is now parsed for 0.5 ms at a time, 1 KB between two looks at the clock. Overhead beyond 64 KB more than the body, more than 8 informational responses or 256 headers, and more than 32 MB of bodies of all exchanges break a response off, the largest one first in the last case; its outcome is unknown.

Requests are checked as before: one Host, a length that is that of the body, no bytes that would be read as another request.

Ruled out: smaller slices with h11, which would still take a second of processor time for 256 KB of small chunks.

--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -2,8 +2,10 @@
 
 The client of `aiohttp`, which the rest of the product uses, passes bytes that
 arrive on an idle connection to the next exchange. This module closes the
-connection instead, because a faulty target may send a response twice. `h11`
-parses the responses.
+connection instead, because a faulty target may send a response twice.
+`httptools` parses the responses. A target may also send bytes without end:
+what a response may hold, and how long its parsing may take at a time, is
+limited.
 """
 
 import asyncio
@@ -11,9 +13,11 @@
 from collections.abc import Callable
 import dataclasses
 import math
+import re
 import socket
+import time
 
-import h11
+import httptools
 
 from slatechute import errors
 from slatechute.util import sockets
@@ -33,7 +37,21 @@
 CONNECT_TIMEOUT_S = 0.3
 # Larger responses would not leave memory for the other requests of this entry.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-_MAX_HEAD_BYTES = 64 * 1024
+# All bodies that are received at a time, as a host has 300 MB for the process.
+_MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+# Bytes of head, chunk headers and trailers beyond the size of the body.
+_MAX_OVERHEAD_BYTES = 64 * 1024
+_MAX_HEADERS = 256
+_MAX_INFORMATIONAL = 8
+# Time for which one connection is parsed until the event loop goes on, in
+# seconds, and bytes that are parsed between two looks at the clock.
+_MAX_PARSE_S = 0.0005
+_PARSED_SLICE_BYTES = 1024
+# Characters of a method or a header name, of a request target, and those that a
+# header value must not have.
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_TARGET = re.compile(r"[\x21-\x7e]+")
+_ILLEGAL_IN_VALUE = re.compile(r"[\x00\r\n]")
 _CLOSED_BY_TARGET = "the target closed the connection"
 # Without a Keep-Alive header, idle connections are closed earlier than common
 # servers do.
@@ -105,20 +123,31 @@
         used: Whether an exchange was started on it.
         idle_since_s: Event loop time at which it became idle.
         idle_limit_s: Maximum idle time before it is closed.
+        buffered: Bytes of the body that it holds.
     """
 
-    def __init__(self):
+    def __init__(self, memory: "ResponseMemory | None" = None):
         self.used = False
         self.idle_since_s = 0.0
         self.idle_limit_s = _MAX_IDLE_S
+        self.buffered = 0
+        self._memory = memory or _MEMORY
         self._transport: asyncio.Transport | None = None
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
-        )
+        self._parser: httptools.HttpResponseParser | None = None
         self._response: asyncio.Future[TargetResponse] | None = None
-        self._response_head: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        self._is_head_request = False
+        self._status = 0
+        self._headers: list[tuple[str, str]] = []
+        self._keep_alive = False
+        self._ends_with_connection = False
+        self._body = bytearray()
+        self._received = 0
+        self._informational = 0
+        # Bytes that have arrived after the response.
+        self._has_excess = False
+        # Received bytes that are parsed in the next step of the event loop.
+        self._unparsed = b""
+        self._is_ended = False
 
     # asyncio.Protocol
 
@@ -129,19 +158,24 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a response, or close the connection on unexpected bytes."""
-        if self._response is None or self._response.done():
+        if not self._is_receiving():
             self.close()
             return
-        self._feed(data)
+        if self._unparsed:
+            self._unparsed += data
+            return
+        self._parse(data)
 
     def eof_received(self) -> None:
-        """Complete a response without Content-Length."""
-        if self._response is not None and not self._response.done():
-            self._feed(b"")
+        """Complete a response whose end is that of the connection."""
+        self._is_ended = True
+        if not self._unparsed:
+            self._end_input()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the in-flight exchange."""
         self._transport = None
+        self._unparsed = b""
         self._fail(str(exc) if exc else _CLOSED_BY_TARGET)
 
     # Exchanges.
@@ -152,12 +186,13 @@
         return (
             self._transport is not None
             and not self._transport.is_closing()
-            and self._http.our_state is h11.IDLE
             and self._response is None
+            and not self._is_ended
         )
 
     def close(self) -> None:
         """Abort the connection, so that the target cancels the request."""
+        self._unparsed = b""
         if self._transport is not None:
             self._transport.abort()
 
@@ -175,13 +210,8 @@
         """
         self.used = True
         try:
-            data = self._http.send(
-                h11.Request(method=method, target=path, headers=headers)
-            )
-            if body:
-                data += self._http.send(h11.Data(data=body))
-            data += self._http.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as error:
+            data = _encode_request(method, path, headers, body)
+        except ValueError as error:
             self.close()
             raise ExchangeError(
                 errors.Step.WRITING, str(error), not_run=True
@@ -191,64 +221,184 @@
                 errors.Step.CONNECTING, _CLOSED_BY_TARGET, not_run=True
             )
         self._response = asyncio.get_running_loop().create_future()
-        self._response_head, self._body, self._size = None, [], 0
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_head_request = method == "HEAD"
+        self._body = bytearray()
+        self._received = self._informational = 0
+        self._status = 0
         self._transport.write(data)
         try:
             response = await self._response
         except BaseException:
             self.close()
             raise
+        finally:
+            self._memory.release(self)
+            self._body = bytearray()
         self._response = None
         self._prepare_reuse(response)
         return response
 
-    def _feed(self, data: bytes) -> None:
-        try:
-            self._http.receive_data(data)
-            while True:
-                event = self._http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                if self._handle_event(event):
-                    return
-        except h11.RemoteProtocolError as error:
-            self._fail(str(error))
-            self.close()
+    def _is_receiving(self) -> bool:
+        return self._response is not None and not self._response.done()
+
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes for a limited time.
+
+        The rest is parsed in later steps of the event loop, and no more is read
+        meanwhile, so that a target cannot hold up the requests to others.
+        """
+        now = time.perf_counter
+        stop_s = now() + _MAX_PARSE_S
+        view = memoryview(data)
+        while view and self._is_receiving():
+            self._received += min(len(view), _PARSED_SLICE_BYTES)
+            try:
+                self._parser.feed_data(view[:_PARSED_SLICE_BYTES])
+            except (
+                httptools.HttpParserError,
+                httptools.HttpParserUpgrade,
+            ) as error:
+                # After the end of a response, this is excess data.
+                self._has_excess = True
+                self._break_off(str(error.__context__ or error))
+                return
+            view = view[_PARSED_SLICE_BYTES:]
+            self._check_overhead()
+            if view and now() > stop_s:
+                self._defer(bytes(view))
+                return
+        if view:
+            self._has_excess = True
+
+    def _defer(self, rest: bytes) -> None:
+        self._unparsed = rest
+        if self._transport is not None:
+            self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_parsing)
+
+    def _continue_parsing(self) -> None:
+        data, self._unparsed = self._unparsed, b""
+        if not data or self._transport is None:
+            return
+        self._parse(data)
+        if self._unparsed or self._transport is None:
+            return
+        if self._is_ended:
+            self._end_input()
+        elif not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _end_input(self) -> None:
+        if self._is_receiving() and self._ends_with_connection:
+            self._complete_response()
+
+    def _check_overhead(self) -> None:
+        """Break off a response that has hardly any body for its length."""
+        overhead = self._received - self.buffered
+        if self._is_receiving() and (
+            overhead > _MAX_OVERHEAD_BYTES + self.buffered
+        ):
+            self._break_off("the response has too little content")
+
+    def _break_off(self, detail: str) -> None:
+        self._fail(detail)
+        self.close()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a response."""
+        if self._response.done():
+            self._has_excess = True
+            return
+        self._status = 0
+        self._headers = []
+        self._ends_with_connection = self._has_excess = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header; those after the body are not used.
+
+        Raises:
+            ValueError: There are too many headers.
+        """
+        if self._status or self._response.done():
+            return
+        if len(self._headers) >= _MAX_HEADERS:
+            raise ValueError("the response has too many headers")
+        self._headers.append(
+            (name.decode("latin-1"), value.decode("latin-1").strip(" \t"))
+        )
+
+    def on_headers_complete(self) -> None:
+        """Note how the body ends.
+
+        Raises:
+            ValueError: The response is not usable.
+        """
+        if self._response.done():
+            return
+        if not self._parser.get_http_version().startswith("1."):
+            raise ValueError("unknown version of HTTP")
+        self._status = self._parser.get_status_code()
+        self._keep_alive = self._parser.should_keep_alive()
+        names = {name.lower() for name, _ in self._headers}
+        has_chunks = any(
+            name.lower() == "transfer-encoding"
+            and value.lower().endswith("chunked")
+            for name, value in self._headers
+        )
+        self._ends_with_connection = (
+            self._status >= 200
+            and "content-length" not in names
+            and not has_chunks
+        )
+        if self._is_head_request and self._status >= 200:
+            # The parser would wait for the body that the headers describe.
+            self._keep_alive = False
+            self._complete_response()
+
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body.
+
+        Raises:
+            ValueError: The body is too large.
+        """
+        if self._response.done():
+            return
+        if len(self._body) + len(data) > MAX_RESPONSE_BYTES:
+            raise ValueError("the response is too large")
+        self._body += data
+        self._memory.add(self, len(data))
+
+    def on_message_complete(self) -> None:
+        """Complete the response, unless it is an informational one.
 
-    def _handle_event(self, event: object) -> bool:
-        """Handle a parsed event and return whether the exchange has ended."""
-        if isinstance(event, h11.Response):
-            self._response_head = event
-        elif isinstance(event, h11.Data):
-            self._size += len(event.data)
-            if self._size > MAX_RESPONSE_BYTES:
-                self._fail("the response is too large")
-                self.close()
-                return True
-            self._body.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
+        Raises:
+            ValueError: There are too many informational responses.
+        """
+        if self._response.done():
+            return
+        if self._status >= 200:
             self._complete_response()
-            return True
-        elif isinstance(event, h11.ConnectionClosed):
-            self._fail(_CLOSED_BY_TARGET)
-            return True
-        return False
+            return
+        self._informational += 1
+        if self._informational > _MAX_INFORMATIONAL:
+            raise ValueError("too many informational responses")
 
     def _complete_response(self) -> None:
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in self._response_head.headers.raw_items()
-        ]
-        response = build_response(
-            self._response_head.status_code, headers, b"".join(self._body)
+        self._response.set_result(
+            build_response(self._status, self._headers, bytes(self._body))
         )
-        self._body = []
-        self._response.set_result(response)
+
+    def fail_for_memory(self) -> None:
+        """Break off the response to free its memory."""
+        self._break_off("the responses of all targets are too large")
 
     def _fail(self, detail: str) -> None:
-        if self._response is None or self._response.done():
+        if not self._is_receiving():
             return
-        response_started = self._response_head is not None
+        response_started = self._status >= 200
         step = errors.Step.READING if response_started else errors.Step.WRITTEN
         self._response.set_exception(
             ExchangeError(step, detail, response_started=response_started)
@@ -256,19 +406,19 @@
 
     def _prepare_reuse(self, response: TargetResponse) -> None:
         """Prepare the connection for the next exchange, or close it."""
-        http = self._http
         transport = self._transport
         is_reusable = (
             transport is not None
-            and http.our_state is h11.DONE
-            and http.their_state is h11.DONE
-            and not http.trailing_data[0]
+            and self._keep_alive
+            and not self._has_excess
+            and not self._unparsed
+            and not self._is_ended
             and not transport.get_write_buffer_size()
         )
         if not is_reusable:
             self.close()
             return
-        http.start_next_cycle()
+        self._parser = None
         self.idle_since_s = asyncio.get_running_loop().time()
         limit_s = _keep_alive_timeout_s(
             response.header_by_name.get("keep-alive", "")
@@ -276,6 +426,76 @@
         self.idle_limit_s = min(_MAX_IDLE_S, limit_s - _IDLE_MARGIN_S)
 
 
+class ResponseMemory:
+    """Memory of the bodies that all connections of a process receive.
+
+    Args:
+        limit: Largest number of bytes. Above it, the largest response is
+            broken off.
+    """
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        self._total = 0
+        self._receiving: set[TargetConnection] = set()
+
+    def add(self, connection: TargetConnection, count: int) -> None:
+        """Count received bytes of a connection."""
+        self._receiving.add(connection)
+        connection.buffered += count
+        self._total += count
+        if self._total > self._limit:
+            largest = max(self._receiving, key=lambda item: item.buffered)
+            self.release(largest)
+            largest.fail_for_memory()
+
+    def release(self, connection: TargetConnection) -> None:
+        """Stop counting the bytes of a connection."""
+        self._receiving.discard(connection)
+        self._total -= connection.buffered
+        connection.buffered = 0
+
+
+_MEMORY = ResponseMemory(_MAX_BUFFERED_BYTES)
+
+
+def _encode_request(
+    method: str, path: str, headers: list[tuple[str, str]], body: bytes
+) -> bytes:
+    r"""Return the bytes of a request.
+
+    Raises:
+        ValueError: It cannot be sent as a request of HTTP/1.1.
+
+    >>> _encode_request("GET", "/a", [("Host", "h")], b"")
+    b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+    """
+    if not _TOKEN.fullmatch(method) or not _TARGET.fullmatch(path):
+        raise ValueError("illegal method or path")
+    lines = [f"{method} {path} HTTP/1.1\r\n"]
+    hosts = 0
+    length = "0"
+    for name, value in headers:
+        if not _TOKEN.fullmatch(name) or _ILLEGAL_IN_VALUE.search(value):
+            raise ValueError("illegal header")
+        key = name.lower()
+        hosts += key == "host"
+        if key == "content-length":
+            length = value
+        elif key == "transfer-encoding":
+            raise ValueError("the body is sent with a length")
+        lines.append(f"{name}: {value}\r\n")
+    if hosts != 1:
+        raise ValueError("a request needs one Host header")
+    if length != str(len(body)):
+        raise ValueError("the length of the body is not that of the header")
+    lines.append("\r\n")
+    try:
+        return "".join(lines).encode("latin-1") + body
+    except UnicodeEncodeError as error:
+        raise ValueError("illegal character in a header") from error
+
+
 def _keep_alive_timeout_s(keep_alive: str) -> float:
     """Return the timeout of a Keep-Alive header, infinite without one.
 
