Let one keep-alive probe of a long poll be lost

TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count. The 1 s that all connections have closes an idle long poll 2 s after the last byte, with the first lost probe, although its comment says that one may be lost: a call to the platform again, and a gap in the watch. Long polls have 2.5 s now, above the time of the second probe.

Connections to targets and peers keep 1 s: a lost idle connection costs them a handshake, and a hanging one a request. Derived from what the users' page says; not measured, as packets cannot be dropped here without other hosts.

--- a/slatechute/util/sockets.py
+++ b/slatechute/util/sockets.py
@@ -5,12 +5,16 @@
 __all__ = ["keepalive_socket", "set_keepalive", "set_long_poll_keepalive"]
 
 # These timeouts are shorter than the time within which connected hosts must act
-# on what they receive. The kernel closes an idle unresponsive connection after
-# about 3 s.
+# on what they receive. A user timeout decides when keep-alive probes give up,
+# whatever their number: the kernel closes an idle connection 2 s after the last
+# byte from the other end, when one probe is lost.
 _USER_TIMEOUT_MS = 1000
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+# Above the time of the second probe: one may be lost, and the kernel closes an
+# idle connection after 3 s.
+_LONG_POLL_USER_TIMEOUT_MS = 2500
 
 
 def keepalive_socket(address: tuple) -> socket.socket:
@@ -46,4 +50,8 @@
     longer.
     """
     set_keepalive(sock)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _LONG_POLL_USER_TIMEOUT_MS,
+    )
