Ask the peer that has heard a target while others may have lost their paths

When several hosts lose their paths together, an entry may ask a peer that has lost its own path and does not know it yet. For a second after a path is lost, the peer that has reported the last response of the target goes first, in whichever data centre it is.

--- a/slatechute/gateway/path_monitor.py
+++ b/slatechute/gateway/path_monitor.py
@@ -99,15 +99,18 @@
         if is_new and not load.path.is_lost:
             load.path.restore()
 
-    def record_heard(self, load: loads.TargetLoad, heard_ms: float) -> None:
+    def record_heard(
+        self, load: loads.TargetLoad, heard_ms: float, entry_id: str
+    ) -> None:
         """Note a response of a target to a peer.
 
         Args:
             load: Load of the target.
             heard_ms: Clock time of the response.
+            entry_id: Id of the peer that has reported it.
         """
         path = load.path
-        path.heard_ms = max(path.heard_ms, heard_ms)
+        path.hear(heard_ms, entry_id)
         if not path.is_lost and path.is_contradicted():
             self._lose([load], heard_ms, "peer")
 
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -110,6 +110,10 @@
             "limited_requests",
             "Requests sent to targets that had announced a rate limit.",
         )
+        self._invalid_announcements = self._counter(
+            "invalid_announcements",
+            "Responses in which a target announced a value that is not usable.",
+        )
         self._connect_failures = self._counter(
             "connect_failures", "Connections to targets that were not opened."
         )
@@ -229,6 +233,10 @@
         """Count a request sent to a target with an announced rate limit."""
         self._limited_requests.inc()
 
+    def count_invalid_announcement(self) -> None:
+        """Count a response with an announcement that is not usable."""
+        self._invalid_announcements.inc()
+
     def count_connect_failure(self) -> None:
         """Count a connection to a target that was not opened."""
         self._connect_failures.inc()
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -115,6 +115,7 @@
                 float(limit) if limit else None,
                 float(headers["pause"]) if "pause" in headers else None,
                 "leaving" in headers,
+                ("limit",) if "invalid" in headers else (),
             ),
         )
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -25,6 +25,7 @@
         self.balancer = balancing.Balancer("dc1")
         self.pool = connections.ConnectionPool()
         self.crashes = []
+        self.counters = metrics.Metrics()
         settings = builders.gateway_settings()
         self.relay = relaying.RelayClient(settings, self.clock)
         self.paths = builders.paths(self.balancer)
@@ -36,7 +37,7 @@
             self.paths,
             self.relay,
             self.clock,
-            metrics.Metrics(),
+            self.counters,
             lambda *crash: self.crashes.append(crash),
             lambda load: None,
         )
@@ -395,7 +396,7 @@
         assert not quarantined.is_empty
         heard_ms = fixture.clock.now_ms() + 60.0
         for load in fixture.balancer.load_by_id.values():
-            fixture.paths.record_heard(load, heard_ms)
+            fixture.paths.record_heard(load, heard_ms, "e2")
         await waiting.until(lambda: quarantined.is_empty)
         await asyncio.sleep(0.1)
         assert not fixture.crashes
@@ -433,3 +434,15 @@
         assert len(target.requests) == 1
 
     _run(check, _ok)
+
+
+def test_invalid_announcement_is_counted():
+    """Only the first one of a target is logged."""
+
+    async def check(fixture, target):
+        for _ in range(3):
+            assert (await fixture.forward()).status == 200
+        counters = fixture.counters
+        assert counters.value("invalid_announcements_total") == 3
+
+    _run(check, lambda r: scripted_target.response(r, invalid="limit"))
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -72,6 +72,7 @@
     "slatechute_connect_failures": ("counter",),
     "slatechute_duplicates_refused": ("counter",),
     "slatechute_hedges": ("counter",),
+    "slatechute_invalid_announcements": ("counter",),
     "slatechute_limited_requests": ("counter",),
     "slatechute_peer_bytes": ("counter", "direction"),
     "slatechute_peer_frame_errors": ("counter", "kind"),
