--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -450,7 +450,7 @@
         try:
             if is_relayed:
                 response = await self._send_through_peer(
-                    request, trace, load, step
+                    request, trace, target, step
                 )
             else:
                 response = await self._send_directly(request, trace, load)
@@ -522,7 +522,7 @@
         self,
         request: CallerRequest,
         trace: Trace,
-        load: loads.TargetLoad,
+        target: dialects.PublishedTarget,
         step: dict,
     ) -> connections.TargetResponse:
         """Let a peer send the request to a target.
@@ -530,7 +530,7 @@
         Raises:
             relaying.RelayError: There is no response of the target.
         """
-        peer = self._relay.choose(load)
+        peer = self._relay.choose(target.service)
         if peer is None:
             raise relaying.RelayError("no peer has a path", not_run=True)
         step["relay"] = peer.presence.entry_id
@@ -546,7 +546,7 @@
         trace.possibly_run += 1
         result = relaying.Result.RESPONSE
         try:
-            return await self._relay.exchange(peer, load.target, relayed)
+            return await self._relay.exchange(peer, target, relayed)
         except relaying.RelayError as error:
             result = error.result or "unknown"
             if error.not_run:
--- a/slatechute/gateway/path_monitor.py
+++ b/slatechute/gateway/path_monitor.py
@@ -99,18 +99,15 @@
         if is_new and not load.path.is_lost:
             load.path.restore()
 
-    def record_heard(
-        self, load: loads.TargetLoad, heard_ms: float, entry_id: str
-    ) -> None:
+    def record_heard(self, load: loads.TargetLoad, heard_ms: float) -> None:
         """Note a response of a target to a peer.
 
         Args:
             load: Load of the target.
             heard_ms: Clock time of the response.
-            entry_id: Id of the peer that has reported it.
         """
         path = load.path
-        path.hear(heard_ms, entry_id)
+        path.heard_ms = max(path.heard_ms, heard_ms)
         if not path.is_lost and path.is_contradicted():
             self._lose([load], heard_ms, "peer")
 
--- a/slatechute/gateway/paths.py
+++ b/slatechute/gateway/paths.py
@@ -17,8 +17,6 @@
 # A response that a peer has got is reported with a delay, so that it may seem
 # to be younger than a failure that came after it.
 _MAX_REPORT_DELAY_MS = 50.0
-# Usual time of a report between two entries.
-_REPORT_TIME_MS = 5.0
 # A target that a peer hears later than this after a failure may have been down
 # meanwhile.
 _MAX_EVIDENCE_AGE_MS = 1_000.0
@@ -34,20 +32,16 @@
             request can be sent to the target.
         failed_ms: Clock time at which the last failed connect began, or -inf if
             a later one has succeeded.
-        lost_ms: Clock time at which the path was lost last.
         heard_ms: Clock time of the last response of the target to a peer.
-        heard_by: Id of that peer, empty if there is none.
         trial_due_ms: Clock time at which a lost path is tried again.
     """
 
     __slots__ = (
         "_trial_interval_ms",
         "failed_ms",
-        "heard_by",
         "heard_ms",
         "is_blocked",
         "is_lost",
-        "lost_ms",
         "trial_due_ms",
     )
 
@@ -55,9 +49,7 @@
         self.is_lost = False
         self.is_blocked = False
         self.failed_ms = -math.inf
-        self.lost_ms = -math.inf
         self.heard_ms = -math.inf
-        self.heard_by = ""
         self.trial_due_ms = math.inf
         self._trial_interval_ms = _MIN_TRIAL_INTERVAL_MS
 
@@ -66,21 +58,6 @@
         """Whether the last connect failed."""
         return self.failed_ms > -math.inf
 
-    def hear(self, heard_ms: float, entry_id: str) -> None:
-        """Note a response of the target to a peer.
-
-        Args:
-            heard_ms: Clock time of the response.
-            entry_id: Id of the peer that has reported it.
-        """
-        if heard_ms <= self.heard_ms:
-            return
-        # Peers report the loads that they have from each other as well, which
-        # seem to be younger by the time that the report took.
-        if heard_ms > self.heard_ms + _REPORT_TIME_MS:
-            self.heard_by = entry_id
-        self.heard_ms = heard_ms
-
     def is_heard_after(self, time_ms: float) -> bool:
         """Return whether a peer has certainly heard the target after a time."""
         return self.heard_ms > time_ms + _MAX_REPORT_DELAY_MS
@@ -95,7 +72,6 @@
     def lose(self, now_ms: float) -> None:
         """Note that the path is lost."""
         self.is_lost = True
-        self.lost_ms = now_ms
         self._trial_interval_ms = _MIN_TRIAL_INTERVAL_MS
         self.trial_due_ms = now_ms + _MIN_TRIAL_INTERVAL_MS
 
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -36,8 +36,6 @@
 _MAX_RELAYED = 96
 # A peer that failed to carry out an exchange is avoided for this long.
 _AVOID_PEER_MS = 500.0
-# Time within which the entries that lose their paths together notice it.
-_SETTLING_MS = 1_000.0
 # Length of the frame in front of a body.
 _LENGTH_BYTES = 4
 # Estimated share of its processor time up to which a peer of the own data
@@ -170,29 +168,21 @@
             )
         )
 
-    def choose(self, load: loads.TargetLoad) -> peer_groups.Peer | None:
-        """Return the peer that sends the next request to a target, if any.
+    def choose(self, service: str) -> peer_groups.Peer | None:
+        """Return the peer that sends the next request to a service, if any.
 
         Peers of the own data centre go first, and of these the one with the
-        most room. While the other peers may not know yet that they have lost
-        their paths too, the one goes first that has heard the target.
+        most room.
         """
         now_ms = self._clock.now_ms()
-        path = load.path
-        heard_by = ""
-        if now_ms - path.lost_ms < _SETTLING_MS:
-            heard_by = path.heard_by
         candidates = [
-            peer
-            for peer in self._peers()
-            if self._may_relay(peer, load.target.service)
+            peer for peer in self._peers() if self._may_relay(peer, service)
         ]
         avoided_until_ms = self._avoided_until_ms_by_id
         return min(
             candidates,
             key=lambda peer: (
                 avoided_until_ms.get(peer.presence.entry_id, 0.0) > now_ms,
-                peer.presence.entry_id != heard_by,
                 not self.group.is_local(peer)
                 or peer.presence.busy > _MAX_LOCAL_BUSY,
                 self._crowding(peer.presence),
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -264,7 +264,7 @@
                 )
                 heard_ms = now_ms - reading.age_ms
                 load.apply_report(reported_load, heard_ms)
-                self._paths.record_heard(load, heard_ms, report.entry_id)
+                self._paths.record_heard(load, heard_ms)
             services.add(load.target.service)
         if is_newer and is_local:
             self._apply_waiting(report)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -396,7 +396,7 @@
         assert not quarantined.is_empty
         heard_ms = fixture.clock.now_ms() + 60.0
         for load in fixture.balancer.load_by_id.values():
-            fixture.paths.record_heard(load, heard_ms, "e2")
+            fixture.paths.record_heard(load, heard_ms)
         await waiting.until(lambda: quarantined.is_empty)
         await asyncio.sleep(0.1)
         assert not fixture.crashes
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -8,10 +8,8 @@
 import pytest
 
 from slatechute import messages
-from slatechute.gateway import balancing
 from slatechute.gateway import peers as peer_groups
 from slatechute.gateway import relaying
-from slatechute.util import clock as clocks
 from tests import waiting
 from tests.gateway import builders
 from tests.gateway import path_cuts
@@ -306,48 +304,6 @@
     assert not client.has_relay("s")
 
 
-def test_peer_that_has_heard_the_target_goes_first_after_the_loss():
-    """The others may have lost their paths too and not know it yet."""
-
-    class _Group:
-        def live_peers(self):
-            return [
-                peer_groups.Peer(
-                    messages.Presence(
-                        name,
-                        "b",
-                        data_centre,
-                        "h:1",
-                        "h:2",
-                        1,
-                        "ready",
-                        services_without_path=[],
-                    ),
-                    ("h", 1),
-                    0.0,
-                )
-                for name, data_centre in (("near", "dc1"), ("far", "dc2"))
-            ]
-
-        def is_local(self, peer):
-            return peer.presence.data_centre == "dc1"
-
-    clock = clocks.ManualClock(1_000.0)
-    client = relaying.RelayClient(builders.gateway_settings(), clock)
-    client.group = _Group()
-    balancer = balancing.Balancer("dc1")
-    balancer.add_target(builders.target("t1"), 0.0)
-    load = balancer.load_by_id["t1"]
-    # The first report is that of the peer that has got the response, the second
-    # one repeats it.
-    load.path.hear(990.0, "far")
-    load.path.hear(992.0, "near")
-    load.path.lose(1_000.0)
-    assert client.choose(load).presence.entry_id == "far"
-    clock.advance(1_500.0)
-    assert client.choose(load).presence.entry_id == "near"
-
-
 @pytest.mark.parametrize(
     "content",
     [b"", b"\x00\x00\x00\x05abc", b"\xff" * 40, b"\x00\x00\x00\x01\x01"],
