Wait until a target runs a request before it leaves in a test

test_leaving_target_gets_no_request_and_loses_none ended with StopIteration once: no target ran a request at the moment at which the test chose one. The test beside it chose in the same way.

Ruled out: a fault of the product, as the coroutine that failed is the test's.

--- a/tests/faults/test_targets.py
+++ b/tests/faults/test_targets.py
@@ -9,6 +9,7 @@
 from slatechute.fakes import caller as callers
 from slatechute.fakes import deployments
 from slatechute.fakes import local_fleet
+from tests import waiting
 
 
 def _caller(fleet, service, method, path, **kwargs):
@@ -66,6 +67,8 @@
             ) as caller:
                 load = asyncio.create_task(caller.run(40, 130))
                 await asyncio.sleep(0.5)
+                # Arrivals are random, and for moments no request is running.
+                await waiting.until(lambda: any(t.running for t in group))
                 target = next(target for target in group if target.running)
                 target.leave()
                 running = list(target._instance.runs)
@@ -101,6 +104,7 @@
             ) as caller:
                 load = asyncio.create_task(caller.run(1000, 6))
                 await asyncio.sleep(0.2)
+                await waiting.until(lambda: any(t.running for t in group))
                 busy = next(target for target in group if target.running)
                 busy.leave()
                 await asyncio.sleep(0.1)
