Try more lost paths at a time when many are lost

At four trials each 0.1 s, the paths to 500 targets of a service that no host reached would come back over 12 s (derived), and for that time the service has only a part of its capacity.

--- a/slatechute/gateway/path_monitor.py
+++ b/slatechute/gateway/path_monitor.py
@@ -28,9 +28,10 @@
 # to its targets, and until less than the second share is lost.
 _WITHOUT_PATH_SHARE = 0.5
 _REGAINED_SHARE = 0.25
-# Trials that begin at once. Direct sending resumes with each of them, and not
-# for all targets at the same time.
-_MAX_TRIALS_AT_ONCE = 4
+# Trials that begin at once, as a number and as a share of the lost paths.
+# Direct sending resumes with each of them, not for all targets together.
+_TRIALS_AT_ONCE = 4
+_TRIAL_SHARE_AT_ONCE = 0.1
 
 
 def is_without_path(services: Iterable[str], service: str) -> bool:
@@ -186,7 +187,7 @@
                 and load.announced.paused_until_ms <= now_ms
             ),
             key=lambda load: load.path.trial_due_ms,
-        )[:_MAX_TRIALS_AT_ONCE]
+        )[: max(_TRIALS_AT_ONCE, int(_TRIAL_SHARE_AT_ONCE * len(self._lost)))]
         for load in due:
             load.path.start_trial(now_ms)
         return due
--- a/tests/gateway/test_path_monitor.py
+++ b/tests/gateway/test_path_monitor.py
@@ -159,6 +159,19 @@
     assert fixture.monitor.services_without_path == []
 
 
+def test_many_regained_paths_follow_within_two_seconds():
+    """At a fixed number of trials, 500 targets would take 12 s."""
+    fixture = _Fixture(targets=500)
+    fixture.lose_all(1_000.0)
+    now_ms = 60_000.0
+    fixture.monitor.restore(fixture.load("s0"), now_ms)
+    while len(fixture.lost_names()) > 25:
+        assert now_ms < 63_000.0
+        for load in fixture.monitor.take_due_trials(now_ms):
+            fixture.monitor.restore(load, now_ms)
+        now_ms += 100.0
+
+
 def test_target_without_any_path_gets_no_request():
     """A request that nobody can send would wait until its deadline."""
     fixture = _Fixture(has_relay=False)
