Show which slots a bench under faults leaves behind, and for how long

One leaked slot was seen once and could not be traced: the bench tells only their number, right after the leases should have expired. It names entry and kind now, and looks again after the same time, so that a late expiry and a leak are told apart. The check is the same.

--- a/slatechute/benches/faults.py
+++ b/slatechute/benches/faults.py
@@ -306,6 +306,10 @@
         await injecting
         await asyncio.sleep(_LEASE_EXPIRY_WAIT_S)
         leaked = await _leaked_slots(fleet)
+        leaked_later = {}
+        if leaked:
+            await asyncio.sleep(_LEASE_EXPIRY_WAIT_S)
+            leaked_later = await _leaked_slots(fleet)
         publishing.cancel()
         checks = await _check_runs(fleet, results)
         refused: collections.Counter[str] = collections.Counter()
@@ -329,7 +333,9 @@
                 if name.startswith("wrong/")
             ),
             **checks,
-            "leaked_slots": leaked,
+            "leaked_slots": sum(leaked.values()),
+            "leaked_by_entry": leaked,
+            "leaked_later": leaked_later,
             "faults": dict(faults.counts.most_common()),
             "duration_s": round(duration_s, 1),
         }
@@ -382,13 +388,18 @@
                 fleet.list_targets(service)
 
 
-async def _leaked_slots(fleet: processes.ProcessFleet) -> int:
-    """Return the slots, leases and waiting requests left in an idle fleet."""
-    total = 0
+async def _leaked_slots(fleet: processes.ProcessFleet) -> dict[str, int]:
+    """Return what is left in an idle fleet, by entry and kind.
+
+    These are slots, leases and waiting requests.
+    """
+    leaked = {}
     for entry in fleet.entries:
         status = json.loads(await entry.get(fleet.session, "/status"))
-        total += sum(status["slots"].values())
-    return total
+        for kind, count in status["slots"].items():
+            if count:
+                leaked[f"{status['entry_id']} {kind}"] = count
+    return leaked
 
 
 async def _check_runs(
--- a/tests/benches/test_faults.py
+++ b/tests/benches/test_faults.py
@@ -35,7 +35,7 @@
     assert result["requests"] == 3000
     (run,) = result["runs"]
     assert run["doubled"] == run["false_not_run"] == run["wrong"] == 0
-    assert run["leaked_slots"] == 0
+    assert run["leaked_slots"] == 0, run
     assert run["once"] == 1500
     assert run["faults"]
 
