--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -14,6 +14,7 @@
 
 from slatechute import errors
 from slatechute.gateway import connections
+from tests import waiting
 
 _OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 _HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -210,7 +211,7 @@
             writer.close()
 
 
-def _run_exchange(check, *parts, end="", method="GET"):
+def _run_exchange(check, *parts, end="", method="GET", closes=False):
     async def main():
         async with _Scripted(*parts, end=end) as address:
             connection = await connections.open_connection(address)
@@ -221,7 +222,11 @@
                     )
             except (connections.ExchangeError, TimeoutError) as error:
                 result = error
-            await asyncio.sleep(0.03)
+            if closes:
+                # Excess bytes may arrive after the response.
+                await waiting.until(lambda: not connection.is_open)
+            else:
+                await asyncio.sleep(0.03)
             check(result, connection)
             connection.close()
 
@@ -261,7 +266,7 @@
         assert (result.status // 100 in (2, 3), result.body) == (True, body)
         assert connection.is_open == is_open
 
-    _run_exchange(check, *parts)
+    _run_exchange(check, *parts, closes=not is_open)
 
 
 @pytest.mark.parametrize(
