Let the target take 20 ms in the test of the request lines

Ruled out: a fault of the refusal; a request that can be answered within its deadline is served.

Change: the target takes 20 ms, so that the refusal follows from the estimate. All assertions stand.

--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -443,6 +443,8 @@
         async with scripted_target.ScriptedTarget(
             lambda request: scripted_target.response(request)
         ) as target:
+            # A faster target may answer within the deadline of 1 ms below.
+            target.delay_s = 0.02
             fleet.publish_routes(1, builders.route())
             fleet.publish_target(address=target.address)
             app = await fleet.add()
