Lose only the paths to the data centre whose connects fail

Ruled out: asking more failed connects of a service; each costs a request the time of a connect, and a standby has few requests.

Change: when all unanswered connects of a service failed in one data centre, only the paths to that data centre are lost, until one fails elsewhere.

Result: the new test fails on the code before (all ten paths lost after three failures in one data centre); tests of paths and relayed exchanges pass.

--- a/slatechute/gateway/path_monitor.py
+++ b/slatechute/gateway/path_monitor.py
@@ -1,7 +1,8 @@
 """Which targets this entry reaches by itself, and which peers reach others.
 
 The path to a target counts as lost when connects fail while a peer hears the
-target, or when several targets of a service fail and none of it responds.
+target, or when several targets of a service fail and none of it responds. When
+all of these are in one data centre, only the paths to that data centre are.
 Trials end that belief. The module does no I/O and reads no clock.
 """
 
@@ -135,8 +136,19 @@
         service = load.target.service
         responded_ms = self._responded_ms_by_service.get(service, -math.inf)
         listed = self._loads(service)
-        failed = sum(other.path.failed_ms > responded_ms for other in listed)
-        if failed >= max(2, min(_MIN_FAILED_TARGETS, len(listed))):
+        failed = [
+            other for other in listed if other.path.failed_ms > responded_ms
+        ]
+        data_centre = load.target.data_centre
+        if all(other.target.data_centre == data_centre for other in failed):
+            # A crash of all targets of a data centre looks the same. The other
+            # paths stay in use until a connect fails there as well.
+            listed = [
+                other
+                for other in listed
+                if other.target.data_centre == data_centre
+            ]
+        if len(failed) >= max(2, min(_MIN_FAILED_TARGETS, len(listed))):
             self._lose(
                 [other for other in listed if not other.path.is_lost],
                 now_ms,
--- a/tests/gateway/test_path_monitor.py
+++ b/tests/gateway/test_path_monitor.py
@@ -23,8 +23,10 @@
             for number in range(targets):
                 self.add(f"{service}{number}", service)
 
-    def add(self, name, service="s", now_ms=0.0):
-        target = builders.target(name, service=service, slots=6)
+    def add(self, name, service="s", now_ms=0.0, data_centre="dc1"):
+        target = builders.target(
+            name, service=service, slots=6, data_centre=data_centre
+        )
         self.balancer.add_target(target, now_ms)
         self.monitor.add_target(self.balancer.load_by_id[name], now_ms)
 
@@ -96,6 +98,24 @@
     assert fixture.changes == 1
 
 
+def test_crash_of_a_data_centre_leaves_the_other_paths_in_use():
+    """Entries with few requests sent all of them through peers (cold return).
+
+    A zone of 48 targets went down; 61 entries took the paths to whole services
+    for lost, tried them all again and refused callers.
+    """
+    fixture = _Fixture()
+    for number in range(4):
+        fixture.add(f"far{number}", data_centre="dc2")
+    for number in range(3):
+        fixture.fail(f"far{number}", 1_000.0 + number)
+    assert fixture.lost_names() == {f"far{number}" for number in range(4)}
+    assert fixture.monitor.services_without_path == []
+    fixture.fail("s0", 1_100.0)
+    assert fixture.lost_names() == set(fixture.balancer.load_by_id)
+    assert fixture.monitor.services_without_path == ["*"]
+
+
 def test_failures_between_responses_do_not_lose_the_paths():
     """Targets of one host that fail together are no lost paths."""
     fixture = _Fixture()
