Shorten the first seconds after all entries were down

The hosts of the seeds started 0.3 s after the others, so each entry waited 200 ms for peers before it read the platform; entries with links of 10 Mbit/s then took 90 ms for the view, and callers that arrived meanwhile were told to return after a third of their time.

Ruled out: fewer readers while no peer is known (nobody can be asked), and reads of possibly stale items (an older configuration would be in force).

Change: an entry that restarts without knowing a peer reads after 30 to 130 ms; views between peers are compressed for those that ask; a starting entry names the time until it is usually ready as Retry-After.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import random
+import zlib
 
 import cbor2
 
@@ -63,15 +64,6 @@
 # For this long after its start, an entry reads the platform only if no peer of
 # its data centre has done so. Later the peers that read are known.
 _START_MS = 1_200.0
-# A starting entry waits this long for peers before it reads, and a random time
-# that grows with their number, so that only the first of a fleet reads.
-_DISCOVERY_MS = 60.0
-_MIN_READ_SPREAD_MS = 100.0
-_READ_SPREAD_PER_PEER_MS = 12.0
-# Without any peer, as the hosts of the seeds may start later than this one. At
-# the first start of the fleet there is time until the callers arrive.
-_NO_PEERS_MS = 200.0
-_NO_PEERS_BOOTSTRAP_MS = 800.0
 # Changes that need more datagrams than this are fetched by the peers.
 _MAX_CHANGE_DATAGRAMS = 12
 _MAX_CHANGE_BYTES = 1_200
@@ -84,6 +76,11 @@
 # targets take the callers of those without.
 _MAX_REACHING_BUSY = 0.55
 _PEER_VIEW_PATH = "/published"
+# Small hosts have links of 5 to 10 Mbit/s, on which the view of 300 targets
+# takes 90 ms. Entries of earlier builds ignore the query and do not compress.
+_DEFLATE_QUERY = "encoding=deflate"
+_DEFLATE_LEVEL = 1
+_MAX_VIEW_BYTES = 64 * 1024 * 1024
 # Processor time of a relayed exchange, as a share of that of a request.
 _RELAYED_REQUEST_SHARE = 0.4
 # The body of a relayed request follows the frame with its headers.
@@ -427,17 +424,11 @@
         peers = self.group.local_peers()
         if any(peer.presence.revision for peer in peers):
             return False
-        spread_ms = max(
-            _MIN_READ_SPREAD_MS, _READ_SPREAD_PER_PEER_MS * len(peers)
+        return uptime_ms >= serving.first_read_delay_ms(
+            len(peers),
+            self._first_read_share,
+            is_first_start=self.settings.is_first_start,
         )
-        delay_ms = _DISCOVERY_MS
-        if not peers:
-            delay_ms = (
-                _NO_PEERS_BOOTSTRAP_MS
-                if self.settings.is_first_start
-                else _NO_PEERS_MS
-            )
-        return uptime_ms >= delay_ms + self._first_read_share * spread_ms
 
     def _steady_ms(self) -> float:
         """Return the longest uninterrupted connection to the platform in ms.
@@ -637,10 +628,10 @@
         try:
             response = await self._peer_client.get(
                 peer.presence.control_address,
-                f"{_PEER_VIEW_PATH}?after={replaced}",
+                f"{_PEER_VIEW_PATH}?{_DEFLATE_QUERY}&after={replaced}",
                 _PEER_VIEW_TIMEOUT_S,
             )
-            content = cbor2.loads(response.body)
+            content = cbor2.loads(_decode_view(response))
             items = [dialects.PublishedItem(*item) for item in content["items"]]
             revision, steady_ms = content["revision"], content["steady_ms"]
             is_complete = content.get("is_complete", True)
@@ -648,8 +639,10 @@
             connections.ExchangeError,
             TimeoutError,
             cbor2.CBORDecodeError,
+            zlib.error,
             KeyError,
             TypeError,
+            ValueError,
         ) as error:
             _LOG.warning(
                 "peer_view_failed",
@@ -746,7 +739,14 @@
                 for item in (view.items() if items is None else items)
             ],
         }
-        return http_server.Response(200, cbor2.dumps(content))
+        body = cbor2.dumps(content)
+        if _DEFLATE_QUERY not in request.target:
+            return http_server.Response(200, body)
+        return http_server.Response(
+            200,
+            zlib.compress(body, _DEFLATE_LEVEL),
+            [("Content-Encoding", "deflate")],
+        )
 
     async def _get_metrics(
         self, request: http_server.Request
@@ -759,6 +759,22 @@
         )
 
 
+def _decode_view(response: connections.TargetResponse) -> bytes:
+    """Return the body of a peer's view, decompressed if it is compressed.
+
+    Raises:
+        zlib.error: The body is damaged.
+        ValueError: It is incomplete or too large.
+    """
+    if response.header_by_name.get("content-encoding") != "deflate":
+        return response.body
+    decompressor = zlib.decompressobj()
+    body = decompressor.decompress(response.body, _MAX_VIEW_BYTES)
+    if not decompressor.eof:
+        raise ValueError("the view is incomplete or too large")
+    return body
+
+
 class _BusyShare:
     """Estimate of the share of this host that its requests use.
 
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -41,6 +41,12 @@
 # Retry-After of a draining entry: the caller can retry at another address
 # immediately.
 _DRAINING_RETRY_AFTER_MS = 20
+# Time from the start of an entry until it has read its configuration, unless
+# the platform and all peers are unavailable, with a margin.
+_USUAL_START_MS = 350.0
+_MIN_STARTING_RETRY_AFTER_MS = 60.0
+# For an entry that takes longer to start.
+_STARTING_RETRY_AFTER_MS = 1_000.0
 
 
 class CallerServer:
@@ -66,6 +72,7 @@
         self._catalogue = catalogue
         self._forwarder = forwarder
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self._counters = counters
         self._splitter = splitting.Splitter(random.Random())
         self._longest_deadline_ms_by_route: dict[tuple[str, str], float] = {}
@@ -147,8 +154,16 @@
         """Refuse a request while the limit of its body is not known."""
         if self._catalogue.table is not None:
             return None
+        uptime_ms = self._clock.now_ms() - self._started_ms
+        retry_after_ms = _STARTING_RETRY_AFTER_MS
+        if uptime_ms < _USUAL_START_MS:
+            retry_after_ms = max(
+                _MIN_STARTING_RETRY_AFTER_MS, _USUAL_START_MS - uptime_ms
+            )
         error = errors.RequestError(
-            errors.Reason.STARTING, errors.Step.ACCEPTED
+            errors.Reason.STARTING,
+            errors.Step.ACCEPTED,
+            retry_after_ms=int(retry_after_ms),
         )
         return self._build_refusal(
             http_request,
--- a/slatechute/gateway/serving.py
+++ b/slatechute/gateway/serving.py
@@ -15,7 +15,7 @@
 
 from slatechute import messages
 
-__all__ = ["ActiveRole", "rank"]
+__all__ = ["ActiveRole", "first_read_delay_ms", "rank"]
 
 # The loss of half of the hosts of a data centre leaves all active entries dead
 # in one of 64 cases. Smaller data centres have active entries only.
@@ -29,6 +29,16 @@
 # An entry that is not needed any more stays active for this long, so that the
 # set does not alternate while entries start.
 _MIN_SURPLUS_MS = 3_000.0
+# A starting entry waits this long for peers before it reads, and a random time
+# that grows with their number, so that only the first of a fleet reads.
+_DISCOVERY_MS = 60.0
+_MIN_READ_SPREAD_MS = 100.0
+_READ_SPREAD_PER_PEER_MS = 12.0
+# Without any peer, as the hosts of the seeds may start later than this one. At
+# the first start of the fleet there is time until the callers arrive. When all
+# entries restart, callers are waiting already.
+_NO_PEERS_MS = 30.0
+_NO_PEERS_BOOTSTRAP_MS = 800.0
 
 
 def rank(presence: messages.Presence) -> tuple[float, str]:
@@ -53,6 +63,24 @@
     return max(MIN_ACTIVE, math.ceil(len(active) * share / _MAX_BUSY_SHARE))
 
 
+def first_read_delay_ms(
+    peer_count: int, share: float, *, is_first_start: bool
+) -> float:
+    """Return how long after its start an entry reads the platform by itself.
+
+    Args:
+        peer_count: Number of peers of the data centre that it knows. None of
+            them has read the platform yet.
+        share: Random number of this entry, from 0 to 1.
+        is_first_start: Whether the whole fleet starts for the first time.
+    """
+    spread_ms = max(_MIN_READ_SPREAD_MS, _READ_SPREAD_PER_PEER_MS * peer_count)
+    delay_ms = _DISCOVERY_MS
+    if not peer_count:
+        delay_ms = _NO_PEERS_BOOTSTRAP_MS if is_first_start else _NO_PEERS_MS
+    return delay_ms + share * spread_ms
+
+
 class ActiveRole:
     """Decides whether this entry is active.
 
