Do not name entries to callers that have been silent for over 5.5 s

Cause: a standby's loss is noticed after 17 s and that of an entry of another data centre after 14 s; the users allow contact_s + 3 s.

Ruled out: more heartbeats, whose cost grows with the fleet.

Change: the address list leaves out entries whose last heartbeat is older.

Result: the new test fails on the code before.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -695,7 +695,14 @@
     def addresses(self) -> list[str]:
         """Return the addresses that a caller should use, in random order."""
         presence = self._presence()
-        known = [presence, *(peer.presence for peer in self.group.live_peers())]
+        oldest_ms = self.clock.now_ms() - self.settings.max_silence_s * 1000
+        # Standbys and entries of other data centres send heartbeats so rarely
+        # that they are taken for lost later than callers may be told of them.
+        known = [presence] + [
+            peer.presence
+            for peer in self.group.live_peers()
+            if peer.last_received_ms >= oldest_ms
+        ]
         ready = [p for p in known if p.state == peer_groups.READY]
         # A caller of another data centre sends its query here because no entry
         # there has responded, and heartbeats from there are seconds old.
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -23,6 +23,8 @@
         seeds: Control addresses of some entries.
         platform_address: Address of the platform service.
         address_ttl_s: How long callers may cache a list of addresses.
+        max_silence_s: An entry that has not been heard of for longer is not
+            named to callers.
         shutdown_timeout_s: Time from the stop signal until the process is
             killed.
         retry_ratio: Fleet-wide limit of the retries and hedges that reach a
@@ -51,6 +53,7 @@
     seeds: tuple[str, ...]
     platform_address: str
     address_ttl_s: float = 2.0
+    max_silence_s: float = 5.5
     shutdown_timeout_s: float = 6.0
     retry_ratio: float = 0.2
     probes_per_s: float = 10.0
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -339,3 +339,17 @@
             await waiting.until(lambda: app._presence().busy > 0.5, 2.0)
 
     small_fleet.run(check)
+
+
+def test_silent_peer_is_not_named_to_callers():
+    """A standby's loss is noticed 17 s late; callers would wait for it."""
+
+    async def check(fleet):
+        app = await fleet.add_with_routes()
+        other = await fleet.add()
+        await waiting.until(lambda: len(app.addresses()) == 2)
+        peer = app.group.peers_by_id[other.settings.entry_id]
+        peer.last_received_ms -= app.settings.max_silence_s * 1000
+        assert app.addresses() == [app.settings.callers_address]
+
+    small_fleet.run(check)
