Send no requests to the targets of evacuated data centres

Ruled out: removing the targets from the balancer, which loses their loads and would have to filter each registration; pausing them for a time, which responses and renewed pauses end; a message between entries, a second way beside the view.

Change: the catalogue keeps the evacuations in force and reports them; the balancer marks the loads, which is_paused covers. Probes, trials of lost paths, relayed exchanges, idle connections and retries obey the mark. Requests that only evacuated targets could serve are refused at once (reason evacuated). The duration in PublishedChanges replaces that of an older heartbeat, which could end a hold early.

--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -52,6 +52,7 @@
     CONNECTION_SILENT = "connection_silent"
     DEADLINE = "deadline"
     DUPLICATE_REQUEST_ID = "duplicate_request_id"
+    EVACUATED = "evacuated"
     EXPIRED_REQUEST_ID = "expired_request_id"
     FOREIGN_REQUEST_ID = "foreign_request_id"
     LEASE_STALE = "lease_stale"
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 import contextlib
 import dataclasses
+import math
 import random
 
 import cbor2
@@ -119,6 +120,7 @@
         self._started_ms = self.clock.now_ms()
         self._role = serving.ActiveRole()
         self._busy = _BusyShare(settings)
+        self._evacuated_since_ms: dict[str, float] = {}
         self._sent_revision = 0
         self._request_arrived = asyncio.Event()
         self._first_read_share = random.random()
@@ -223,6 +225,9 @@
                 for pool in self.balancer.pool_by_service.values()
             ),
             links=lambda: len(self.group.live_peers()),
+            evacuated_data_centres=lambda: len(self._evacuated_since_ms),
+            evacuated_targets=lambda: len(self.balancer.evacuated_loads()),
+            evacuation_age_s=self._evacuation_age_s,
         )
         handlers = (
             (settings.readiness_address, self._get_readiness),
@@ -501,12 +506,43 @@
     def target_changed(self, target: dialects.PublishedTarget) -> None:
         """Apply a changed registration."""
         self.balancer.update_target(target, self.clock.now_ms())
+        self._close_evacuated()
 
     def target_removed(self, target: dialects.PublishedTarget) -> None:
         """Send no further request to a target."""
         self.balancer.remove_target(target.id)
         self._pool.close_idle(target.address)
 
+    def evacuation_started(self, data_centre: str) -> None:
+        """Send no further request to the targets of a data centre."""
+        self._evacuated_since_ms[data_centre] = self.clock.now_ms()
+        self._apply_evacuations()
+
+    def evacuation_ended(self, data_centre: str) -> None:
+        """Send requests to the targets of a data centre again."""
+        self._evacuated_since_ms.pop(data_centre, None)
+        self._apply_evacuations()
+
+    def _apply_evacuations(self) -> None:
+        self.balancer.set_evacuated(
+            frozenset(self._evacuated_since_ms), self.clock.now_ms()
+        )
+        self._close_evacuated()
+        self._prober.update_assignment()
+        self._paths.update()
+
+    def _close_evacuated(self) -> None:
+        """Close idle connections to the targets of evacuated data centres."""
+        for load in self.balancer.evacuated_loads():
+            self._pool.close_idle(load.target.address)
+
+    def _evacuation_age_s(self) -> float:
+        """Return the age of the oldest evacuation in s, NaN without one."""
+        if not self._evacuated_since_ms:
+            return math.nan
+        since_ms = min(self._evacuated_since_ms.values())
+        return (self.clock.now_ms() - since_ms) / 1000
+
     # Peers.
 
     def _platform_source(self) -> catalogues.Source:
@@ -550,7 +586,11 @@
     ) -> None:
         """Adopt the changes that a peer has read, if none before is missing."""
         revision = self.catalogue.view.revision
-        peer.presence.revision = max(peer.presence.revision, report.revision)
+        if report.revision > peer.presence.revision:
+            # The last heartbeat may be of the time before a restore, when the
+            # peer had been connected for longer.
+            peer.presence.revision = report.revision
+            peer.presence.steady_ms = report.steady_ms
         if report.revision <= revision:
             return
         if report.after > revision or not revision:
@@ -644,6 +684,9 @@
             items = [dialects.PublishedItem(*item) for item in content["items"]]
             revision, steady_ms = content["revision"], content["steady_ms"]
             is_complete = content.get("is_complete", True)
+            unconfirmed = [
+                str(name) for name in content.get("unconfirmed_evacuations", ())
+            ]
         except (
             connections.ExchangeError,
             TimeoutError,
@@ -670,6 +713,7 @@
             self.catalogue.replace(items, revision, source)
         else:
             self.catalogue.apply(items, revision, source)
+        self.catalogue.adopt_unconfirmed_evacuations(unconfirmed, source)
 
     # Auxiliary servers.
 
@@ -741,6 +785,9 @@
             "revision": view.revision,
             "steady_ms": self._reader.steady_ms(),
             "is_complete": items is None,
+            "unconfirmed_evacuations": sorted(
+                self.catalogue.evacuations.unconfirmed
+            ),
             "items": [
                 [item.key, item.revision, item.value]
                 for item in (view.items() if items is None else items)
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -133,6 +133,22 @@
         self.peer_waiting_by_id: dict[str, int] = {}
         self.last_used_ms = float("-inf")
 
+    def has_target(self, excluded: Set[str] = frozenset()) -> bool:
+        """Return whether a request can be sent to a target, now or later.
+
+        Args:
+            excluded: Ids of targets that must not receive it.
+        """
+        return any(
+            not load.is_evacuated and target_id not in excluded
+            for target_id, load in self.load_by_id.items()
+        )
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether it has targets, all of them in evacuated data centres."""
+        return bool(self.load_by_id) and not self.has_target()
+
     def throughput_per_ms(
         self, work_ms: float, limit_ms: float, now_ms: float
     ) -> float:
@@ -182,6 +198,7 @@
                 load.announced.paused_until_ms
                 for load in self.load_by_id.values()
                 if load.announced.paused_until_ms > now_ms
+                and not load.is_evacuated
             ),
             default=math.inf,
         )
@@ -211,6 +228,7 @@
         self.pool_by_service: dict[str, ServicePool] = {}
         self.load_by_id: dict[str, loads.TargetLoad] = {}
         self._data_centre = data_centre
+        self._evacuated: frozenset[str] = frozenset()
         self._on_load_change = on_load_change
         self._on_token_request = on_token_request
         self._random = generator or random.Random()
@@ -230,6 +248,7 @@
         """Add a target."""
         pool = self.pool(target.service)
         load = loads.TargetLoad(target, pool.model, now_ms)
+        load.is_evacuated = target.data_centre in self._evacuated
         pool.load_by_id[target.id] = load
         self.load_by_id[target.id] = load
 
@@ -240,6 +259,27 @@
         load = self.load_by_id.get(target.id)
         if load is not None:
             load.update(target, now_ms)
+            load.is_evacuated = target.data_centre in self._evacuated
+
+    def set_evacuated(
+        self, data_centres: frozenset[str], now_ms: float
+    ) -> None:
+        """Send no request to the targets of some data centres, but to others.
+
+        Waiting requests that only these targets could serve are refused.
+
+        Args:
+            data_centres: All evacuated data centres.
+            now_ms: Current time.
+        """
+        self._evacuated = data_centres
+        for load in self.load_by_id.values():
+            load.is_evacuated = load.target.data_centre in data_centres
+        self.tick(now_ms)
+
+    def evacuated_loads(self) -> list[loads.TargetLoad]:
+        """Return the loads of the targets of evacuated data centres."""
+        return [load for load in self.load_by_id.values() if load.is_evacuated]
 
     def remove_target(self, target_id: str) -> None:
         """Remove a target, so that no further request is sent to it."""
@@ -435,7 +475,7 @@
     def decide(self, request: DispatchRequest, now_ms: float) -> Decision:
         """Decide whether a request that cannot start now waits."""
         pool = self.pool(request.service)
-        if pool.load_by_id.keys() - request.excluded and self._may_be_in_time(
+        if pool.has_target(request.excluded) and self._may_be_in_time(
             pool, request, now_ms
         ):
             return Decision.WAIT
@@ -480,6 +520,9 @@
                 and load.path.is_heard_after(load.path.failed_ms)
                 for load in pool.load_by_id.values()
             ),
+            "evacuated": sum(
+                load.is_evacuated for load in pool.load_by_id.values()
+            ),
             "without_path": sum(
                 load.path.is_lost for load in pool.load_by_id.values()
             ),
@@ -551,9 +594,13 @@
         )
 
     def _is_held_back(self, pool: ServicePool, now_ms: float) -> bool:
-        """Return whether all targets have announced to take no request now."""
+        """Return whether no target takes a request now, as known for certain.
+
+        They have announced it or are evacuated.
+        """
         return all(
-            load.announced.paused_until_ms > now_ms
+            load.is_evacuated
+            or load.announced.paused_until_ms > now_ms
             or (load.lacks_token(now_ms) and load.tokens.is_scarce(now_ms))
             for load in pool.load_by_id.values()
         )
@@ -574,7 +621,7 @@
 
     def _is_unservable(self, request: DispatchRequest, now_ms: float) -> bool:
         pool = self.pool(request.service)
-        if not pool.load_by_id.keys() - request.excluded:
+        if not pool.has_target(request.excluded):
             return True
         work_ms = pool.model.work_ms(request.work_key)
         if now_ms + work_ms > request.deadline_ms:
@@ -587,7 +634,11 @@
         for queued in list(pool.waiting):
             if self._is_unservable(queued.request, now_ms):
                 pool.waiting.remove(queued)
-                queued.on_result(errors.Reason.OVERLOAD)
+                queued.on_result(
+                    errors.Reason.EVACUATED
+                    if pool.is_evacuated
+                    else errors.Reason.OVERLOAD
+                )
 
     def tick(self, now_ms: float) -> None:
         """Refuse requests that cannot be served, and dispatch the others.
--- a/slatechute/gateway/catalogue.py
+++ b/slatechute/gateway/catalogue.py
@@ -1,11 +1,13 @@
 """Active configuration and targets of one entry."""
 
+from collections.abc import Iterable
 import dataclasses
 import functools
 from typing import Protocol
 
 from slatechute import logs
 from slatechute.gateway import dialects
+from slatechute.gateway import evacuations
 from slatechute.gateway import published
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
@@ -39,6 +41,14 @@
         """Apply that a target must not receive further requests."""
         ...
 
+    def evacuation_started(self, data_centre: str) -> None:
+        """Apply that the targets of a data centre must not get requests."""
+        ...
+
+    def evacuation_ended(self, data_centre: str) -> None:
+        """Apply that the targets of a data centre may get requests again."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Source:
@@ -60,6 +70,7 @@
     Attributes:
         view: The published items.
         table: Active routing table, None before the first configuration.
+        evacuations: Evacuations in force.
     """
 
     def __init__(
@@ -70,6 +81,7 @@
     ):
         self.view = published.PublishedView()
         self.table: routing.RoutingTable | None = None
+        self.evacuations = evacuations.Evacuations()
         self._settings = settings
         self._dialect = dialect
         self._observer = observer
@@ -93,8 +105,9 @@
 
         After the platform was restored from a copy, the operator and the
         targets write again what the copy lacks. Until then the newest
-        configuration stays in force, and known targets stay in use like those
-        whose registrations expire during an outage.
+        configuration stays in force, known targets stay in use like those whose
+        registrations expire during an outage, and evacuated data centres stay
+        evacuated.
         """
         is_restored = self.view.revision > 0 and self.view.is_older_era(
             revision
@@ -127,7 +140,10 @@
     def _adopt_item(
         self, item: dialects.PublishedItem, source: Source, is_restored: bool
     ) -> None:
-        if self._dialect.is_target_key(item.key):
+        data_centre = self._dialect.evacuated_data_centre(item.key)
+        if data_centre is not None:
+            self._adopt_evacuation(data_centre, item, source, is_restored)
+        elif self._dialect.is_target_key(item.key):
             self._adopt_target(item, source, is_restored)
         elif item.value is not None:
             self._adopt_table(item, source)
@@ -159,6 +175,74 @@
         )
         self._observer.routing_adopted(table)
 
+    def _adopt_evacuation(
+        self,
+        data_centre: str,
+        item: dialects.PublishedItem,
+        source: Source,
+        is_restored: bool,
+    ) -> None:
+        change = self.evacuations.adopt(
+            data_centre,
+            is_published=item.value is not None,
+            is_restored=is_restored,
+        )
+        if change is evacuations.Change.STARTED:
+            self._start_evacuation(data_centre, item.revision, source.name)
+        elif change is evacuations.Change.ENDED:
+            self._end_evacuation(data_centre, item.revision, source.name)
+        elif change is evacuations.Change.UNCONFIRMED:
+            _LOG.warning(
+                "evacuation_unconfirmed",
+                data_centre=data_centre,
+                revision=item.revision,
+                source=source.name,
+            )
+
+    def adopt_unconfirmed_evacuations(
+        self, data_centres: Iterable[str], source: Source
+    ) -> None:
+        """Adopt evacuations that a peer applies but the platform lacks.
+
+        An entry that has started since the platform was restored knows only
+        the copy.
+        """
+        for data_centre in data_centres:
+            if self.evacuations.adopt_unconfirmed(data_centre) is not None:
+                self._start_evacuation(
+                    data_centre, self.view.revision, source.name
+                )
+
+    def _start_evacuation(
+        self, data_centre: str, revision: int, source: str
+    ) -> None:
+        _LOG.notice(
+            "evacuation_in_force",
+            data_centre=data_centre,
+            targets=self._count_targets(data_centre),
+            source=source,
+            revision=revision,
+        )
+        self._observer.evacuation_started(data_centre)
+
+    def _end_evacuation(
+        self, data_centre: str, revision: int, source: str
+    ) -> None:
+        _LOG.notice(
+            "evacuation_ended",
+            data_centre=data_centre,
+            targets=self._count_targets(data_centre),
+            source=source,
+            revision=revision,
+        )
+        self._observer.evacuation_ended(data_centre)
+
+    def _count_targets(self, data_centre: str) -> int:
+        return sum(
+            target.data_centre == data_centre and not target.leaving
+            for target in self._target_by_key.values()
+        )
+
     def _adopt_target(
         self, item: dialects.PublishedItem, source: Source, is_restored: bool
     ) -> None:
@@ -277,6 +361,8 @@
     def remove_expired(self, steady_ms: float) -> None:
         """Remove expired targets that were not registered again in time.
 
+        Evacuations that were not written again in that time end as well.
+
         Args:
             steady_ms: Duration of the uninterrupted connection of this entry
                 or a peer to the platform.
@@ -285,3 +371,5 @@
             return
         while self._expired_keys:
             self._remove_target(self._expired_keys.pop(), "lapsed")
+        for data_centre in self.evacuations.end_unconfirmed():
+            self._end_evacuation(data_centre, self.view.revision, "lapsed")
--- a/slatechute/gateway/dialects.py
+++ b/slatechute/gateway/dialects.py
@@ -179,3 +179,7 @@
     def is_target_key(self, key: str) -> bool:
         """Return whether a key belongs to a target."""
         ...
+
+    def evacuated_data_centre(self, key: str) -> str | None:
+        """Return the data centre that a key evacuates, None for other keys."""
+        ...
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -311,7 +311,7 @@
         if trace.sent >= request.route.max_attempts:
             return False
         pool = self._balancer.pool(request.service)
-        if not pool.load_by_id.keys() - trace.excluded:
+        if not pool.has_target(trace.excluded):
             return False
         if self._quarantined_ms(request) > 0:
             return False
@@ -336,9 +336,14 @@
         ):
             pool = self._balancer.pool(request.service)
             reason = errors.Reason.OVERLOAD
-            if not pool.load_by_id.keys() - trace.excluded:
+            if pool.is_evacuated:
+                reason = errors.Reason.EVACUATED
+            elif not pool.has_target(trace.excluded):
                 reason = errors.Reason.NO_TARGETS
-            elif all(load.path.is_blocked for load in pool.load_by_id.values()):
+            elif all(
+                load.path.is_blocked or load.is_evacuated
+                for load in pool.load_by_id.values()
+            ):
                 reason = errors.Reason.NO_PATH
             raise self._refusal(request, trace, reason, 503)
         result_future = asyncio.get_running_loop().create_future()
@@ -474,7 +479,7 @@
             failure = self._classify_response(request, exchange, response)
         finally:
             self._handle_exchange_end(exchange)
-            if load.announced.is_leaving:
+            if load.announced.is_leaving or load.is_evacuated:
                 self._pool.close_idle(target.address)
         step["result"] = failure.reason if failure else response.status
         if failure is None:
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -225,6 +225,8 @@
         sent: Number of requests sent by this entry, plus one for each observed
             increase in the requests of a peer.
         paused_until_ms: Clock time until which no request is sent.
+        is_evacuated: Whether its data centre is evacuated, so that no request
+            is sent.
     """
 
     def __init__(
@@ -246,6 +248,7 @@
         self._log_slowness = 0.0
         self._slowness_updated_ms = now_ms
         self.paused_until_ms = 0.0
+        self.is_evacuated = False
         self._model = model
         self._peer_in_flight = 0
         # Sequence number of the last report of each peer about this target.
@@ -352,8 +355,11 @@
 
     def is_paused(self, now_ms: float) -> bool:
         """Return whether no request is sent to the target for now."""
-        return self.path.is_blocked or now_ms < max(
-            self.paused_until_ms, self.announced.paused_until_ms
+        return (
+            self.is_evacuated
+            or self.path.is_blocked
+            or now_ms
+            < max(self.paused_until_ms, self.announced.paused_until_ms)
         )
 
     def lacks_token(self, now_ms: float) -> bool:
--- a/slatechute/gateway/path_monitor.py
+++ b/slatechute/gateway/path_monitor.py
@@ -75,7 +75,12 @@
         self._without_path: set[str] = set()
 
     def _loads(self, service: str) -> list[loads.TargetLoad]:
-        return list(self._balancer.pool(service).load_by_id.values())
+        """Return the loads of the targets of a service that get requests."""
+        return [
+            load
+            for load in self._balancer.pool(service).load_by_id.values()
+            if not load.is_evacuated
+        ]
 
     # Evidence.
 
@@ -185,6 +190,7 @@
                 for load in self._lost
                 if load.path.trial_due_ms <= now_ms
                 and load.announced.paused_until_ms <= now_ms
+                and not load.is_evacuated
             ),
             key=lambda load: load.path.trial_due_ms,
         )[: max(_TRIALS_AT_ONCE, int(_TRIAL_SHARE_AT_ONCE * len(self._lost)))]
@@ -196,10 +202,11 @@
         """Recompute what follows from the beliefs and from the peers' ones."""
         lost_by_service: dict[str, list[loads.TargetLoad]] = {}
         for load in list(self._lost):
-            if self._balancer.is_listed(load):
-                lost_by_service.setdefault(load.target.service, []).append(load)
-            else:
+            if not self._balancer.is_listed(load):
                 self._lost.discard(load)
+            elif not load.is_evacuated:
+                # The path to an evacuated target is not tried again.
+                lost_by_service.setdefault(load.target.service, []).append(load)
         lost_services = set()
         for service, lost in lost_by_service.items():
             is_blocked = not self._has_relay(service)
@@ -223,7 +230,7 @@
         used = [
             name
             for name, pool in self._balancer.pool_by_service.items()
-            if pool.load_by_id
+            if pool.has_target()
         ]
         if len(services) > _MAX_LISTED_SERVICES or (
             services and len(services) == len(used)
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -333,6 +333,7 @@
         load = self._balancer.load_by_id.get(message.target_id)
         if (
             load is None
+            or load.is_evacuated
             or load.target.incarnation != message.incarnation
             or load.announced.paused_until_ms > self._clock.now_ms()
             or self._is_leaving()
@@ -402,6 +403,8 @@
             ), b""
         finally:
             self._pool.release(address, connection)
+            if load.is_evacuated:
+                self._pool.close_idle(address)
         self._apply_response(message, load, response, is_new=is_new)
         return messages.RelayResponse(
             Result.RESPONSE, response.status, response.headers
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -365,7 +365,11 @@
         without_path[self._settings.entry_id] = (
             self._paths.services_without_path
         )
-        targets = frozenset(self._balancer.load_by_id.values())
+        targets = frozenset(
+            load
+            for load in self._balancer.load_by_id.values()
+            if not load.is_evacuated
+        )
         inputs = (entries, without_path, targets)
         if inputs == self._assignment_inputs:
             return
@@ -436,6 +440,10 @@
                 "path_trial_failed", target=load.target.id, error=repr(error)
             )
         else:
+            if load.is_evacuated:
+                # The evacuation began while the connection was opened.
+                connection.close()
+                return
             self._paths.restore(load, self._clock.now_ms())
             self._pool.release(load.target.address, connection)
 
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -150,6 +150,17 @@
             "requests_waiting", "Requests waiting for a slot."
         )
         self._links = self._gauge("peer_links", "Live links to peers.")
+        self._evacuated_data_centres = self._gauge(
+            "evacuated_data_centres", "Evacuated data centres."
+        )
+        self._evacuated_targets = self._gauge(
+            "evacuated_targets",
+            "Targets without requests as their data centre is evacuated.",
+        )
+        self._evacuation_age = self._gauge(
+            "evacuation_age_seconds",
+            "Time since the oldest evacuation came into force; NaN for none.",
+        )
         self._adopted_s = math.nan
         self._age.set_function(lambda: time.monotonic() - self._adopted_s)
         self._services = _CappedLabel(MAX_SERVICES)
@@ -302,6 +313,9 @@
         in_flight: Callable[[], int] | None = None,
         waiting: Callable[[], int] | None = None,
         links: Callable[[], int] | None = None,
+        evacuated_data_centres: Callable[[], int] | None = None,
+        evacuated_targets: Callable[[], int] | None = None,
+        evacuation_age_s: Callable[[], float] | None = None,
     ) -> None:
         """Set the callbacks that gauges read on each export.
 
@@ -311,11 +325,19 @@
             in_flight: Returns the requests accepted and not yet answered.
             waiting: Returns the requests waiting for a slot.
             links: Returns the live links to peers.
+            evacuated_data_centres: Returns the evacuated data centres.
+            evacuated_targets: Returns the targets without requests because of
+                an evacuation.
+            evacuation_age_s: Returns the age of the oldest evacuation in s, NaN
+                without one.
         """
         for gauge, read in (
             (self._in_flight, in_flight),
             (self._waiting, waiting),
             (self._links, links),
+            (self._evacuated_data_centres, evacuated_data_centres),
+            (self._evacuated_targets, evacuated_targets),
+            (self._evacuation_age, evacuation_age_s),
         ):
             if read is not None:
                 gauge.set_function(read)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -78,7 +78,8 @@
 class PlainDialect:
     """Minimal dialect with fixed headers.
 
-    Keys of published items are `t/ID` for targets and `c` for routes.
+    Keys of published items are `t/ID` for targets, `c` for routes and `e/NAME`
+    for evacuations.
     """
 
     def __init__(self):
@@ -128,6 +129,9 @@
     def is_target_key(self, key: str) -> bool:
         return key.startswith("t/")
 
+    def evacuated_data_centre(self, key: str) -> str | None:
+        return key.removeprefix("e/") if key.startswith("e/") else None
+
     def parse_configuration(self, item: dialects.PublishedItem):
         return self.table_by_revision.get(item.revision)
 
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -154,6 +154,13 @@
     assert _WIRE.parse_configuration(_item("my/leader", _CONFIG)) is None
 
 
+def test_evacuation_keys():
+    """A key that is not recognised leaves the targets in use."""
+    assert _WIRE.evacuated_data_centre("op/evacuate/z1") == "z1"
+    assert _WIRE.evacuated_data_centre("op/evacuate/") is None
+    assert _WIRE.evacuated_data_centre("op/config") is None
+
+
 def test_responses():
     """Only a marked refusal or a wrong target proves that nothing has run.
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -71,6 +71,9 @@
     "slatechute_configuration_revision": ("gauge",),
     "slatechute_connect_failures": ("counter",),
     "slatechute_duplicates_refused": ("counter",),
+    "slatechute_evacuated_data_centres": ("gauge",),
+    "slatechute_evacuated_targets": ("gauge",),
+    "slatechute_evacuation_age_seconds": ("gauge",),
     "slatechute_hedges": ("counter",),
     "slatechute_invalid_announcements": ("counter",),
     "slatechute_limited_requests": ("counter",),
@@ -193,6 +196,9 @@
     "entry_started": ["boot_id"],
     "entry_stopped": [],
     "entry_was_paused": ["ms"],
+    "evacuation_ended": ["data_centre", "revision", "source", "targets"],
+    "evacuation_in_force": ["data_centre", "revision", "source", "targets"],
+    "evacuation_unconfirmed": ["data_centre", "revision", "source"],
     "folder_not_published": ["error", "path"],
     "frame_too_large": ["message", "peer", "size"],
     "gateway_ready": ["started_ms", "version"],
@@ -311,6 +317,7 @@
 _REFUSED_FIELDS = _ANSWERED_FIELDS | {
     "best_ms",
     "crowded_factor",
+    "evacuated",
     "heard_by_peers",
     "occupied",
     "outcome",
@@ -463,6 +470,7 @@
                 "items",
                 "revision",
                 "steady_ms",
+                "unconfirmed_evacuations",
             }
 
     try:
