Keep standbys and lonely entries out of trials and load reports

Entries that are ready before the seeds are up know nobody and all became active, with load reports among all of them for 3 s. Standbys go on to try the paths to a crashed data centre.

Ruled out: waiting for the seeds again, which costs the callers 200 ms.

Change: an entry that knows no peer becomes active 600 ms after its start; what is surplus in the first 1.5 s is given up after 0.8 s; standbys try lost paths every 2 s only.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -46,6 +46,9 @@
 _IDLE_TICK_INTERVAL_S = 0.06
 # A standby without requests; the first one wakes it.
 _STANDBY_TICK_INTERVAL_S = 0.2
+# Each trial opens a connection. After the crash of a data centre, 8,000 of
+# 13,600 connections were trials, most of them by standbys.
+_STANDBY_TRIALS_INTERVAL_MS = 2_000.0
 # A longer interval between two ticks means that the process was paused.
 _MIN_PAUSE_MS = 400.0
 # A peer whose revision has been higher for this long has read changes that this
@@ -115,10 +118,11 @@
         self._peer_view_task: asyncio.Task | None = None
         self._behind_since_ms: float | None = None
         self._started_ms = self.clock.now_ms()
-        self._role = serving.ActiveRole()
+        self._role = serving.ActiveRole(self._started_ms)
         self._busy = _BusyShare(settings)
         self._evacuated_since_ms: dict[str, float] = {}
         self._sent_revision = 0
+        self._standby_trials_due_ms = 0.0
         self._request_arrived = asyncio.Event()
         self._first_read_share = random.random()
         self.catalogue = catalogues.Catalogue(settings, dialect, self)
@@ -340,7 +344,7 @@
             ("role", 100, self._update_role),
             ("reader", 100, self._update_reader),
             ("paths", 50, lambda: self._paths.update()),
-            ("trials", 100, lambda: self._prober.start_trials()),
+            ("trials", 100, self._start_trials),
             ("probes", 100, lambda: self._prober.update_assignment()),
             (
                 "lapses",
@@ -349,6 +353,13 @@
             ),
         )
 
+    def _start_trials(self) -> None:
+        """Try lost paths again; a standby, which has few requests, rarely."""
+        now_ms = self.clock.now_ms()
+        if self._role.is_active or now_ms >= self._standby_trials_due_ms:
+            self._standby_trials_due_ms = now_ms + _STANDBY_TRIALS_INTERVAL_MS
+            self._prober.start_trials()
+
     async def _tick(self) -> None:
         periodic_steps = self._periodic_steps()
         due_ms_by_step = {name: 0.0 for name, _, _ in periodic_steps}
--- a/slatechute/gateway/serving.py
+++ b/slatechute/gateway/serving.py
@@ -30,6 +30,13 @@
 # An entry that is not needed any more stays active for this long, so that the
 # set does not alternate while entries start.
 _MIN_SURPLUS_MS = 3_000.0
+# The same for an entry that is surplus just after its start, when it learns of
+# more and more entries.
+_MIN_STARTING_SURPLUS_MS = 800.0
+_STARTING_MS = 1_500.0
+# An entry that knows no peer becomes active after this time. After a power loss
+# entries are ready before the seeds are up, and all of them became active.
+_ALONE_MS = 600.0
 # A starting entry waits this long for peers before it reads, and a random time
 # that grows with their number, so that only the first of a fleet reads.
 _DISCOVERY_MS = 60.0
@@ -97,12 +104,16 @@
 class ActiveRole:
     """Decides whether this entry is active.
 
+    Args:
+        started_ms: Clock time at which this entry has started.
+
     Attributes:
         is_active: Whether it is.
     """
 
-    def __init__(self):
+    def __init__(self, started_ms: float = -math.inf):
         self.is_active = False
+        self._started_ms = started_ms
         self._vacant_since_ms: float | None = None
         self._surplus_since_ms: float | None = None
 
@@ -141,6 +152,8 @@
             self.is_active = ahead < wanted or self._is_turn(
                 len(active) < wanted, idle_ahead // wanted, now_ms
             )
+            if not peers and now_ms < self._started_ms + _ALONE_MS:
+                self.is_active = False
         return self.is_active != was_active
 
     def _is_surplus(self, is_unneeded: bool, now_ms: float) -> bool:
@@ -150,7 +163,10 @@
             return False
         if self._surplus_since_ms is None:
             self._surplus_since_ms = now_ms
-        return now_ms - self._surplus_since_ms >= _MIN_SURPLUS_MS
+        min_surplus_ms = _MIN_SURPLUS_MS
+        if self._surplus_since_ms < self._started_ms + _STARTING_MS:
+            min_surplus_ms = _MIN_STARTING_SURPLUS_MS
+        return now_ms - self._surplus_since_ms >= min_surplus_ms
 
     def _is_turn(self, is_vacant: bool, turn: int, now_ms: float) -> bool:
         if not is_vacant:
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -159,3 +159,22 @@
     data_centre.presence_by_id["e00"].busy = 3.0
     data_centre.advance(3_000)
     assert len(data_centre.active()) == 6
+
+
+def test_entries_that_know_nobody_yet_do_not_all_become_active():
+    """146 entries that restarted before their seeds all sent load reports."""
+    own = _presence("e1", is_active=False)
+    role = serving.ActiveRole(started_ms=1_000.0)
+    assert not role.update(own, [], 1_100.0)
+    strong = [
+        _presence(f"s{number}", is_active=True, processor_share=2.0)
+        for number in range(6)
+    ]
+    role.update(own, strong[:3], 1_200.0)
+    assert role.is_active
+    role.update(own, strong, 1_300.0)
+    role.update(own, strong, 2_200.0)
+    assert not role.is_active
+    alone = serving.ActiveRole(started_ms=1_000.0)
+    alone.update(own, [], 1_700.0)
+    assert alone.is_active
