Eject a target for refusals only when it refuses far more than its service

Cause: a target that refused a request although it had free slots counted as faulty. Where all targets of a service refuse 0.55 of what arrives, each one was paused for up to 4 s after three refusals in a row, and for 25 ms after each.

Ruled out: comparing two moving averages. At the weight that detects a faulty target after three refusals, the average of a usual target crosses any bound below 1 within a few dozen requests of such a service.

Change: ServiceModel keeps the share of refusals of the service. Each answer adds to the evidence that a target refuses far more than its service (a cumulative sum of log likelihood ratios); refusals no longer count as failures. The pause of 25 ms after a refusal with free slots applies only while the service refuses less than 0.2. A load that comes with a refusal decides whether the target was full; the refused request was subtracted from it, so that a full target appeared to have a free slot.

A single target that refuses everything is still ejected after three refusals in a healthy service, and within the tests' bound where the service refuses 0.3 or 0.55.

--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -61,6 +61,28 @@
 _MAX_EJECT_MS = 4_000.0
 # A refusal shows a full queue, which has room again once a request finishes.
 _SHED_PAUSE_MS = 25.0
+# Weight of a new answer in the share of refusals of a service: about the last
+# 20 answers count.
+_REFUSAL_WEIGHT = 0.05
+# The share of refusals of a service is taken to be within these bounds, so that
+# neither a single refusal nor a single answer decides.
+_MIN_REFUSAL_SHARE = 0.05
+_MAX_REFUSAL_SHARE = 0.95
+# A target is compared with one that refuses this share of what its service
+# serves.
+_FAULTY_REFUSAL_SHARE = 0.75
+# Evidence, as the logarithm of a likelihood ratio, above which a target is
+# ejected for refusals: three in a row where the service refuses nothing, 15 in
+# a row where it refuses 0.55. A usual target gets there by chance less than
+# once in e^7, about 1,100, answers.
+_REFUSAL_EVIDENCE = 7.0
+# Evidence of a refusal where the service refuses nothing.
+_MAX_REFUSAL_STEP = math.log(
+    1 + _FAULTY_REFUSAL_SHARE * (1 / _MIN_REFUSAL_SHARE - 1)
+)
+# Where a service refuses a larger share of its requests in spite of free slots,
+# a refusal does not show that the target is full.
+_USUAL_REFUSAL_SHARE = 0.2
 # A target that has turned requests of a peer away for a time is used when the
 # others are much slower, as it may still take those of this entry.
 _AVOIDED_FACTOR = 4.0
@@ -135,11 +157,14 @@
     Attributes:
         crowded_factor: Multiple of the usual time at a crowded target.
         slowdown: Average reported slowdown of the hosts of its targets.
+        refusal_share: Moving average of the share of requests that targets
+            have refused although they had free slots.
     """
 
     def __init__(self):
         self.crowded_factor = _INITIAL_CROWDED_FACTOR
         self.slowdown = 1.0
+        self.refusal_share = 0.0
         self._work_by_key: dict[str, _GeometricMean] = {}
         self._useful_by_slots: dict[int, int] = {}
         # Execution times are averaged over uncrowded targets only. With crowded
@@ -192,6 +217,24 @@
         """Update the average with a reported slowdown."""
         self.slowdown += _AVERAGE_WEIGHT * (slowdown - self.slowdown)
 
+    def add_answer(self, *, is_refusal: bool) -> float:
+        """Update the share of refusals with an answer of a target.
+
+        Returns:
+            How much the answer supports that the target refuses far more than
+            its service, as the logarithm of a likelihood ratio.
+        """
+        usual = min(
+            _MAX_REFUSAL_SHARE, max(_MIN_REFUSAL_SHARE, self.refusal_share)
+        )
+        self.refusal_share += _REFUSAL_WEIGHT * (
+            is_refusal - self.refusal_share
+        )
+        faulty = usual + _FAULTY_REFUSAL_SHARE * (1 - usual)
+        if is_refusal:
+            return math.log(faulty / usual)
+        return math.log((1 - faulty) / (1 - usual))
+
     def useful_slots(self, slots: int) -> int:
         """Return the concurrency at which a target has the highest throughput.
 
@@ -221,7 +264,10 @@
             id.
         reported_load: Last reported load, or None.
         reported_ms: Clock time of the last reported load.
-        failure_share: Moving average of the share of failed exchanges.
+        failure_share: Moving average of the share of failed exchanges, without
+            refusals.
+        refusal_evidence: Evidence that the target refuses far more than its
+            service, from 0 for none to that for which it is ejected.
         sent: Number of requests sent by this entry, plus one for each observed
             increase in the requests of a peer.
         paused_until_ms: Clock time until which no request is sent.
@@ -242,6 +288,7 @@
         self.reported_load: dialects.Load | None = None
         self.reported_ms = -math.inf
         self.failure_share = 0.0
+        self.refusal_evidence = 0.0
         self.sent = 0
         self._log_slowness = 0.0
         self._slowness_updated_ms = now_ms
@@ -415,7 +462,7 @@
         cost = (
             work_ms
             * self._duration_factor(position, now_ms)
-            / (1.05 - self.failure_share)
+            / (1.05 - max(self.failure_share, self._refusal_risk()))
         )
         if not self.sent and now_ms - self._listed_ms > _UNUSED_MS:
             cost *= _UNUSED_FACTOR
@@ -423,6 +470,10 @@
             cost *= _AVOIDED_FACTOR
         return cost
 
+    def _refusal_risk(self) -> float:
+        """Return the share of failures that the refusals count for."""
+        return _EJECT_FAILURE_SHARE * self.refusal_evidence / _REFUSAL_EVIDENCE
+
     # Exchanges of this entry.
 
     def start(self, work_key: str, now_ms: float) -> Exchange:
@@ -464,6 +515,10 @@
             elapsed_ms / exchange.expected_ms * exchange.slowness, now_ms
         )
         self._model.add_work(exchange, elapsed_ms)
+        self.refusal_evidence = max(
+            0.0,
+            self.refusal_evidence + self._model.add_answer(is_refusal=False),
+        )
         self.failure_share *= 1 - _FAILURE_WEIGHT
         self._eject_duration_ms = _INITIAL_EJECT_MS
 
@@ -483,10 +538,14 @@
         """Count a failure. Several in a row pause the target."""
         self.failure_share += _FAILURE_WEIGHT * (1 - self.failure_share)
         if self.failure_share > _EJECT_FAILURE_SHARE:
-            self.pause(self._eject_duration_ms, now_ms)
-            self._eject_duration_ms = min(
-                _MAX_EJECT_MS, self._eject_duration_ms * 2
-            )
+            self._eject(now_ms)
+
+    def _eject(self, now_ms: float) -> None:
+        """Pause the target, each time for longer."""
+        self.pause(self._eject_duration_ms, now_ms)
+        self._eject_duration_ms = min(
+            _MAX_EJECT_MS, self._eject_duration_ms * 2
+        )
 
     def record_connect_failure(self, exchange: Exchange, now_ms: float) -> None:
         """End an exchange for which no connection was established."""
@@ -497,6 +556,7 @@
     def forgive_failures(self, now_ms: float) -> None:
         """Drop the failures of the target, as its path has caused them."""
         self.failure_share = 0.0
+        self.refusal_evidence = 0.0
         self.paused_until_ms = min(self.paused_until_ms, now_ms)
         self._eject_duration_ms = _INITIAL_EJECT_MS
 
@@ -505,10 +565,30 @@
         if not self._end(exchange):
             return
         has_announced = self.announced.paused_until_ms > now_ms
-        if self.occupancy() < self.slots and not has_announced:
-            # A refusal with free slots is a fault of the target.
-            self.add_failure(now_ms)
-        self.pause(_SHED_PAUSE_MS, now_ms)
+        if has_announced or self._is_full(now_ms):
+            self.pause(_SHED_PAUSE_MS, now_ms)
+            return
+        # Free slots may be a late report, which one refusal corrects. Where all
+        # targets of the service refuse at random, a pause only costs capacity.
+        if self._model.refusal_share < _USUAL_REFUSAL_SHARE:
+            self.pause(_SHED_PAUSE_MS, now_ms)
+        self.refusal_evidence += self._model.add_answer(is_refusal=True)
+        if self.refusal_evidence >= _REFUSAL_EVIDENCE:
+            self._eject(now_ms)
+            # Where the service refuses little, the next refusal ejects the
+            # target again. Where it refuses much, the first refusals after a
+            # change may have been misjudged, and several are needed.
+            self.refusal_evidence = _REFUSAL_EVIDENCE - _MAX_REFUSAL_STEP
+
+    def _is_full(self, now_ms: float) -> bool:
+        """Return whether a target that has just refused had no free slot.
+
+        A load that came with the refusal does not contain the request.
+        """
+        load = self.reported_load
+        if load is not None and self.reported_ms >= now_ms:
+            return load.running + load.waiting >= load.slots
+        return self.occupancy() >= self.slots
 
     def record_abandonment(self, exchange: Exchange, now_ms: float) -> None:
         """End an exchange that was cancelled before there was a response.
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -1,7 +1,10 @@
 """Tests of the estimated time of a request at a target."""
 
+import random
+
 import pytest
 
+from slatechute.gateway import dialects
 from slatechute.gateway import loads
 from tests.gateway import builders
 
@@ -144,3 +147,87 @@
         target.now_ms += 0.5 * _USUAL_MS
         target.load.record_abandonment(exchange, target.now_ms)
     assert target.cost_ms == pytest.approx(before_ms, rel=0.01)
+
+
+class _SheddingService:
+    """Targets that refuse at random, one after another, with free slots."""
+
+    def __init__(self, seed, targets):
+        self.random = random.Random(seed)
+        self.model = loads.ServiceModel()
+        self.loads = [
+            loads.TargetLoad(
+                builders.target(f"t{number}", slots=2), self.model, 0.0
+            )
+            for number in range(targets)
+        ]
+        self.refusal_share_by_id = {}
+        self.now_ms = 0.0
+
+    def run(self, seconds, usual_share):
+        """Send requests; return the share of targets' time without a pause."""
+        usable = total = 0
+        end_ms = self.now_ms + seconds * 1000
+        while self.now_ms < end_ms:
+            self.now_ms += _USUAL_MS / 4
+            for load in self.loads:
+                total += 1
+                if load.is_paused(self.now_ms):
+                    continue
+                usable += 1
+                exchange = load.start("k", self.now_ms)
+                share = self.refusal_share_by_id.get(
+                    load.target.id, usual_share
+                )
+                if self.random.random() < share:
+                    load.record_refusal(exchange, self.now_ms + 1.0)
+                else:
+                    load.record_success(exchange, self.now_ms + _USUAL_MS / 4)
+        return usable / total
+
+
+@pytest.mark.parametrize("targets", [5, 45])
+@pytest.mark.parametrize("seed", range(5))
+def test_service_that_refuses_at_random_keeps_its_targets(seed, targets):
+    """Refusals paused most of the targets of a service that sheds 0.55."""
+    service = _SheddingService(seed, targets)
+    service.run(1.0, 0.55)
+    assert service.run(20.0, 0.55) > 0.97
+
+
+@pytest.mark.parametrize("usual_share", [0.0, 0.3, 0.55])
+def test_target_that_refuses_everything_is_ejected(usual_share):
+    """It answers at once, so that it would attract most of the requests."""
+    service = _SheddingService(1, 8)
+    service.run(5.0, usual_share)
+    faulty = service.loads[0]
+    service.refusal_share_by_id["t0"] = 1.0
+    service.run(5.0, usual_share)
+    started = faulty.sent
+    service.run(20.0, usual_share)
+    # A target that is not ejected would get 1,000 requests.
+    assert faulty.sent - started < 80
+    assert all(load.sent > 500 for load in service.loads[1:])
+
+
+def test_three_refusals_in_a_row_eject_a_target_of_a_healthy_service():
+    """Slower detection costs retries that the budget does not have."""
+    service = _SheddingService(1, 8)
+    service.run(1.0, 0.0)
+    load = service.loads[0]
+    for _ in range(3):
+        exchange = load.start("k", service.now_ms)
+        load.record_refusal(exchange, service.now_ms)
+    assert load.is_paused(service.now_ms + 250.0)
+
+
+def test_refusal_with_a_load_that_shows_full_slots_is_no_fault():
+    """The refused request was taken for one of those that the target runs."""
+    target = _Target()
+    for _ in range(5):
+        exchange = target.load.start("k", target.now_ms)
+        target.now_ms += 30.0
+        target.load.apply_report(dialects.Load(2, 0, 2, 1.0), target.now_ms)
+        target.load.record_refusal(exchange, target.now_ms)
+    assert target.load.is_paused(target.now_ms + 20.0)
+    assert not target.load.is_paused(target.now_ms + 30.0)
