Share the slack of the retry budget among the entries on demand

Cause: each entry used 0.15 of its own requests and 2 initial retries for each service, so that most of the fleet's retry_slack was unused where callers met failures.

Ruled out (docs/design/retry-budget.md): equal fixed shares, optimistic use with reports, a token bucket, an allocator for each data centre, a majority rule. TokenAllocator is not reused: it is a bucket with a burst of a quarter of a second, whereas a sliding window needs a list of grants. TokenSupply is reused with other times.

Change: one active entry of each service grants retries beyond the own share (tags 26 and 27). Its limit leaves room for 4.5 saved retries of each active entry, for restarts, and for two allocators at once, and grows from 0 in four windows. A retry waits up to 10 ms for the grant; after a denial or no answer, an entry does not ask for 200 ms. Hedges use the own share only and leave 2 of it. Settings retry_slack (0: as before) and retry_window_s, from the bounds retry_slack and budget_window_s; metrics, a log event and operators' pages. The test of frame bytes now covers all tags; it had left out 24 and 25.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -25,6 +25,7 @@
 from slatechute.gateway import published
 from slatechute.gateway import reader
 from slatechute.gateway import relaying
+from slatechute.gateway import retry_sharing
 from slatechute.gateway import routing
 from slatechute.gateway import server
 from slatechute.gateway import serving
@@ -150,6 +151,13 @@
             self._sharing.schedule_report,
             on_token_request=self._token_sharing.request,
         )
+        self._retry_sharing = retry_sharing.RetrySharing(
+            settings,
+            self.clock,
+            self.metrics,
+            lambda: self._role.is_active,
+            self.balancer.pool_by_service.keys,
+        )
         self.group = peer_groups.PeerGroup(
             settings,
             self.clock,
@@ -168,6 +176,7 @@
         self._sharing.attach(self.group, self.balancer, self._paths)
         self._announcements.attach(self.group, self.balancer)
         self._token_sharing.attach(self.group, self.balancer)
+        self._retry_sharing.attach(self.group)
         self._pool = connections.ConnectionPool()
         self._peer_client = connections.HttpClient()
         self._forwarder = forwarding.Forwarder(
@@ -182,6 +191,7 @@
             self._broadcast_crash,
             self._sharing.schedule_report,
             self._announcements.report,
+            self._retry_sharing.acquire,
         )
         self._prober = sharing.LoadProber(
             settings,
@@ -223,6 +233,7 @@
                 for pool in self.balancer.pool_by_service.values()
             ),
             links=lambda: len(self.group.live_peers()),
+            retry_tokens=self._retry_sharing.in_use,
         )
         handlers = (
             (settings.readiness_address, self._get_readiness),
@@ -329,6 +340,7 @@
         return (
             ("queues", 0, lambda: self.balancer.tick(now_ms())),
             ("tokens", 100, lambda: self._token_sharing.tick()),
+            ("retries", 100, lambda: self._retry_sharing.tick()),
             ("sharing", 50, lambda: self._sharing.tick()),
             ("behind", 50, lambda: self._check_behind(now_ms())),
             ("peers", 100, lambda: self.group.tick()),
@@ -575,6 +587,10 @@
             self._token_sharing.handle_request(peer, message)
         elif isinstance(message, messages.TokenGrant):
             self._token_sharing.handle_grant(message)
+        elif isinstance(message, messages.RetryTokenRequest):
+            self._retry_sharing.handle_request(peer, message)
+        elif isinstance(message, messages.RetryTokenGrant):
+            self._retry_sharing.handle_grant(message)
         elif isinstance(message, messages.AnnouncementReport):
             self._announcements.handle_report(peer, message)
         elif isinstance(message, messages.PublishedChanges):
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -1,7 +1,7 @@
 """Forwarding of a request to targets, with retries and hedges."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import dataclasses
 
 from slatechute import budgets
@@ -15,6 +15,7 @@
 from slatechute.gateway import loads
 from slatechute.gateway import path_monitor
 from slatechute.gateway import relaying
+from slatechute.gateway import retry_budgets
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
 from slatechute.util import clock as clocks
@@ -23,13 +24,6 @@
 
 _LOG = logs.get_logger(__name__)
 
-# Share of the fleet-wide retry budget that the entries use. The rest covers
-# requests that several entries count at the edges of a window.
-_RETRY_SHARE = 0.75
-# Number of retries that an entry may make before it has received requests. The
-# slack in the fleet-wide budget covers them for every entry, even if the
-# entries restart.
-_INITIAL_RETRIES = 2
 # Limit of failed connects per request. Such attempts reach no target and
 # consume no retry budget, but cost time.
 _MAX_CONNECT_FAILURES = 4
@@ -130,6 +124,12 @@
         self.is_path_fault = is_path_fault
 
 
+async def _no_retry_token(service: str) -> bool:
+    """Deny a retry beyond the own share, without a fleet to ask."""
+    del service
+    return False
+
+
 class Forwarder:
     """Sends requests to the targets that the balancer selects."""
 
@@ -146,6 +146,7 @@
         on_suspected_crash: Callable[[str, str, float, float], None],
         on_load_report: Callable[[loads.TargetLoad], None],
         on_announcement: Callable[[loads.TargetLoad], None] = lambda load: None,
+        request_retry_token: Callable[[str], Awaitable[bool]] = _no_retry_token,
     ):
         """Create the forwarder.
 
@@ -165,6 +166,8 @@
                 reported it.
             on_announcement: Called with the load of a target when it has
                 announced something new about itself.
+            request_retry_token: Returns whether the fleet grants a retry of a
+                service beyond the own share of this entry.
         """
         self.quarantine = quarantine.Quarantine()
         self._settings = settings
@@ -178,13 +181,14 @@
         self._on_suspected_crash = on_suspected_crash
         self._on_load_report = on_load_report
         self._on_announcement = on_announcement
+        self._request_retry_token = request_retry_token
+        self._hedge_reserve = retry_budgets.hedge_reserve(settings)
         self._budget_by_service: dict[str, budgets.RatioBudget] = {}
 
     def _budget(self, service: str) -> budgets.RatioBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
-            ratio = self._settings.retry_ratio * _RETRY_SHARE
-            budget = budgets.RatioBudget(ratio, initial=_INITIAL_RETRIES)
+            budget = retry_budgets.own_budget(self._settings)
             self._budget_by_service[service] = budget
         return budget
 
@@ -289,7 +293,7 @@
                     return await self._run_hedged(request, trace, exchange)
                 return await self._run_exchange(request, trace, exchange)
             except _AttemptError as failure:
-                if self._may_retry(request, trace, failure):
+                if await self._may_retry(request, trace, failure):
                     self._counters.count_retry(failure.reason)
                 elif failure.response is not None:
                     return failure.response
@@ -299,7 +303,7 @@
                         request, trace, failure.reason, status
                     ) from failure
 
-    def _may_retry(
+    async def _may_retry(
         self, request: CallerRequest, trace: Trace, failure: _AttemptError
     ) -> bool:
         if trace.may_have_run and not request.route.repeatable:
@@ -315,7 +319,10 @@
             return False
         if self._quarantined_ms(request) > 0:
             return False
-        return self._budget(request.service).try_consume()
+        if self._budget(request.service).try_consume():
+            self._counters.count_retry_decision(metrics.RetryDecision.OWN)
+            return True
+        return await self._request_retry_token(request.service)
 
     async def _acquire(
         self, request: CallerRequest, trace: Trace
@@ -411,7 +418,7 @@
         dispatch_request = self._dispatch_request(request, trace)
         dispatch_request.excluded |= {exchange.load.target.id}
         left_ms = request.objective_ms - now_ms
-        if left_ms <= 0 or not budget.has_token():
+        if left_ms <= 0 or not budget.has_token(self._hedge_reserve):
             return None
         hedge = self._balancer.start_hedge(dispatch_request, now_ms, left_ms)
         if hedge is None:
--- a/slatechute/gateway/rate_limits.py
+++ b/slatechute/gateway/rate_limits.py
@@ -11,9 +11,10 @@
 """
 
 import collections
+import dataclasses
 import math
 
-__all__ = ["TokenAllocator", "TokenSupply"]
+__all__ = ["SupplyTimes", "TokenAllocator", "TokenSupply"]
 
 # A token that is used later adds to the requests of a later second.
 _TOKEN_LIFETIME_MS = 400.0
@@ -32,10 +33,31 @@
 _MIN_LIMIT_PER_S = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SupplyTimes:
+    """Times of a token supply.
+
+    Attributes:
+        token_lifetime_ms: Time within which a token must be used.
+        request_timeout_ms: Time without an answer after which tokens count as
+            denied.
+        denial_ms: Time after a denial in which the entry does not ask again.
+    """
+
+    token_lifetime_ms: float = _TOKEN_LIFETIME_MS
+    request_timeout_ms: float = _REQUEST_TIMEOUT_MS
+    denial_ms: float = _DENIAL_MS
+
+
 class TokenSupply:
-    """Tokens of one target at one entry."""
+    """Tokens at one entry, of one target or of the retries of one service.
 
-    def __init__(self):
+    Args:
+        times: By default, those of the tokens of a target.
+    """
+
+    def __init__(self, times: SupplyTimes = SupplyTimes()):
+        self._times = times
         self._expiry_ms: collections.deque[float] = collections.deque()
         self._pending = 0
         self._requested_ms = -math.inf
@@ -43,7 +65,7 @@
 
     def add(self, count: int, now_ms: float) -> None:
         """Add granted tokens."""
-        self._expiry_ms.extend([now_ms + _TOKEN_LIFETIME_MS] * count)
+        self._expiry_ms.extend([now_ms + self._times.token_lifetime_ms] * count)
         self._pending = max(0, self._pending - count)
 
     def has_token(self, now_ms: float) -> bool:
@@ -70,16 +92,19 @@
     def pending(self, now_ms: float) -> int:
         """Return how many tokens may still arrive."""
         if self._pending and (
-            now_ms - self._requested_ms > _REQUEST_TIMEOUT_MS
+            now_ms - self._requested_ms > self._times.request_timeout_ms
         ):
             self.deny(now_ms)
         return self._pending
 
+    def is_denied(self, now_ms: float) -> bool:
+        """Return whether tokens were denied too recently to ask again."""
+        self.pending(now_ms)
+        return now_ms - self._denied_ms < self._times.denial_ms
+
     def may_request(self, now_ms: float) -> bool:
         """Return whether to ask for tokens."""
-        return (
-            not self.pending(now_ms) and now_ms - self._denied_ms >= _DENIAL_MS
-        )
+        return not self.pending(now_ms) and not self.is_denied(now_ms)
 
     def is_scarce(self, now_ms: float) -> bool:
         """Return whether a request that needs a token has to wait for it."""
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -27,6 +27,10 @@
             killed.
         retry_ratio: Fleet-wide limit of the retries and hedges that reach a
             target, as a share of the requests of a service.
+        retry_slack: Fleet-wide number of retries and hedges of a service that
+            may reach a target in any window, in addition to that share. The
+            entries share it on demand; with 0 they do not.
+        retry_window_s: Length of that window.
         probes_per_s: Fleet-wide limit of the probes of one target.
         expired_target_hold_s: How long a target stays in use after the platform
             is available again, if its registration expired during the outage.
@@ -53,6 +57,8 @@
     address_ttl_s: float = 2.0
     shutdown_timeout_s: float = 6.0
     retry_ratio: float = 0.2
+    retry_slack: float = 0.0
+    retry_window_s: float = 10.0
     probes_per_s: float = 10.0
     expired_target_hold_s: float = 2.0
     max_connections: int = 1500
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -32,6 +32,8 @@
     "PublishedChanges",
     "RelayRequest",
     "RelayResponse",
+    "RetryTokenGrant",
+    "RetryTokenRequest",
     "ServiceLoad",
     "SlotCancel",
     "SlotGrant",
@@ -489,6 +491,24 @@
     response_started: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class RetryTokenRequest(Message):
+    """Ask for retries of a service beyond the sender's own share."""
+
+    TAG: ClassVar[int] = 26
+    service: str
+    count: int
+
+
+@dataclasses.dataclass(slots=True)
+class RetryTokenGrant(Message):
+    """Allow the receiver retries of a service; 0 means that it has none."""
+
+    TAG: ClassVar[int] = 27
+    service: str
+    count: int
+
+
 _TYPES = [cls for cls in Message.__subclasses__() if cls.TAG]
 _FIELDS_BY_TAG = {
     cls.TAG: tuple(field.name for field in dataclasses.fields(cls))
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import enum
 import math
 import time
 
@@ -18,6 +19,7 @@
     "MAX_SERVICES",
     "OTHER",
     "Metrics",
+    "RetryDecision",
 ]
 
 # Content type of `Metrics.export`.
@@ -47,6 +49,15 @@
 _Increment = Callable[..., None]
 
 
+class RetryDecision(enum.StrEnum):
+    """What allowed or denied a retry, after all other conditions were met."""
+
+    OWN = "own"
+    GRANTED = "granted"
+    DENIED = "denied"
+    UNANSWERED = "unanswered"
+
+
 class _CappedLabel:
     """Keeps the first `limit` values and maps all others to `OTHER`."""
 
@@ -87,6 +98,11 @@
         self._retries = self._counter(
             "retries", "Exchanges repeated after a failure.", "reason"
         )
+        self._retry_decisions = self._counter(
+            "retry_decisions",
+            "Retries allowed by the own share or by a grant, or denied.",
+            "decision",
+        )
         self._peer_frames = self._counter(
             "peer_frames", "Frames on peer links.", "direction"
         )
@@ -150,6 +166,10 @@
             "requests_waiting", "Requests waiting for a slot."
         )
         self._links = self._gauge("peer_links", "Live links to peers.")
+        self._retry_tokens = self._gauge(
+            "retry_tokens_in_use",
+            "Retries that this entry has granted in the current window.",
+        )
         self._adopted_s = math.nan
         self._age.set_function(lambda: time.monotonic() - self._adopted_s)
         self._services = _CappedLabel(MAX_SERVICES)
@@ -162,6 +182,8 @@
         self._retry_by_reason: dict[str, _Increment] = {
             reason: self._retries.labels(reason).inc for reason in errors.Reason
         }
+        for decision in RetryDecision:
+            self._retry_decisions.labels(decision)
         for reason in errors.Reason:
             for outcome in errors.Outcome:
                 self._refusals.labels(reason, outcome, OTHER)
@@ -220,6 +242,10 @@
         """Count an exchange that is repeated after a failure."""
         self._retry_by_reason[reason]()
 
+    def count_retry_decision(self, decision: RetryDecision) -> None:
+        """Count a retry that the budget has allowed or denied."""
+        self._retry_decisions.labels(decision).inc()
+
     def count_hedge(self) -> None:
         """Count a hedged exchange."""
         self._hedges.inc()
@@ -302,6 +328,7 @@
         in_flight: Callable[[], int] | None = None,
         waiting: Callable[[], int] | None = None,
         links: Callable[[], int] | None = None,
+        retry_tokens: Callable[[], int] | None = None,
     ) -> None:
         """Set the callbacks that gauges read on each export.
 
@@ -311,11 +338,13 @@
             in_flight: Returns the requests accepted and not yet answered.
             waiting: Returns the requests waiting for a slot.
             links: Returns the live links to peers.
+            retry_tokens: Returns the retries granted in the current window.
         """
         for gauge, read in (
             (self._in_flight, in_flight),
             (self._waiting, waiting),
             (self._links, links),
+            (self._retry_tokens, retry_tokens),
         ):
             if read is not None:
                 gauge.set_function(read)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -213,6 +213,45 @@
     _run(check, *[_close_connection] * 3)
 
 
+@pytest.mark.parametrize("is_granted", [True, False])
+def test_retry_beyond_the_own_share_needs_a_grant(is_granted):
+    """The own share leaves most of the fleet's slack unused."""
+    asked = []
+
+    async def ask(service):
+        asked.append(service)
+        return is_granted
+
+    async def check(fixture, *targets):
+        fixture.forwarder._request_retry_token = ask
+        for _ in range(6):
+            with contextlib.suppress(errors.RequestError):
+                await fixture.forward(max_attempts=2)
+            for load in fixture.balancer.load_by_id.values():
+                load.paused_until_ms = 0.0
+        own = fixture.counters.value("retry_decisions_total", decision="own")
+        assert own == 2
+        assert asked == ["s"] * 4
+        arrivals = sum(len(target.requests) for target in targets)
+        assert arrivals == 6 + (6 if is_granted else own)
+
+    _run(check, *[_refuse] * 2)
+
+
+@pytest.mark.parametrize("reserve, hedges", [(0, 1), (2, 0)])
+def test_hedges_leave_a_reserve_for_retries(reserve, hedges):
+    """Slow targets would use up what is needed when one fails soon after."""
+
+    async def check(fixture, *targets):
+        fixture.forwarder._hedge_reserve = reserve
+        for target in targets:
+            target.delay_s = 0.15
+        await fixture.forward()
+        assert fixture.counters.value("hedges_total") == hedges
+
+    _run(check, _ok, _ok)
+
+
 def test_unsigned_success_is_not_passed_on():
     """A response without a signature was not sent by the target."""
 
--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -19,7 +19,8 @@
   "port_range": [7200, 7215],
   "seeds": ["10.1.0.18:8382"],
   "limits": {"max_fds": 4100, "cpu_share": 0.5, "cores": 3, "link_mbps": 5},
-  "bounds": {"grace_s": 6, "retry_budget": 0.2, "ttl_max_s": 1, "fenced": true},
+  "bounds": {"grace_s": 6, "retry_budget": 0.2, "ttl_max_s": 1, "fenced": true,
+             "retry_slack": 222, "budget_window_s": 8},
   "platform": {"address": "10.200.1.7:8384"},
   "something_new": {"of": "later"}
 }"""
@@ -35,6 +36,7 @@
     assert settings.seeds == ("10.1.0.18:8382",)
     assert settings.shutdown_timeout_s == 6.0
     assert settings.address_ttl_s == 1.0
+    assert (settings.retry_slack, settings.retry_window_s) == (222.0, 8.0)
     assert settings.processor_share == 1.5
     assert settings.link_mbps == 5.0
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -56,6 +56,8 @@
     23: "831762627303",
     24: "89181862733203fb4012000000000000627335f56273366273378182627338627339",
     25: "851819627332038182627334627335f5",
+    26: "83181a62733203",
+    27: "83181b62733203",
 }
 
 # Frames of earlier versions, which lack the fields that were added since.
@@ -86,6 +88,8 @@
     "slatechute_requests_in_flight": ("gauge",),
     "slatechute_requests_waiting": ("gauge",),
     "slatechute_retries": ("counter", "reason"),
+    "slatechute_retry_decisions": ("counter", "decision"),
+    "slatechute_retry_tokens_in_use": ("gauge",),
     "slatechute_spread_faults": ("counter", "kind"),
     "slatechute_total_latency_seconds": ("histogram",),
 }
@@ -230,6 +234,7 @@
     "process_was_paused": ["ms", "revision"],
     "relay_failed": ["error", "peer"],
     "relayed_request_refused": ["error"],
+    "retry_slack_used_up": ["active_entries", "in_use", "limit", "service"],
     "role_changed": ["active", "active_peers", "peers"],
     "services_without_path": ["services"],
     "settings_reloaded": ["seeds"],
@@ -343,7 +348,7 @@
 }
 
 
-@pytest.mark.parametrize("tag", range(1, 24))
+@pytest.mark.parametrize("tag", _FRAME_BY_TAG)
 def test_frames_keep_their_bytes(tag):
     """Entries of two versions run side by side during a roll-out."""
     frame = bytes.fromhex(_FRAME_BY_TAG[tag])
