--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -27,6 +27,7 @@
 from slatechute.gateway import published
 from slatechute.gateway import reader
 from slatechute.gateway import relaying
+from slatechute.gateway import retry_sharing
 from slatechute.gateway import routing
 from slatechute.gateway import server
 from slatechute.gateway import serving
@@ -156,6 +157,13 @@
                 load.target.address, repeatable=repeatable
             ),
         )
+        self._retry_sharing = retry_sharing.RetrySharing(
+            settings,
+            self.clock,
+            self.metrics,
+            lambda: self._role.is_active,
+            self.balancer.pool_by_service.keys,
+        )
         self.group = peer_groups.PeerGroup(
             settings,
             self.clock,
@@ -174,6 +182,7 @@
         self._sharing.attach(self.group, self.balancer, self._paths)
         self._announcements.attach(self.group, self.balancer)
         self._token_sharing.attach(self.group, self.balancer)
+        self._retry_sharing.attach(self.group)
         self._pool = connections.ConnectionPool()
         self._peer_client = connections.HttpClient()
         self._forwarder = forwarding.Forwarder(
@@ -188,6 +197,7 @@
             self._broadcast_crash,
             self._sharing.schedule_report,
             self._announcements.report,
+            self._retry_sharing.acquire,
         )
         self._prober = sharing.LoadProber(
             settings,
@@ -232,6 +242,7 @@
             evacuated_data_centres=lambda: len(self._evacuated_since_ms),
             evacuated_targets=lambda: len(self.balancer.evacuated_loads()),
             evacuation_age_s=self._evacuation_age_s,
+            retry_tokens=self._retry_sharing.in_use,
         )
         handlers = (
             (settings.readiness_address, self._get_readiness),
@@ -338,6 +349,7 @@
         return (
             ("queues", 0, lambda: self.balancer.tick(now_ms())),
             ("tokens", 100, lambda: self._token_sharing.tick()),
+            ("retries", 100, lambda: self._retry_sharing.tick()),
             ("sharing", 50, lambda: self._sharing.tick()),
             ("behind", 50, lambda: self._check_behind(now_ms())),
             ("peers", 100, lambda: self.group.tick()),
@@ -620,6 +632,10 @@
             self._token_sharing.handle_request(peer, message)
         elif isinstance(message, messages.TokenGrant):
             self._token_sharing.handle_grant(message)
+        elif isinstance(message, messages.RetryTokenRequest):
+            self._retry_sharing.handle_request(peer, message)
+        elif isinstance(message, messages.RetryTokenGrant):
+            self._retry_sharing.handle_grant(message)
         elif isinstance(message, messages.AnnouncementReport):
             self._announcements.handle_report(peer, message)
         elif isinstance(message, messages.PublishedChanges):
