--- a/slatechute/budgets.py
+++ b/slatechute/budgets.py
@@ -30,9 +30,9 @@
         limit = max(self._initial, self.ratio * self._window)
         self._tokens = min(limit, self._tokens + self.ratio)
 
-    def has_token(self) -> bool:
-        """Return whether `try_consume` would succeed."""
-        return self.ratio > 0 and self._tokens >= 1
+    def has_token(self, *, reserve: float = 0.0) -> bool:
+        """Return whether `try_consume` would succeed and leave a reserve."""
+        return self.ratio > 0 and self._tokens >= 1 + reserve
 
     def try_consume(self) -> bool:
         """Consume a token if there is one; return whether there was."""
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -273,6 +273,7 @@
             boot_id=self.boot_id,
             data_centre=self.settings.data_centre,
             seeds=list(self.settings.seeds),
+            hedging=_hedging_fields(self.settings),
         )
 
     async def drain(self) -> bool:
@@ -319,9 +320,14 @@
         _LOG.info("gateway_stopped", entry=self.settings.entry_id)
 
     def reload(self, settings: gateway_settings.GatewaySettings) -> None:
-        """Apply the settings that may change at runtime: the seeds."""
+        """Apply the settings that may change at runtime: seeds and hedging."""
         self.group.set_seeds(settings.seeds)
-        _LOG.info("settings_reloaded", seeds=list(settings.seeds))
+        self._forwarder.reload(settings)
+        _LOG.info(
+            "settings_reloaded",
+            seeds=list(settings.seeds),
+            hedging=_hedging_fields(settings),
+        )
 
     def _periodic_steps(self) -> Sequence[tuple[str, float, Callable]]:
         """Return the name, interval in ms and action of periodic steps."""
@@ -759,6 +765,13 @@
         )
 
 
+def _hedging_fields(
+    settings: gateway_settings.GatewaySettings,
+) -> dict[str, float] | None:
+    """Return the limits of hedges as a log field, None without the section."""
+    return settings.hedging and dataclasses.asdict(settings.hedging)
+
+
 class _BusyShare:
     """Estimate of the share of this host that its requests use.
 
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -4,7 +4,7 @@
 that load patterns can be simulated against it without a network.
 """
 
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Iterable, Sequence, Set
 import dataclasses
 import enum
 import math
@@ -12,6 +12,7 @@
 
 from slatechute import errors
 from slatechute.gateway import dialects
+from slatechute.gateway import hedging
 from slatechute.gateway import loads
 from slatechute.gateway import routing
 
@@ -402,21 +403,39 @@
         self.dispatch_waiting(load.target.service, now_ms)
 
     def start_hedge(
-        self, request: DispatchRequest, now_ms: float, max_cost_ms: float
-    ) -> loads.Exchange | None:
+        self,
+        request: DispatchRequest,
+        used: Sequence[loads.TargetLoad],
+        policy: hedging.HedgePolicy,
+        now_ms: float,
+        max_cost_ms: float,
+    ) -> loads.Exchange | hedging.Denial:
         """Start a hedge if a target is expected to answer soon enough.
 
         Waiting requests go first: with any in the queue there is no hedge.
 
+        Args:
+            request: The request.
+            used: Targets of its exchanges so far, the late one first.
+            policy: Rules of hedges.
+            now_ms: Current time.
+            max_cost_ms: Longest expected time of the hedge.
+
         Returns:
-            The exchange, or None if there is no such target.
+            The exchange, or what denies the hedge.
         """
         pool = self.pool(request.service)
         if pool.waiting:
-            return None
+            return hedging.Denial.QUEUE
+        targets = pool.load_by_id.values()
+        waiting_at_peers = sum(pool.peer_waiting_by_id.values())
+        denial = policy.load_denial(targets, waiting_at_peers, now_ms)
+        if denial is not None:
+            return denial
+        request.excluded |= policy.unsuitable_ids(targets, used, now_ms)
         load, cost_ms = self._best_target(request, now_ms)
         if load is None or cost_ms > max_cost_ms:
-            return None
+            return hedging.Denial.NO_TARGET
         return self.start(request, load, now_ms)
 
     def _may_be_in_time(
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from slatechute.gateway import balancing
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
+from slatechute.gateway import hedging
 from slatechute.gateway import loads
 from slatechute.gateway import path_monitor
 from slatechute.gateway import relaying
@@ -33,13 +34,6 @@
 # Limit of failed connects per request. Such attempts reach no target and
 # consume no retry budget, but cost time.
 _MAX_CONNECT_FAILURES = 4
-# A hedge is sent when the exchange has taken this share of the time until the
-# objective and also this multiple of its expected duration. Hosts stay slow for
-# a few hundred milliseconds, so an overdue exchange is unlikely to catch up.
-_HEDGE_OBJECTIVE_SHARE = 0.3
-_HEDGE_OVERDUE_FACTOR = 1.3
-# Time between attempts to hedge while no fast target is available.
-_HEDGE_RETRY_MS = 15.0
 # Time from the loss of a connection until peers are told of a crash. Within it,
 # probes and requests of peers show that a target is alive.
 _CRASH_CHECK_DELAY_S = 0.3
@@ -89,6 +83,7 @@
     Attributes:
         sent: Number of exchanges in which a target may have received the
             request.
+        connecting: Number of exchanges that wait for a connection.
         possibly_run: Number of exchanges in which a target may have run it.
         connect_failures: Number of attempts without a connection.
         steps: Log fields of each exchange, with its target, estimates and
@@ -97,6 +92,7 @@
     """
 
     sent: int = 0
+    connecting: int = 0
     possibly_run: int = 0
     connect_failures: int = 0
     steps: list[dict] = dataclasses.field(default_factory=list)
@@ -179,6 +175,20 @@
         self._on_load_report = on_load_report
         self._on_announcement = on_announcement
         self._budget_by_service: dict[str, budgets.RatioBudget] = {}
+        self._hedge_policy = hedging.create_policy(settings.hedging)
+        counters.create_hedge_series(hedging.Result, hedging.Denial)
+
+    def reload(self, settings: gateway_settings.GatewaySettings) -> None:
+        """Apply the settings that may change at runtime: those of hedges."""
+        previous = self._settings.hedging
+        if settings.hedging is None or previous is None:
+            if settings.hedging != previous:
+                self._hedge_policy = hedging.create_policy(settings.hedging)
+        else:
+            self._hedge_policy.apply(settings.hedging)
+        self._settings = dataclasses.replace(
+            self._settings, hedging=settings.hedging
+        )
 
     def _budget(self, service: str) -> budgets.RatioBudget:
         budget = self._budget_by_service.get(service)
@@ -209,6 +219,7 @@
                 whether the request certainly did not run.
         """
         self._budget(request.service).record_request()
+        self._hedge_policy.record_request(request.service)
         self._check_quarantine(request)
         left_ms = request.deadline_ms - self._clock.now_ms()
         try:
@@ -287,7 +298,7 @@
             try:
                 if request.route.repeatable and not request.route.bulk:
                     return await self._run_hedged(request, trace, exchange)
-                return await self._run_exchange(request, trace, exchange)
+                return await self._run_exchange(request, trace, exchange, {})
             except _AttemptError as failure:
                 if self._may_retry(request, trace, failure):
                     self._counters.count_retry(failure.reason)
@@ -370,70 +381,163 @@
         self, request: CallerRequest, trace: Trace, exchange: loads.Exchange
     ) -> connections.TargetResponse:
         """Run an exchange, and a hedge if the exchange is late."""
+        step: dict[str, object] = {}
         original = asyncio.ensure_future(
-            self._run_exchange(request, trace, exchange)
+            self._run_exchange(request, trace, exchange, step)
         )
-        tasks = {original}
+        used = [exchange.load]
+        hedges: list[asyncio.Task] = []
         try:
-            delay_ms = self._hedge_delay_ms(request, exchange)
-            while not original.done() and len(tasks) == 1:
-                await asyncio.wait(tasks, timeout=delay_ms / 1000)
-                delay_ms = _HEDGE_RETRY_MS
-                if original.done():
+            # A hedge that was rejected may be followed by another one.
+            while not original.done():
+                hedge = await self._hedge_when_due(
+                    request, trace, exchange, original, used, step
+                )
+                if hedge is None:
                     break
-                if self._clock.now_ms() >= request.objective_ms:
+                hedges.append(hedge)
+                if not self._hedge_policy.replaces_failed:
+                    break
+                await asyncio.wait(
+                    {original, hedge}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if _has_response(hedge):
                     break
-                hedge = self._start_hedge(request, trace, exchange)
-                if hedge is not None:
-                    tasks.add(hedge)
-            return await first_success(tasks)
+            return await first_success({original, *hedges})
         finally:
-            for task in tasks:
+            for hedge in hedges:
+                result = _hedge_result(hedge, original)
+                self._counters.count_hedge_result(result)
+            for task in (original, *hedges):
                 task.cancel()
                 task.add_done_callback(_log_late_failure)
 
-    def _hedge_delay_ms(
-        self, request: CallerRequest, exchange: loads.Exchange
-    ) -> float:
-        objective_ms = request.objective_ms - self._clock.now_ms()
-        return max(
-            _HEDGE_OBJECTIVE_SHARE * max(objective_ms, 0.0),
-            _HEDGE_OVERDUE_FACTOR * exchange.expected_ms,
+    async def _hedge_when_due(
+        self,
+        request: CallerRequest,
+        trace: Trace,
+        exchange: loads.Exchange,
+        original: asyncio.Task,
+        used: list[loads.TargetLoad],
+        step: dict[str, object],
+    ) -> asyncio.Task | None:
+        """Return a hedge once it is due and allowed.
+
+        Args:
+            request: The request.
+            trace: History of the request.
+            exchange: The exchange that may be late.
+            original: Task of that exchange.
+            used: Targets of the exchanges so far; the target of the hedge is
+                added.
+            step: Log fields of the exchange, to which a denial is added.
+
+        Returns:
+            The task of the hedge, None if the exchange ends first or a hedge
+            would be too late.
+        """
+        late = hedging.LateExchange(
+            request.service,
+            exchange.started_ms,
+            exchange.expected_ms,
+            request.objective_ms,
+            request.deadline_ms,
         )
+        while True:
+            now_ms = self._clock.now_ms()
+            check = self._hedge_policy.check(late, now_ms)
+            if check is None:
+                return None
+            if check.cause is not None:
+                hedge = self._start_hedge(request, trace, used, check, now_ms)
+                if isinstance(hedge, asyncio.Task):
+                    return hedge
+                if step.get("hedge_denied") != hedge:
+                    step["hedge_denied"] = hedge
+                    self._counters.count_denied_hedge(hedge)
+            await asyncio.wait({original}, timeout=check.wait_ms / 1000)
+            if original.done():
+                return None
 
     def _start_hedge(
-        self, request: CallerRequest, trace: Trace, exchange: loads.Exchange
-    ) -> asyncio.Task | None:
-        if trace.sent >= request.route.max_attempts:
-            return None
+        self,
+        request: CallerRequest,
+        trace: Trace,
+        used: list[loads.TargetLoad],
+        check: hedging.Check,
+        now_ms: float,
+    ) -> asyncio.Task | hedging.Denial:
+        """Start a hedge that is due, or return the limit that denies it."""
+        if trace.sent + trace.connecting >= request.route.max_attempts:
+            return hedging.Denial.ATTEMPTS
+        policy = self._hedge_policy
+        denial = policy.denial(request.service, now_ms)
+        if denial is not None:
+            return denial
         budget = self._budget(request.service)
-        now_ms = self._clock.now_ms()
-        dispatch_request = self._dispatch_request(request, trace)
-        dispatch_request.excluded |= {exchange.load.target.id}
-        left_ms = request.objective_ms - now_ms
-        if left_ms <= 0 or not budget.has_token():
-            return None
-        hedge = self._balancer.start_hedge(dispatch_request, now_ms, left_ms)
-        if hedge is None:
-            return None
+        if not budget.has_token(reserve=policy.retry_reserve):
+            return hedging.Denial.RETRY_BUDGET
+        hedge = self._balancer.start_hedge(
+            self._dispatch_request(request, trace),
+            used,
+            policy,
+            now_ms,
+            check.max_cost_ms,
+        )
+        if isinstance(hedge, hedging.Denial):
+            return hedge
         budget.try_consume()
+        policy.record_hedge(request.service, now_ms)
         self._counters.count_hedge()
-        return asyncio.ensure_future(self._run_exchange(request, trace, hedge))
+        used.append(hedge.load)
+        return asyncio.ensure_future(
+            self._run_hedge(request, trace, hedge, check.cause)
+        )
+
+    async def _run_hedge(
+        self,
+        request: CallerRequest,
+        trace: Trace,
+        exchange: loads.Exchange,
+        cause: hedging.Cause,
+    ) -> connections.TargetResponse:
+        """Run the exchange of a hedge and record its time.
+
+        Raises:
+            _AttemptError: There was no usable response.
+        """
+        try:
+            return await self._run_exchange(
+                request, trace, exchange, {"hedge": cause}
+            )
+        finally:
+            elapsed_ms = self._clock.now_ms() - exchange.started_ms
+            self._counters.add_hedge_time(elapsed_ms / 1000)
 
     # One exchange.
 
     async def _run_exchange(
-        self, request: CallerRequest, trace: Trace, exchange: loads.Exchange
+        self,
+        request: CallerRequest,
+        trace: Trace,
+        exchange: loads.Exchange,
+        step: dict[str, object],
     ) -> connections.TargetResponse:
         """Send the request to the target of an exchange.
 
+        Args:
+            request: The request.
+            trace: Updated with the exchange.
+            exchange: The exchange.
+            step: Log fields of the exchange, to which its own are added.
+
         Raises:
             _AttemptError: There was no usable response.
         """
         load = exchange.load
         target = load.target
         now_ms = self._clock.now_ms()
-        step = {
+        step |= {
             "target": target.id,
             "at_ms": round(now_ms - request.arrived_ms, 1),
             "expected_ms": round(exchange.expected_ms, 1),
@@ -465,7 +569,12 @@
             ) from error
         except BaseException:
             step["result"] = "cancelled"
-            load.record_abandonment(exchange, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            load.record_abandonment(exchange, now_ms)
+            if not request.route.bulk:
+                self._hedge_policy.record_abandonment(
+                    request.service, _relative_time(exchange, now_ms)
+                )
             raise
         finally:
             if "result" in step:
@@ -478,6 +587,11 @@
                 self._pool.close_idle(target.address)
         step["result"] = failure.reason if failure else response.status
         if failure is None:
+            if not request.route.bulk:
+                self._hedge_policy.record_response(
+                    request.service,
+                    _relative_time(exchange, self._clock.now_ms()),
+                )
             return response
         if failure.not_run:
             trace.possibly_run -= 1
@@ -492,9 +606,13 @@
             connections.ExchangeError: There was no complete response.
         """
         target = load.target
-        connection = await self._pool.acquire(
-            target.address, repeatable=request.route.repeatable
-        )
+        trace.connecting += 1
+        try:
+            connection = await self._pool.acquire(
+                target.address, repeatable=request.route.repeatable
+            )
+        finally:
+            trace.connecting -= 1
         is_new = not connection.used
         left_ms = max(1.0, request.deadline_ms - self._clock.now_ms())
         headers = [
@@ -781,6 +899,26 @@
     raise min(failures, key=lambda failure: failure.not_run)
 
 
+def _relative_time(exchange: loads.Exchange, now_ms: float) -> float:
+    """Return the time of an exchange as a multiple of what was expected."""
+    return (now_ms - exchange.started_ms) / exchange.expected_ms
+
+
+def _has_response(task: asyncio.Task) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
+
+
+def _hedge_result(
+    hedge: asyncio.Task, original: asyncio.Task
+) -> hedging.Result:
+    """Return how a hedge ended, at the end of its request."""
+    if hedge.done() and not _has_response(hedge):
+        return hedging.Result.FAILED
+    if _has_response(original):
+        return hedging.Result.LOST
+    return hedging.Result.WON if hedge.done() else hedging.Result.CANCELLED
+
+
 def _path_error(target_id: str) -> _AttemptError:
     """Return the error of an attempt that has not reached its target."""
     return _AttemptError(
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -1,8 +1,45 @@
 """Settings of a gateway entry."""
 
 import dataclasses
+import math
 
-__all__ = ["GatewaySettings"]
+from slatechute import errors
+
+__all__ = ["GatewaySettings", "HedgingSettings"]
+
+# Beyond this rate the share is the only effective limit.
+_MAX_HEDGES_PER_S = 1_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgingSettings:
+    """Limits of the hedges of an entry.
+
+    Attributes:
+        share: Hedges of a service as a share of its requests, from 0 to 1; 0
+            disables hedges.
+        max_per_s: Hedges of a service that the entry sends in any second, from
+            0 to 1000; a value below 1 is one in its reciprocal.
+
+    Raises:
+        errors.SettingsError: A value is out of range.
+    """
+
+    share: float = 0.05
+    max_per_s: float = 20.0
+
+    def __post_init__(self):
+        """Check the values."""
+        problems = [
+            f"hedging.{name} must be from 0 to {highest:g}, not {value}"
+            for name, value, highest in (
+                ("share", self.share, 1.0),
+                ("max_per_s", self.max_per_s, _MAX_HEDGES_PER_S),
+            )
+            if not (math.isfinite(value) and 0 <= value <= highest)
+        ]
+        if problems:
+            raise errors.SettingsError("; ".join(problems))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +74,7 @@
             core of usual speed. Hosts with more of it serve callers first.
         link_mbps: Bandwidth of the network link of the host, in Mbit/s.
         is_first_start: Whether the whole fleet starts for the first time.
+        hedging: Limits of hedges. None for hedges within the retry budget only.
     """
 
     entry_id: str
@@ -59,3 +97,4 @@
     processor_share: float = 1.0
     link_mbps: float = 1_000.0
     is_first_start: bool = False
+    hedging: HedgingSettings | None = None
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -4,7 +4,7 @@
 the number of services is capped, and targets and callers are never labels.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import math
 import time
 
@@ -97,6 +97,17 @@
             "peer_frame_errors", "Frames from peers that were refused.", "kind"
         )
         self._hedges = self._counter("hedges", "Hedged exchanges started.")
+        self._hedge_results = self._counter(
+            "hedge_results", "Hedges of a gateway entry that ended.", "result"
+        )
+        self._hedges_denied = self._counter(
+            "hedges_denied",
+            "Limits that a due hedge of a gateway entry has met.",
+            "limit",
+        )
+        self._hedge_seconds = self._counter(
+            "hedge_seconds", "Time of hedges at targets of a gateway entry."
+        )
         self._probes = self._counter("probes", "Probes sent to targets.")
         self._probe_bytes = self._counter(
             "probe_bytes", "Bytes of probes and of their responses."
@@ -224,6 +235,27 @@
         """Count a hedged exchange."""
         self._hedges.inc()
 
+    def create_hedge_series(
+        self, results: Iterable[str], limits: Iterable[str]
+    ) -> None:
+        """Create the series of hedges, so that `rate` sees the first event."""
+        for result in results:
+            self._hedge_results.labels(result)
+        for limit in limits:
+            self._hedges_denied.labels(limit)
+
+    def count_hedge_result(self, result: str) -> None:
+        """Count a hedge that has ended, by its result."""
+        self._hedge_results.labels(result).inc()
+
+    def count_denied_hedge(self, limit: str) -> None:
+        """Count a hedge that was due and denied, by the limit."""
+        self._hedges_denied.labels(limit).inc()
+
+    def add_hedge_time(self, elapsed_s: float) -> None:
+        """Add the time of a hedge, in seconds."""
+        self._hedge_seconds.inc(elapsed_s)
+
     def count_probe(self, size_bytes: int) -> None:
         """Count a probe of a target and its bytes in both directions."""
         self._probes.inc()
--- a/tests/gateway/scripted_target.py
+++ b/tests/gateway/scripted_target.py
@@ -11,7 +11,9 @@
     None to close the connection without a response.
     """
 
-    def __init__(self, script: Callable[[bytes], bytes | None]):
+    def __init__(
+        self, script: Callable[[bytes], bytes | None], host: str = "127.0.0.1"
+    ):
         self.requests: list[bytes] = []
         self.arrived = asyncio.Event()
         self.closes_after_response = False
@@ -19,10 +21,11 @@
         self.closed = asyncio.Event()
         self.delay_s = 0.0
         self._script = script
+        self._host = host
         self._server: asyncio.Server | None = None
 
     async def __aenter__(self) -> "ScriptedTarget":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, self._host, 0)
         return self
 
     async def __aexit__(self, *exc_info) -> None:
@@ -31,7 +34,7 @@
     @property
     def address(self) -> str:
         port = self._server.sockets[0].getsockname()[1]
-        return f"127.0.0.1:{port}"
+        return f"{self._host}:{port}"
 
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -1,5 +1,7 @@
 """Tests of the settings file of the users' platform."""
 
+import json
+
 import boot
 import pytest
 
@@ -44,3 +46,33 @@
     """An entry that starts with default settings instead harms the fleet."""
     with pytest.raises(errors.SettingsError, match="settings file"):
         boot.parse(text)
+
+
+def _with_hedging(section: object) -> str:
+    return json.dumps({"deployment": json.loads(_TEXT), "hedging": section})
+
+
+def test_limits_of_hedges_are_read_beside_the_fields_of_the_platform():
+    """A template with a section of the operators made the file unreadable."""
+    nested = boot.parse(_with_hedging({"share": 0.1, "max_per_s": 5}))
+    assert nested.entry_id == "edge-1"
+    assert (nested.hedging.share, nested.hedging.max_per_s) == (0.1, 5.0)
+    defaults = boot.parse(_TEXT.replace('"node"', '"hedging": {}, "node"'))
+    assert (defaults.hedging.share, defaults.hedging.max_per_s) == (0.05, 20.0)
+    assert boot.parse(_TEXT).hedging is None
+
+
+@pytest.mark.parametrize(
+    ("section", "named"),
+    [
+        ({"share": 1.5}, "hedging.share must be from 0 to 1, not 1.5"),
+        ({"max_per_s": -1}, "hedging.max_per_s must be from 0 to 1000"),
+        ({"share": "5%"}, r"\$\.hedging\.share"),
+        ({"max_pers": 2}, "max_pers"),
+        ([], "hedging"),
+    ],
+)
+def test_unusable_limit_of_hedges_is_named(section, named):
+    """A misspelt limit that is ignored lets hedges exceed it."""
+    with pytest.raises(errors.SettingsError, match=named):
+        boot.parse(_with_hedging(section))
