--- a/slatechute/gateway/hedging.py
+++ b/slatechute/gateway/hedging.py
@@ -9,7 +9,6 @@
 import dataclasses
 import enum
 import math
-import statistics
 from typing import Protocol
 
 from slatechute.gateway import loads
@@ -51,6 +50,11 @@
 # than twice the median on both measured deployments.
 _INITIAL_LATE_FACTOR = 2.0
 _MIN_SAMPLES = 40
+# An exchange is not late before this time has passed beyond the expected one.
+# Without it, exchanges of 1 ms were hedged whenever a host was busy.
+_MIN_LATE_MS = 10.0
+# The same for a lost response, which must exceed a short pause of a host.
+_MIN_LOST_MS = 50.0
 # A response counts as lost at this multiple of the late factor, and not before
 # the minimum multiple of the expected time.
 _LOST_LATE_MULTIPLE = 1.5
@@ -67,8 +71,8 @@
 # looks free near saturation may be needed by a request of another entry.
 _MIN_FREE_SHARE = 0.2
 # The targets of a data centre count as slow when the median of their expected
-# slowdown is this multiple of the median elsewhere. Single hosts differ by up
-# to a factor of 1.5 at usual load.
+# slowdown is this multiple of the median elsewhere. A smaller difference is
+# left to the cost of each target, which includes its slowdown.
 _SLOW_DATA_CENTRE_FACTOR = 1.5
 
 # The allowance holds at most the share of this many requests. More would let a
@@ -293,15 +297,27 @@
         self._total = 0.0
         self._samples = 0
 
+    def late_ms(self, late: LateExchange) -> float:
+        """Return the clock time at which an exchange is late."""
+        return late.started_ms + max(
+            self.late_factor * late.expected_ms,
+            late.expected_ms + _MIN_LATE_MS,
+        )
+
     def lost_ms(self, late: LateExchange) -> float:
         """Return the clock time at which a response counts as lost."""
-        earliest = max(_MIN_LOST_FACTOR, self.late_factor)
-        usual = max(_MIN_LOST_FACTOR, _LOST_LATE_MULTIPLE * self.late_factor)
-        latest_ms = late.deadline_ms - _LOST_RESERVE_FACTOR * late.expected_ms
-        return max(
-            late.started_ms + earliest * late.expected_ms,
-            min(late.started_ms + usual * late.expected_ms, latest_ms),
+        expected_ms = late.expected_ms
+        earliest_ms = late.started_ms + max(
+            _MIN_LOST_FACTOR * expected_ms,
+            self.late_factor * expected_ms,
+            expected_ms + _MIN_LOST_MS,
+        )
+        usual_ms = (
+            late.started_ms
+            + _LOST_LATE_MULTIPLE * self.late_factor * expected_ms
         )
+        latest_ms = late.deadline_ms - _LOST_RESERVE_FACTOR * expected_ms
+        return max(earliest_ms, min(usual_ms, latest_ms))
 
     def add(self, ratio: float) -> None:
         """Add the time of an exchange."""
@@ -424,7 +440,7 @@
         if not self._settings.share or not self._settings.max_per_s:
             return None
         times = self._times_by_service[late.service]
-        late_ms = late.started_ms + times.late_factor * late.expected_ms
+        late_ms = times.late_ms(late)
         lost_ms = times.lost_ms(late)
         if now_ms >= late.deadline_ms:
             return None
@@ -520,8 +536,13 @@
         (here if is_here else elsewhere).append(slowness)
     if not here or not elsewhere:
         return False
-    limit = _SLOW_DATA_CENTRE_FACTOR * statistics.median(elsewhere)
-    return statistics.median(here) > limit
+    return _median(here) > _SLOW_DATA_CENTRE_FACTOR * _median(elsewhere)
+
+
+def _median(values: list[float]) -> float:
+    # The module `statistics` loads `decimal` and `fractions`, which an entry
+    # does not need.
+    return sorted(values)[len(values) // 2]
 
 
 def create_policy(
