--- a/slatechute/budgets.py
+++ b/slatechute/budgets.py
@@ -25,14 +25,20 @@
         self._initial = initial
         self._tokens = float(initial)
 
+    def _limit(self) -> float:
+        return max(self._initial, self.ratio * self._window)
+
     def record_request(self) -> None:
         """Add the tokens of one request."""
-        limit = max(self._initial, self.ratio * self._window)
-        self._tokens = min(limit, self._tokens + self.ratio)
+        self._tokens = min(self._limit(), self._tokens + self.ratio)
 
     def has_token(self, *, reserve: float = 0.0) -> bool:
-        """Return whether `try_consume` would succeed and leave a reserve."""
-        return self.ratio > 0 and self._tokens >= 1 + reserve
+        """Return whether `try_consume` would succeed and leave a reserve.
+
+        A bucket that cannot hold the reserve and a token must be full.
+        """
+        needed = max(1.0, min(1 + reserve, self._limit()))
+        return self.ratio > 0 and self._tokens >= needed
 
     def try_consume(self) -> bool:
         """Consume a token if there is one; return whether there was."""
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from slatechute import budgets
 from slatechute import errors
 from slatechute.gateway import balancing
 from slatechute.gateway import dialects
@@ -67,6 +68,11 @@
     assert policy.check(_late(), 170.0).cause is hedging.Cause.LATE
 
 
+def test_short_exchange_is_not_late_after_a_few_milliseconds():
+    """Exchanges of 1 ms were hedged whenever a host was busy."""
+    assert _policy().check(_late(expected_ms=1.0), 5.0).cause is None
+
+
 def test_hedges_that_win_do_not_lower_the_quantile():
     """Without the cancelled exchanges, each hedge would cause further ones."""
     times = hedging.RelativeTimes()
@@ -136,6 +142,19 @@
     assert policy.check(_late(), 200.0) is None
 
 
+@pytest.mark.parametrize("ratio", [0.15, 0.075])
+def test_hedges_leave_retries_a_reserve_at_any_ratio(ratio):
+    """A reserve above what a small budget holds would deny all hedges."""
+    budget = budgets.RatioBudget(ratio, initial=2)
+    reserve = hedging.QuantilePolicy.retry_reserve
+    assert not budget.has_token(reserve=reserve)
+    for _ in range(30):
+        budget.record_request()
+    while budget.has_token(reserve=reserve):
+        budget.try_consume()
+    assert budget.has_token()
+
+
 def test_no_hedge_while_requests_wait_or_the_service_is_nearly_full():
     """A hedge would take the slot that a waiting request needs."""
     balancer = _balancer(*(_target(target_id) for target_id in "abcdef"))
@@ -309,6 +328,25 @@
     _run(gateway_settings.HedgingSettings(share), check, _ok, _ok)
 
 
+def test_exchange_that_connects_counts_towards_the_attempts():
+    """A request that is still connecting reached one target too many."""
+
+    async def check(fixture, *targets):
+        del targets
+        await _warm_up(fixture)
+        acquire = fixture.pool.acquire
+
+        async def acquire_late(address, **fields):
+            await asyncio.sleep(0.2)
+            return await acquire(address, **fields)
+
+        fixture.pool.acquire = acquire_late
+        assert (await fixture.forward(max_attempts=1)).status == 200
+        assert len(fixture.trace.steps) == 1
+
+    _run(_LIMITS, check, _ok, _ok)
+
+
 def test_without_the_setting_there_is_no_hedge_after_the_objective():
     """An entry whose settings do not ask for it must not send more."""
 
