--- a/slatechute/gateway/retry_budgets.py
+++ b/slatechute/gateway/retry_budgets.py
@@ -21,7 +21,6 @@
     "HighestCount",
     "RetryAllocator",
     "allocator_limit",
-    "hedge_reserve",
     "new_supply",
     "own_budget",
 ]
@@ -57,8 +56,6 @@
 # A late grant is used by the next retry within this time. With the wait for a
 # target, the retry stays within `_MAX_DELAY_MS`.
 _TOKEN_LIFETIME_MS = 400.0
-# Number of retries of which hedges use no share.
-_HEDGE_RESERVE = 2
 # A lost entry may only be partitioned and continue to use its share.
 _COUNT_HOLD_MS = 600_000.0
 
@@ -74,11 +71,6 @@
     )
 
 
-def hedge_reserve(settings: gateway_settings.GatewaySettings) -> int:
-    """Return how many retries of the own budget hedges must leave."""
-    return _HEDGE_RESERVE if settings.retry_slack > 0 else 0
-
-
 def new_supply() -> rate_limits.TokenSupply:
     """Return an empty supply of granted retries of one service."""
     return rate_limits.TokenSupply(
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -238,20 +238,6 @@
     _run(check, *[_refuse] * 2)
 
 
-@pytest.mark.parametrize("reserve, hedges", [(0, 1), (2, 0)])
-def test_hedges_leave_a_reserve_for_retries(reserve, hedges):
-    """Slow targets would use up what is needed when one fails soon after."""
-
-    async def check(fixture, *targets):
-        fixture.forwarder._hedge_reserve = reserve
-        for target in targets:
-            target.delay_s = 0.15
-        await fixture.forward()
-        assert fixture.counters.value("hedges_total") == hedges
-
-    _run(check, _ok, _ok)
-
-
 def test_unsigned_success_is_not_passed_on():
     """A response without a signature was not sent by the target."""
 
