Limit the rate of requests to cold targets

Cause: a cold target takes a few requests a second from all entries together and crashes well above that. Entries sent to it by its free slots, and all of them at once when a data centre returned cold.

Ruled out: the whole rate for each part of a divided fleet. Requiring a majority of the entries, which keeps cold targets idle when half of the hosts are killed.

Change: where clusters[].cold_per_s is above 0, a cold target needs tokens like one with an announced limit. It is cold by its registration, by X-Cold-Ms in responses to probes, and for cold_s after the evacuation of its data centre. AnnouncementReport and TokenRequest carry cold_ms, Presence the protocol; tokens of targets without an announced limit are asked of entries with protocol 1 only. An allocator hands out the share of the rate for the entries that it reaches, and only parts with one of the first 8 entries by rank hand out any. Targets of such a service are probed at least every 0.25 s while it is used, cold ones every 0.5 s.

Result: tests/gateway, tests/platform_adapter, test_outer_names and test_operators_page in one run: one failure, test_callers_of_entries_without_path_to_targets_are_served[old_hang-3-_with_load], a port that was in use when the entry started; test_paths passed alone after it. The bound held in the simulation with 3, 12 and 40 entries, 0.3 of the messages lost, an allocator killed, one entry cut off, and 3 or 40 parts.

--- a/slatechute/gateway/announcement_sharing.py
+++ b/slatechute/gateway/announcement_sharing.py
@@ -55,6 +55,7 @@
             now_ms - announced.observed_ms,
             announced.is_leaving,
             max(0.0, announced.paused_until_ms - now_ms),
+            load.cold.report_ms(now_ms) if load.has_cold_limit else None,
         )
         self.group.broadcast(report, peers)
 
@@ -71,6 +72,20 @@
             return
         load.announced.adopt_pause(message.pause_ms, self._clock.now_ms())
         self.adopt_rate_limit(peer, load, message.limit_per_s, message.age_ms)
+        self.adopt_cold(peer, load, message.cold_ms)
+
+    def adopt_cold(
+        self,
+        peer: peer_groups.Peer,
+        load: loads.TargetLoad,
+        cold_ms: float | None,
+    ) -> None:
+        """Adopt for how long a target is cold as a peer knows it."""
+        if cold_ms is None or not load.has_cold_limit:
+            return
+        now_ms = self._clock.now_ms()
+        if load.cold.adopt(cold_ms, now_ms, peer.presence.entry_id):
+            self.balancer.dispatch_waiting(load.target.service, now_ms)
 
     def adopt_rate_limit(
         self,
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -17,6 +17,7 @@
 from slatechute.gateway import announcement_sharing
 from slatechute.gateway import balancing
 from slatechute.gateway import catalogue as catalogues
+from slatechute.gateway import cold_targets
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
 from slatechute.gateway import forwarding
@@ -146,6 +147,7 @@
             self.clock,
             self._announcements,
             lambda: self._role.is_active,
+            self.metrics.count_denied_tokens,
         )
         self.balancer = balancing.Balancer(
             settings.data_centre,
@@ -228,6 +230,9 @@
             evacuated_data_centres=lambda: len(self._evacuated_since_ms),
             evacuated_targets=lambda: len(self.balancer.evacuated_loads()),
             evacuation_age_s=self._evacuation_age_s,
+            cold_targets=lambda: len(
+                self.balancer.cold_loads(self.clock.now_ms())
+            ),
         )
         handlers = (
             (settings.readiness_address, self._get_readiness),
@@ -484,6 +489,7 @@
         """Apply a newer configuration."""
         self.metrics.set_configuration_revision(table.version)
         self._prober.table = table
+        self.balancer.set_services(table.services_by_name.values())
         self._caller_server.discard_removed_routes()
         if self._state == peer_groups.STARTING:
             self._state = peer_groups.READY
@@ -566,6 +572,7 @@
             settings.processor_share,
             self._busy.share,
             self._paths.services_without_path,
+            cold_targets.PROTOCOL,
         )
 
     def _send_changes(self) -> None:
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -261,12 +261,33 @@
             load.update(target, now_ms)
             load.is_evacuated = target.data_centre in self._evacuated
 
+    def set_services(self, services: Iterable[routing.Service]) -> None:
+        """Apply the limits of the configured services for cold targets."""
+        service_by_name = {service.name: service for service in services}
+        for name, service in service_by_name.items():
+            if service.cold_per_s > 0:
+                model = self.pool(name).model
+                model.cold_ms = service.cold_s * 1000
+                model.cold_per_s = service.cold_per_s
+        for name, pool in self.pool_by_service.items():
+            if name not in service_by_name or not (
+                service_by_name[name].cold_per_s > 0
+            ):
+                pool.model.cold_per_s = 0.0
+
+    def cold_loads(self, now_ms: float) -> list[loads.TargetLoad]:
+        """Return the loads of the targets with the limit of cold ones."""
+        return [
+            load for load in self.load_by_id.values() if load.is_cold(now_ms)
+        ]
+
     def set_evacuated(
         self, data_centres: frozenset[str], now_ms: float
     ) -> None:
         """Send no request to the targets of some data centres, but to others.
 
-        Waiting requests that only these targets could serve are refused.
+        Waiting requests that only these targets could serve are refused. The
+        targets may be cold when their evacuation ends.
 
         Args:
             data_centres: All evacuated data centres.
@@ -274,7 +295,11 @@
         """
         self._evacuated = data_centres
         for load in self.load_by_id.values():
+            was_evacuated = load.is_evacuated
             load.is_evacuated = load.target.data_centre in data_centres
+            if was_evacuated and not load.is_evacuated:
+                model = self.pool(load.target.service).model
+                load.cold.expect(model.cold_ms, now_ms)
         self.tick(now_ms)
 
     def evacuated_loads(self) -> list[loads.TargetLoad]:
@@ -529,6 +554,7 @@
             "rate_limited": sum(
                 load.announced.rate_limit_per_s is not None for load in usable
             ),
+            "cold": sum(load.is_cold(now_ms) for load in usable),
             "with_room": sum(
                 load.has_room() and not load.lacks_token(now_ms)
                 for load in usable
--- a/slatechute/gateway/dialects.py
+++ b/slatechute/gateway/dialects.py
@@ -47,6 +47,8 @@
         pause_ms: How long it wants no request from this entry, None if it did
             not turn the request away for a time.
         is_leaving: Whether it is leaving and accepts no new requests.
+        cold_ms: For how long it is still cold, 0 if it is not, None if it does
+            not say so.
         invalid: Names of headers whose values cannot be used.
     """
 
@@ -54,6 +56,7 @@
     pause_ms: float | None = None
     is_leaving: bool = False
     invalid: tuple[str, ...] = ()
+    cold_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -447,9 +447,13 @@
             "slowness": round(exchange.slowness, 2),
             "place": exchange.position,
         }
+        limit_per_s = load.rate_limit_per_s(now_ms)
+        if limit_per_s is not None:
+            step["limit_per_s"] = limit_per_s
         if load.announced.rate_limit_per_s is not None:
-            step["limit_per_s"] = load.announced.rate_limit_per_s
             self._counters.count_limited_request()
+        if load.is_cold(now_ms):
+            self._counters.count_cold_request()
         trace.steps.append(step)
         try:
             if load.path.is_lost:
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -7,6 +7,7 @@
 import math
 
 from slatechute.gateway import announcements
+from slatechute.gateway import cold_targets
 from slatechute.gateway import dialects
 from slatechute.gateway import paths
 from slatechute.gateway import rate_limits
@@ -135,11 +136,16 @@
     Attributes:
         crowded_factor: Multiple of the usual time at a crowded target.
         slowdown: Average reported slowdown of the hosts of its targets.
+        cold_ms: How long a target is cold after it starts under traffic.
+        cold_per_s: Requests a second that a cold target takes from all entries
+            together, 0 if there is no such limit.
     """
 
     def __init__(self):
         self.crowded_factor = _INITIAL_CROWDED_FACTOR
         self.slowdown = 1.0
+        self.cold_ms = 0.0
+        self.cold_per_s = 0.0
         self._work_by_key: dict[str, _GeometricMean] = {}
         self._useful_by_slots: dict[int, int] = {}
         # Execution times are averaged over uncrowded targets only. With crowded
@@ -214,6 +220,7 @@
     Attributes:
         target: Registration of the target.
         announced: What the target has announced in its responses.
+        cold: Whether the target is cold.
         tokens: Tokens of this entry, needed while the target has a rate limit.
         path: What this entry believes of its path to the target.
         local_in_flight: Number of in-flight requests of this entry.
@@ -237,6 +244,7 @@
     ):
         self.target = target
         self.announced = announcements.AnnouncedState(target.id)
+        self.cold = cold_targets.ColdState(target.id, now_ms + target.warmup_ms)
         self.tokens = rate_limits.TokenSupply()
         self.path = paths.TargetPath()
         self.local_in_flight = 0
@@ -265,6 +273,7 @@
         self._warmup_end_ms = max(
             self._warmup_end_ms, now_ms + target.warmup_ms
         )
+        self.cold.expect(target.warmup_ms, now_ms)
 
     @property
     def slots(self) -> int:
@@ -362,21 +371,40 @@
             < max(self.paused_until_ms, self.announced.paused_until_ms)
         )
 
+    @property
+    def has_cold_limit(self) -> bool:
+        """Whether its service limits the rate of requests to cold targets."""
+        return self._model.cold_per_s > 0
+
+    def is_cold(self, now_ms: float) -> bool:
+        """Return whether its rate is limited because it is cold."""
+        return self.has_cold_limit and self.cold.is_cold(now_ms)
+
+    def rate_limit_per_s(self, now_ms: float) -> float | None:
+        """Return the requests a second for all entries, None for no limit."""
+        announced_per_s = self.announced.rate_limit_per_s
+        if not self.is_cold(now_ms):
+            return announced_per_s
+        if announced_per_s is None:
+            return self._model.cold_per_s
+        return min(announced_per_s, self._model.cold_per_s)
+
     def lacks_token(self, now_ms: float) -> bool:
         """Return whether the rate limit of the target allows no request now."""
-        return (
-            self.announced.rate_limit_per_s is not None
-            and not self.tokens.has_token(now_ms)
-        )
+        return self.rate_limit_per_s(
+            now_ms
+        ) is not None and not self.tokens.has_token(now_ms)
 
     def max_rate_per_ms(self, now_ms: float) -> float:
         """Return the rate that the target's limit allows, or infinity.
 
-        While tokens arrive as soon as they are asked for, the limit does not
-        hold requests up.
+        While tokens arrive as soon as they are asked for, an announced limit
+        does not hold requests up. That of a cold target is so low that it does.
         """
-        limit_per_s = self.announced.rate_limit_per_s
-        if limit_per_s is None or not self.tokens.is_scarce(now_ms):
+        limit_per_s = self.rate_limit_per_s(now_ms)
+        if limit_per_s is None or not (
+            self.is_cold(now_ms) or self.tokens.is_scarce(now_ms)
+        ):
             return math.inf
         return limit_per_s / 1000
 
--- a/slatechute/gateway/peers.py
+++ b/slatechute/gateway/peers.py
@@ -190,16 +190,21 @@
         """Return the active peers of the local data centre."""
         return [p for p in self.local_peers() if p.presence.is_active]
 
-    def active_entries(self, is_active: bool) -> dict[str, str]:
+    def active_entries(
+        self, is_active: bool, min_protocol: int = 0
+    ) -> dict[str, str]:
         """Return the data centres of the active entries, by entry id.
 
         Args:
             is_active: Whether this entry is active itself.
+            min_protocol: Only peers with this protocol or a higher one.
         """
         presences = [
             peer.presence
             for peer in self.live_peers()
-            if peer.presence.state == READY and peer.presence.is_active
+            if peer.presence.state == READY
+            and peer.presence.is_active
+            and peer.presence.protocol >= min_protocol
         ]
         data_centre_by_entry = {p.entry_id: p.data_centre for p in presences}
         if is_active:
--- a/slatechute/gateway/rate_limits.py
+++ b/slatechute/gateway/rate_limits.py
@@ -27,6 +27,9 @@
 # Tokens that accumulate while no entry asks, as seconds of the limit. One more
 # lets a rare request pass at any limit.
 _BURST_S = 0.25
+# The same for a cold target. Any second may see the tokens of that second, of
+# the token lifetime before it and this burst, which is 1.5 times the limit.
+_COLD_BURST_S = 0.1
 # A target that names a limit near zero must get requests now and then, because
 # only its responses show the end of the limit.
 _MIN_LIMIT_PER_S = 0.25
@@ -100,19 +103,30 @@
         self._level = 0.0
         self._refilled_ms = now_ms
 
-    def take(self, count: int, limit_per_s: float, now_ms: float) -> int:
+    def take(
+        self,
+        count: int,
+        limit_per_s: float,
+        now_ms: float,
+        *,
+        is_cold: bool = False,
+    ) -> int:
         """Return how many tokens an entry gets, up to a count.
 
         Args:
             count: Number of tokens that the entry asks for.
             limit_per_s: Current limit of the target.
             now_ms: Current time.
+            is_cold: Whether the limit is that of a cold target, which holds in
+                any second. It is not raised, as it ends without requests.
         """
-        limit_per_s = max(_MIN_LIMIT_PER_S, limit_per_s)
+        burst_s = _COLD_BURST_S if is_cold else _BURST_S
+        if not is_cold:
+            limit_per_s = max(_MIN_LIMIT_PER_S, limit_per_s)
         elapsed_s = (now_ms - self._refilled_ms) / 1000
         self._refilled_ms = now_ms
         self._level = min(
-            1 + limit_per_s * _BURST_S, self._level + limit_per_s * elapsed_s
+            1 + limit_per_s * burst_s, self._level + limit_per_s * elapsed_s
         )
         granted = min(count, int(self._level))
         self._level -= granted
--- a/slatechute/gateway/routing.py
+++ b/slatechute/gateway/routing.py
@@ -50,11 +50,16 @@
         name: Its name.
         health_path: Path at which a target reports its health and load.
         connections: Number of connections that one target accepts in total.
+        cold_s: How long a target is cold after it starts under traffic.
+        cold_per_s: Requests a second that a cold target takes from all entries
+            together, 0 if there is no such limit.
     """
 
     name: str
     health_path: str
     connections: int
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -53,6 +53,11 @@
 _UNUSED_SERVICE_MS = 2_000.0
 # A target that limits the rate of requests is not burdened with probes.
 _LIMITED_PROBE_INTERVAL_S = 2.0
+# Cold targets are probed this often, the others of a service that limits the
+# rate of cold ones in `_COLD_CHECK_INTERVAL_S` although they report their load
+# in responses: only probes show that a target has become cold.
+_COLD_PROBE_INTERVAL_S = 0.5
+_COLD_CHECK_INTERVAL_S = 0.25
 # Share of the allowed probes that one entry uses: while the entries disagree on
 # the live peers, two of them may probe the same target.
 _PROBE_SHARE = 0.4
@@ -457,8 +462,32 @@
         work_s = pool.model.usual_work_ms() / 1000
         return max(self._min_interval_s, _PROBE_WORK_SHARE * work_s)
 
+    def _due_s(self, load: loads.TargetLoad, probed_ms: float) -> float:
+        """Return the time until the next probe of a target in s.
+
+        Args:
+            load: Load of the target.
+            probed_ms: Clock time of the last probe of this entry.
+        """
+        now_ms = self._clock.now_ms()
+        due_s = self._interval_s(load) - (now_ms - load.reported_ms) / 1000
+        if (
+            not load.has_cold_limit
+            or load.announced.rate_limit_per_s is not None
+        ):
+            return due_s
+        probed_s = (now_ms - probed_ms) / 1000
+        if load.is_cold(now_ms):
+            return max(self._min_interval_s, _COLD_PROBE_INTERVAL_S) - probed_s
+        pool = self._balancer.pool(load.target.service)
+        if now_ms - pool.last_used_ms > _UNUSED_SERVICE_MS:
+            return due_s
+        check_s = max(self._min_interval_s, _COLD_CHECK_INTERVAL_S)
+        return min(due_s, check_s - probed_s)
+
     async def _probe_periodically(self, load: loads.TargetLoad) -> None:
         connection = None
+        probed_ms = -math.inf
         await asyncio.sleep(random.random() * self._min_interval_s)
         try:
             # The task is only cancelled with the next assignment.
@@ -478,13 +507,12 @@
                         min(paused_ms / 1000, _MAX_PROBE_SLEEP_S)
                     )
                     continue
-                interval_s = self._interval_s(load)
-                age_s = (self._clock.now_ms() - load.reported_ms) / 1000
-                if age_s < interval_s:
-                    await asyncio.sleep(
-                        min(interval_s - age_s, _MAX_PROBE_SLEEP_S)
-                    )
+                due_s = self._due_s(load, probed_ms)
+                if due_s > 0:
+                    await asyncio.sleep(min(due_s, _MAX_PROBE_SLEEP_S))
                     continue
+                interval_s = self._interval_s(load)
+                probed_ms = self._clock.now_ms()
                 try:
                     connection = await self._probe(load, connection)
                 except (connections.ExchangeError, TimeoutError) as error:
@@ -533,12 +561,18 @@
             # Another target uses this address and the registration is outdated.
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
             return connection
-        if load.announced.observe(
+        has_news = load.announced.observe(
             metadata.announcement, now_ms, is_conclusive=False
-        ):
+        )
+        cold_ms = metadata.announcement.cold_ms
+        is_cold_reported = load.has_cold_limit and cold_ms is not None
+        if is_cold_reported:
+            has_news |= load.cold.observe(cold_ms, now_ms)
+        if has_news:
             self._on_announcement(load)
         if metadata.load is None:
-            await asyncio.sleep(_NO_LOAD_DELAY_S)
+            if not is_cold_reported:
+                await asyncio.sleep(_NO_LOAD_DELAY_S)
         elif load.apply_report(metadata.load, now_ms):
             self._sharing.schedule_report(load)
             self._balancer.dispatch_waiting(target.service, now_ms)
--- a/slatechute/gateway/token_sharing.py
+++ b/slatechute/gateway/token_sharing.py
@@ -7,6 +7,7 @@
 from slatechute import ownership
 from slatechute.gateway import announcement_sharing
 from slatechute.gateway import balancing
+from slatechute.gateway import cold_targets
 from slatechute.gateway import loads
 from slatechute.gateway import peers as peer_groups
 from slatechute.gateway import rate_limits
@@ -27,6 +28,7 @@
         clock: Monotonic clock.
         announcements: Adopts the limits that requests for tokens tell.
         is_active: Returns whether this entry is active.
+        on_denial: Called when a request for tokens was denied.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         clock: clocks.Clock,
         announcements: announcement_sharing.AnnouncementSharing,
         is_active: Callable[[], bool],
+        on_denial: Callable[[], None] = lambda: None,
     ):
         self.group: peer_groups.PeerGroup | None = None
         self.balancer: balancing.Balancer | None = None
@@ -42,6 +45,8 @@
         self._clock = clock
         self._announcements = announcements
         self._is_active = is_active
+        self._on_denial = on_denial
+        self._known_entries = cold_targets.KnownEntries()
         self._allocator_by_load: dict[
             loads.TargetLoad, rate_limits.TokenAllocator
         ] = {}
@@ -54,11 +59,17 @@
         self.balancer = balancer
 
     def _allocator_id(self, load: loads.TargetLoad) -> str | None:
-        """Return the entry that allocates the tokens of a target."""
+        """Return the entry that allocates the tokens of a target.
+
+        Entries of earlier versions know announced limits only.
+        """
+        min_protocol = cold_targets.PROTOCOL
+        if load.announced.rate_limit_per_s is not None:
+            min_protocol = 0
         return ownership.dispatcher_of(
             load.target.id,
             load.target.data_centre,
-            self.group.active_entries(self._is_active()),
+            self.group.active_entries(self._is_active(), min_protocol),
         )
 
     # Tokens for this entry.
@@ -71,11 +82,13 @@
             self._allocate_to(load, allocator_id, count)
             return
         announced = load.announced
+        now_ms = self._clock.now_ms()
         request = messages.TokenRequest(
             load.target.id,
             count,
             announced.rate_limit_per_s,
-            self._clock.now_ms() - announced.observed_ms,
+            now_ms - announced.observed_ms,
+            load.cold.report_ms(now_ms) if load.is_cold(now_ms) else None,
         )
         self.group.broadcast(request, self._peers(allocator_id))
 
@@ -98,6 +111,7 @@
             load.tokens.add(count, now_ms)
         else:
             load.tokens.deny(now_ms)
+            self._on_denial()
         self.balancer.dispatch_waiting(load.target.service, now_ms)
 
     # Tokens for all entries.
@@ -112,7 +126,8 @@
         self._announcements.adopt_rate_limit(
             peer, load, message.limit_per_s, message.age_ms
         )
-        if load.announced.rate_limit_per_s is None:
+        self._announcements.adopt_cold(peer, load, message.cold_ms)
+        if load.rate_limit_per_s(self._clock.now_ms()) is None:
             # The peer has missed the report that the limit has ended.
             self._announcements.report_to(load, [peer])
         elif self._allocator_id(load) == self._settings.entry_id:
@@ -123,11 +138,22 @@
         self, load: loads.TargetLoad, entry_id: str, count: int
     ) -> None:
         now_ms = self._clock.now_ms()
+        limit_per_s = load.rate_limit_per_s(now_ms)
+        if limit_per_s is None:
+            # The target has become warm since the tokens were asked for.
+            self._grant(load, entry_id, count)
+            return
         allocator = self._allocator_by_load.get(load)
         if allocator is None:
             allocator = rate_limits.TokenAllocator(now_ms)
             self._allocator_by_load[load] = allocator
-        granted = allocator.take(count, load.announced.rate_limit_per_s, now_ms)
+        is_cold = load.is_cold(now_ms)
+        if is_cold:
+            limit_per_s *= self._known_entries.share(
+                load.target.id,
+                set(self.group.active_entries(self._is_active())),
+            )
+        granted = allocator.take(count, limit_per_s, now_ms, is_cold=is_cold)
         self._grant(load, entry_id, granted)
 
     def _grant(self, load: loads.TargetLoad, entry_id: str, count: int) -> None:
@@ -141,9 +167,13 @@
 
     def tick(self) -> None:
         """End the allocators of targets that need none here any more."""
+        now_ms = self._clock.now_ms()
+        active = set(self.group.active_entries(self._is_active()))
+        live = {peer.presence.entry_id for peer in self.group.live_peers()}
+        self._known_entries.update(active, live - active, now_ms)
         for load in list(self._allocator_by_load):
             if (
-                load.announced.rate_limit_per_s is None
+                load.rate_limit_per_s(now_ms) is None
                 or not self.balancer.is_listed(load)
                 or self._allocator_id(load) != self._settings.entry_id
             ):
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -280,6 +280,8 @@
         services_without_path: Services of which the sender does not reach most
             targets by itself, `*` for all. None if it relays no requests of
             peers, as in earlier versions.
+        protocol: Version of the messages that the sender supports: 0 in earlier
+            builds, 1 if it allocates tokens of cold targets.
     """
 
     TAG: ClassVar[int] = 16
@@ -297,6 +299,7 @@
     processor_share: float = 1.0
     busy: float = 0.0
     services_without_path: list[str] | None = None
+    protocol: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -400,6 +403,8 @@
         age_ms: Age of the response.
         is_leaving: Whether it takes no new requests any more.
         pause_ms: For how much longer it wants no request from the sender.
+        cold_ms: For how much longer it is cold, 0 if it is not, None if the
+            sender does not know it.
     """
 
     TAG: ClassVar[int] = 21
@@ -409,17 +414,20 @@
     age_ms: float
     is_leaving: bool = False
     pause_ms: float = 0.0
+    cold_ms: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class TokenRequest(Message):
-    """Ask for tokens of a target with a rate limit.
+    """Ask for tokens of a target with a rate limit or of a cold one.
 
     Attributes:
         target_id: Id of the target.
         count: Number of tokens that the sender needs now.
         limit_per_s: Limit of the target as known to the sender.
         age_ms: Age of that knowledge.
+        cold_ms: For how much longer the target is cold, as in
+            `AnnouncementReport`.
     """
 
     TAG: ClassVar[int] = 22
@@ -427,6 +435,7 @@
     count: int
     limit_per_s: float | None
     age_ms: float
+    cold_ms: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -110,6 +110,13 @@
             "limited_requests",
             "Requests sent to targets that had announced a rate limit.",
         )
+        self._cold_requests = self._counter(
+            "cold_requests", "Requests sent to cold targets with a rate limit."
+        )
+        self._denied_tokens = self._counter(
+            "denied_tokens",
+            "Requests for tokens of rate limits that were denied.",
+        )
         self._invalid_announcements = self._counter(
             "invalid_announcements",
             "Responses in which a target announced a value that is not usable.",
@@ -161,6 +168,9 @@
             "evacuation_age_seconds",
             "Time since the oldest evacuation came into force; NaN for none.",
         )
+        self._cold_targets = self._gauge(
+            "cold_targets", "Cold targets with a rate limit."
+        )
         self._adopted_s = math.nan
         self._age.set_function(lambda: time.monotonic() - self._adopted_s)
         self._services = _CappedLabel(MAX_SERVICES)
@@ -244,6 +254,14 @@
         """Count a request sent to a target with an announced rate limit."""
         self._limited_requests.inc()
 
+    def count_cold_request(self) -> None:
+        """Count a request sent to a cold target with a rate limit."""
+        self._cold_requests.inc()
+
+    def count_denied_tokens(self) -> None:
+        """Count a request for tokens of a rate limit that was denied."""
+        self._denied_tokens.inc()
+
     def count_invalid_announcement(self) -> None:
         """Count a response with an announcement that is not usable."""
         self._invalid_announcements.inc()
@@ -316,6 +334,7 @@
         evacuated_data_centres: Callable[[], int] | None = None,
         evacuated_targets: Callable[[], int] | None = None,
         evacuation_age_s: Callable[[], float] | None = None,
+        cold_targets: Callable[[], int] | None = None,
     ) -> None:
         """Set the callbacks that gauges read on each export.
 
@@ -330,6 +349,7 @@
                 an evacuation.
             evacuation_age_s: Returns the age of the oldest evacuation in s, NaN
                 without one.
+            cold_targets: Returns the cold targets with a rate limit.
         """
         for gauge, read in (
             (self._in_flight, in_flight),
@@ -338,6 +358,7 @@
             (self._evacuated_data_centres, evacuated_data_centres),
             (self._evacuated_targets, evacuated_targets),
             (self._evacuation_age, evacuation_age_s),
+            (self._cold_targets, cold_targets),
         ):
             if read is not None:
                 gauge.set_function(read)
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -117,6 +117,7 @@
                 float(headers["pause"]) if "pause" in headers else None,
                 "leaving" in headers,
                 ("limit",) if "invalid" in headers else (),
+                float(headers["cold"]) if "cold" in headers else None,
             ),
         )
 
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -39,7 +39,7 @@
     def active_peers(self):
         return [p for p in self.local_peers() if p.presence.is_active]
 
-    def active_entries(self, is_active):
+    def active_entries(self, is_active, min_protocol=0):
         entries = {
             peer.presence.entry_id: peer.presence.data_centre
             for peer in self.peers
--- a/tests/gateway/token_fleet.py
+++ b/tests/gateway/token_fleet.py
@@ -18,6 +18,7 @@
 from slatechute.gateway import balancing
 from slatechute.gateway import dialects
 from slatechute.gateway import peers as peer_groups
+from slatechute.gateway import routing
 from slatechute.gateway import token_sharing
 from slatechute.util import clock as clocks
 from tests.gateway import builders
@@ -48,10 +49,13 @@
             and self.fleet.is_reachable(self.entry_id, entry)
         ]
 
-    def active_entries(self, is_active: bool) -> dict[str, str]:
+    def active_entries(
+        self, is_active: bool, min_protocol: int = 0
+    ) -> dict[str, str]:
         entries = {
             peer.presence.entry_id: peer.presence.data_centre
             for peer in self.live_peers()
+            if peer.presence.protocol >= min_protocol
         }
         return entries | (
             {self.entry_id: self.data_centre} if is_active else {}
@@ -68,7 +72,7 @@
         self.id = f"e{number}"
         self.is_up = True
         presence = messages.Presence(
-            self.id, "b", data_centre, "h:1", "h:2", 1, "ready"
+            self.id, "b", data_centre, "h:1", "h:2", 1, "ready", protocol=1
         )
         self.peer = peer_groups.Peer(presence, ("h", 1), 0.0)
         settings = builders.gateway_settings(
@@ -122,6 +126,7 @@
         late: Requests that were answered after their objective.
         longest_refused_wait_ms: Longest wait of a request that was refused.
         loss_share: Share of the messages between entries that are lost.
+        part_by_id: Parts of a divided network, by entry id; by default 0.
     """
 
     def __init__(
@@ -143,6 +148,7 @@
         self.late = 0
         self.longest_refused_wait_ms = 0.0
         self.loss_share = 0.0
+        self.part_by_id: dict[str, int] = {}
         self.paused_ms = 0.0
         self._work_ms = work_ms
         self._latency_ms = latency_ms
@@ -165,7 +171,23 @@
                 )
 
     def is_reachable(self, sender_id: str, entry: _Entry) -> bool:
-        return self.entries_by_id[sender_id].is_up and entry.is_up
+        return (
+            self.entries_by_id[sender_id].is_up
+            and entry.is_up
+            and self.part_by_id.get(sender_id) == self.part_by_id.get(entry.id)
+        )
+
+    def set_cold_limit(self, cold_s: float, cold_per_s: float) -> None:
+        """Configure the limit of cold targets at all entries."""
+        service = routing.Service("s", "/health", 10, cold_s, cold_per_s)
+        for entry in self.entries_by_id.values():
+            entry.balancer.set_services([service])
+
+    def register_cold(self, cold_s: float) -> None:
+        """Let all targets register again as cold."""
+        for entry in self.entries_by_id.values():
+            for load in entry.balancer.load_by_id.values():
+                load.cold.expect(cold_s * 1000, self.clock.now_ms())
 
     def at(self, delay_ms: float, action: Callable[[], None]) -> None:
         """Run an action after a delay."""
@@ -179,7 +201,7 @@
         sender = self.entries_by_id[sender_id].peer
 
         def deliver():
-            if receiver.is_up:
+            if self.is_reachable(sender_id, receiver):
                 receiver.receive(sender, frame)
 
         self.at(self._latency_ms, deliver)
@@ -334,15 +356,18 @@
         return most_in_a_window(times_ms)
 
 
-def most_in_a_window(times_ms: list[float]) -> int:
+def most_in_a_window(
+    times_ms: list[float], window_ms: float = WINDOW_MS
+) -> int:
     """Return the largest number of times in any window.
 
     Args:
         times_ms: Ascending times.
+        window_ms: Length of the window.
     """
     most = start = 0
     for end, at_ms in enumerate(times_ms):
-        while at_ms - times_ms[start] >= WINDOW_MS:
+        while at_ms - times_ms[start] >= window_ms:
             start += 1
         most = max(most, end - start + 1)
     return most
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -200,6 +200,25 @@
     assert announcement.invalid
 
 
+def test_cold_targets():
+    """An absent header must not end the limit, nor an odd one set it."""
+
+    def cold_ms(**headers):
+        return _WIRE.parse_response(200, headers).announcement.cold_ms
+
+    assert cold_ms() is None
+    assert cold_ms(**{"x-cold-ms": "0"}) == 0.0
+    assert cold_ms(**{"x-cold-ms": "1200"}) == 1200.0
+    assert cold_ms(**{"x-cold-ms": "-1"}) is None
+    content = json.loads(json.dumps(_CONFIG))
+    table = _WIRE.parse_configuration(_item("op/config", content))
+    assert table.services_by_name["s1"].cold_per_s == 0
+    content["clusters"][0] |= {"cold_s": 3, "cold_per_s": 4.1}
+    table = _WIRE.parse_configuration(_item("op/config", content))
+    service = table.services_by_name["s1"]
+    assert (service.cold_s, service.cold_per_s) == (3.0, 4.1)
+
+
 def test_pause_of_a_target():
     """Only a target that turns a request away wants nothing for a time."""
 
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -45,14 +45,15 @@
     13: "860d62733203a1626b34627634f5627336",
     14: "840e6273320381626934",
     15: "840f62733203a1626b34627634",
-    16: "8f1062733262733362733462733562733607627338090afb402700000000"
-    "0000f4fb3fe0000000000000fb3fd000000000000081627339",
+    16: "901062733262733362733462733562733607627338090afb402700000000"
+    "0000f4fb3fe0000000000000fb3fd00000000000008162733901",
     17: "821181626932",
     18: "88126273326273330481876174010203040506a1626b3606f509",
     19: "83136265326162",
     20: "85140309fb3ff80000000000008283616105417883616209f6",
-    21: "871562627307fb4012000000000000fb401c000000000000f5fb4022000000000000",
-    22: "851662627303fb4012000000000000fb401c000000000000",
+    21: "881562627307fb4012000000000000fb401c000000000000f5fb40220000"
+    "00000000fb400c000000000000",
+    22: "861662627303fb4012000000000000fb401c000000000000fb400c000000000000",
     23: "831762627303",
     24: "89181862733203fb4012000000000000627335f56273366273378182627338627339",
     25: "851819627332038182627334627335f5",
@@ -62,14 +63,19 @@
 _OLD_FRAME_BY_TAG = {
     16: "8b1062733262733362733462733562733607627338090afb4027000000000000",
     18: "87126273326273330481876174010203040506a1626b3606f5",
+    21: "871562627307fb4012000000000000fb401c000000000000f5fb4022000000000000",
+    22: "851662627303fb4012000000000000fb401c000000000000",
 }
 
 # Kind and labels by metric.
 _METRICS = {
     "slatechute_added_latency_seconds": ("histogram",),
+    "slatechute_cold_requests": ("counter",),
+    "slatechute_cold_targets": ("gauge",),
     "slatechute_configuration_age_seconds": ("gauge",),
     "slatechute_configuration_revision": ("gauge",),
     "slatechute_connect_failures": ("counter",),
+    "slatechute_denied_tokens": ("counter",),
     "slatechute_duplicates_refused": ("counter",),
     "slatechute_evacuated_data_centres": ("gauge",),
     "slatechute_evacuated_targets": ("gauge",),
@@ -245,6 +251,7 @@
     "status_failed": [],
     "stop_failed": [],
     "subscriber_failed": ["message"],
+    "target_cold_changed": ["cold", "source", "target"],
     "target_entry_lapsed": ["revision", "source", "steady_ms", "target"],
     "target_entry_overtaken": ["revision", "sequence", "target"],
     "target_entry_unusable": ["error", "revision", "target"],
@@ -316,6 +323,7 @@
 }
 _REFUSED_FIELDS = _ANSWERED_FIELDS | {
     "best_ms",
+    "cold",
     "crowded_factor",
     "evacuated",
     "heard_by_peers",
