--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -18,6 +18,7 @@
 from slatechute.gateway import announcement_sharing
 from slatechute.gateway import balancing
 from slatechute.gateway import catalogue as catalogues
+from slatechute.gateway import cold_targets
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
 from slatechute.gateway import forwarding
@@ -148,6 +149,7 @@
             self.clock,
             self._announcements,
             lambda: self._role.is_active,
+            self.metrics.count_denied_tokens,
         )
         self.balancer = balancing.Balancer(
             settings.data_centre,
@@ -243,6 +245,9 @@
             evacuated_targets=lambda: len(self.balancer.evacuated_loads()),
             evacuation_age_s=self._evacuation_age_s,
             retry_tokens=self._retry_sharing.in_use,
+            cold_targets=lambda: len(
+                self.balancer.cold_loads(self.clock.now_ms())
+            ),
         )
         handlers = (
             (settings.readiness_address, self._get_readiness),
@@ -507,6 +512,7 @@
         """Apply a newer configuration."""
         self.metrics.set_configuration_revision(table.version)
         self._prober.table = table
+        self.balancer.set_services(table.services_by_name.values())
         self._caller_server.discard_removed_routes()
         if self._state == peer_groups.STARTING:
             self._state = peer_groups.READY
@@ -589,6 +595,7 @@
             settings.processor_share,
             self._busy.share,
             self._paths.services_without_path,
+            cold_targets.PROTOCOL,
         )
 
     def _send_changes(self) -> None:
