Take the view of an earlier build for a request that has not run

Decoding the view: its first byte tells it from a frame with its length. Change: a response that begins with a CBOR map is not run and another peer is asked.

--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -44,6 +44,8 @@
 # Responses of the peer's HTTP server to a request that it has not passed to the
 # relay.
 _NOT_RELAYED_STATUSES = frozenset({400, 408, 413, 431})
+# Major type of a CBOR map, in the upper bits of its first byte.
+_CBOR_MAP = 5
 
 
 class Result(enum.StrEnum):
@@ -444,6 +446,21 @@
                 self._pool.close_idle(load.target.address)
 
 
+def _is_view(content: bytes) -> bool:
+    """Return whether a peer has answered with its view of published items.
+
+    Builds without `RelayRequest` answer every request at their control address
+    by the view, a CBOR map, and send nothing to a target. The content of
+    `_join` begins with the length of a frame, whose first byte is 0.
+
+    >>> _is_view(bytes.fromhex("a1656974656d7380"))  # {"items": []}
+    True
+    >>> _is_view(_join(messages.RelayResponse("lost"), b"")), _is_view(b"")
+    (False, False)
+    """
+    return bool(content) and content[0] >> 5 == _CBOR_MAP
+
+
 def _parse(response: connections.TargetResponse) -> connections.TargetResponse:
     """Return the response of the target that a peer has passed on.
 
@@ -452,6 +469,8 @@
     """
     if response.status in _NOT_RELAYED_STATUSES:
         raise RelayError(f"status {response.status}", not_run=True)
+    if _is_view(response.body):
+        raise RelayError("the peer's build has no relay", not_run=True)
     try:
         message, body = _split(response.body)
     except errors.FrameError as error:
