Run the earlier build of the upgrade test with the real h11

Cause: the test of two builds used a stand-in for the library h11, which build imports and which is no dependency any more, so that its parsing of responses was not what its hosts run.

--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -10,7 +10,6 @@
 import contextlib
 import dataclasses
 import enum
-import importlib.util
 import json
 import os
 import pathlib
@@ -34,12 +33,6 @@
 _METRICS_PORT = 9464
 # A start takes 0.6 s; beside other test runs it has taken several seconds.
 _START_LIMIT_S = 15.0
-# The build 2583d3d needs `h11`, which is no longer a dependency.
-_LIBRARIES = {
-    "PYTHONPATH": ""
-    if importlib.util.find_spec("h11")
-    else str(pathlib.Path(__file__).parent / "stand_ins")
-}
 _HOST = "shop.example"
 _HEALTH_PATH = "/health"
 # Longest time for an answer after the deadline that the caller has set.
@@ -624,7 +617,6 @@
                 [sys.executable, str(root / "platform" / "entry.py")],
                 cwd=root,
                 env=os.environ
-                | _LIBRARIES
                 | {"SLATECHUTE_BOOT": str(self._write_settings(entry))},
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/tests/gateway/stand_ins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins for libraries of earlier builds that are not installed."""
