Explain where a gateway entry would send a request

Cause: operators could not see why an entry prefers a target or refuses a request without sending one.

Ruled out: an explanation that copies the selection rules, which would drift from them; a dry run that is rolled back, as tokens and metrics leave the entry.

Change: the ranking of targets, the rule for late requests, the reason of a refusal, the times of a request and the step of a split are functions without side effects that real requests and explanations call. Reading a token supply no longer records a denial: tokens that do not arrive in time are denied at the end of that time.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -21,6 +21,7 @@
 from slatechute.gateway import cold_targets
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
+from slatechute.gateway import explaining
 from slatechute.gateway import forwarding
 from slatechute.gateway import http_server
 from slatechute.gateway import path_monitor
@@ -848,13 +849,43 @@
     async def _get_metrics(
         self, request: http_server.Request
     ) -> http_server.Response:
-        del request
+        if request.target.partition("?")[0] == explaining.PATH:
+            return self._get_explanation(request)
         return http_server.Response(
             200,
             self.metrics.export(),
             [("Content-Type", metrics.CONTENT_TYPE)],
         )
 
+    def _get_explanation(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        """Return where the request in the query would be sent now."""
+        try:
+            query = explaining.parse_query(request.target)
+            explanation = self._caller_server.explain(query)
+        except ValueError as error:
+            return explaining.error_response(400, str(error))
+        except errors.RequestError as error:
+            return explaining.error_response(
+                error.status, explaining.error_text(error)
+            )
+        # Registered targets that the balancer does not list are leaving.
+        unlisted = [
+            target
+            for target in self.catalogue.targets(explanation.service)
+            if target.id not in self.balancer.load_by_id
+        ]
+        return explaining.response(
+            {
+                "entry": self.settings.entry_id,
+                "data_centre": self.settings.data_centre,
+                "state": self._state,
+                "version": self.catalogue.table.version,
+            }
+            | explaining.describe(explanation, unlisted)
+        )
+
 
 def _decode_view(response: connections.TargetResponse) -> bytes:
     """Return the body of a peer's view, decompressed if it is compressed.
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence, Set
+import copy
 import dataclasses
 import enum
 import math
@@ -18,10 +19,13 @@
 
 __all__ = [
     "Balancer",
+    "Candidate",
     "Decision",
+    "Delay",
+    "DispatchRequest",
+    "Explanation",
     "QueuedRequest",
     "ServicePool",
-    "DispatchRequest",
 ]
 
 # Cost of sending a request to a remote data centre, expressed as time: the
@@ -58,13 +62,30 @@
 _LATE_SHARE_CALLER_RETRY = 0.6
 
 
-class Decision(enum.Enum):
-    """Handling of a request that cannot be dispatched immediately."""
+class Decision(enum.StrEnum):
+    """Handling of a request."""
 
+    SEND = "send"
     WAIT = "wait"
     REFUSE = "refuse"
 
 
+class Delay(enum.StrEnum):
+    """Why a request is not sent to any target now.
+
+    Attributes:
+        NO_FREE_TARGET: No target may get it now.
+        FASTER_TARGET_EXPECTED: The best target would miss the objective, and a
+            faster one is expected to be free in time.
+        TOO_SLOW: The best target would take too large a share of the time
+            until the deadline.
+    """
+
+    NO_FREE_TARGET = "no_free_target"
+    FASTER_TARGET_EXPECTED = "faster_target_expected"
+    TOO_SLOW = "too_slow"
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class DispatchRequest:
     """A request that needs a target.
@@ -119,6 +140,73 @@
         return is_late, request.route.priority, due_ms
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Ranking:
+    """Costs of the targets for one request.
+
+    Attributes:
+        best: Target of lowest cost that may get the request now, or None.
+        best_ms: Its cost, or infinity.
+        cost_ms_by_load: Costs of all targets that were compared, infinite for
+            those without a free slot.
+        limited: Costs of the targets whose rate limit allows no request now.
+    """
+
+    best: loads.TargetLoad | None = None
+    best_ms: float = math.inf
+    cost_ms_by_load: dict[loads.TargetLoad, float] = dataclasses.field(
+        default_factory=dict
+    )
+    limited: dict[loads.TargetLoad, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target as seen by the selection for one request.
+
+    Attributes:
+        load: Its load.
+        obstacle: Why it is not selected, None for the selected one.
+        expected_ms: Expected duration of the request at the target.
+        cost_ms: Cost by which targets are compared: the expected duration with
+            risks of failure, distance and random spread. Infinite without a
+            free slot, None if it was not compared.
+        has_connection: Whether the entry has an idle connection to it.
+    """
+
+    load: loads.TargetLoad
+    obstacle: loads.Obstacle | None
+    expected_ms: float
+    cost_ms: float | None
+    has_connection: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """What would be decided on a request, and why.
+
+    Attributes:
+        decision: The decision.
+        load: Load of the selected target, None if the request is not sent.
+        delay: Why it is not sent now, None if it is sent.
+        reason: Reason of the refusal, None if it is not refused.
+        wait_ms: Expected waiting time, infinite if there is no throughput.
+        ahead: Number of waiting requests that are served earlier.
+        candidates: Targets of the service, the selected one first, then by
+            cost.
+    """
+
+    decision: Decision
+    load: loads.TargetLoad | None
+    delay: Delay | None
+    reason: errors.Reason | None
+    wait_ms: float
+    ahead: int
+    candidates: Sequence[Candidate]
+
+
 class ServicePool:
     """Targets and waiting requests of one service.
 
@@ -252,6 +340,10 @@
             pool = self.pool_by_service[service] = ServicePool()
         return pool
 
+    def _find_pool(self, service: str) -> ServicePool:
+        """Return the pool of a service, or an empty one that is not kept."""
+        return self.pool_by_service.get(service) or ServicePool()
+
     # Targets.
 
     def add_target(
@@ -361,25 +453,27 @@
         self, request: DispatchRequest, now_ms: float
     ) -> tuple[loads.TargetLoad | None, float]:
         """Return the target of lowest cost, or None, and the cost in ms."""
-        best, best_ms, _ = self._rank_targets(request, now_ms)
-        return best, best_ms
+        ranking = self._rank_targets(request, now_ms, self._random)
+        return ranking.best, ranking.best_ms
 
     def _select_target(
         self, request: DispatchRequest, now_ms: float, *, is_queued: bool
-    ) -> tuple[loads.TargetLoad | None, float]:
-        """Return the best target like `_best_target`, and ask for tokens.
+    ) -> _Ranking:
+        """Return the ranking of the targets, and ask for tokens.
 
         A token is asked for where the request would have gone without the rate
         limit.
         """
-        best, best_ms, limited = self._rank_targets(request, now_ms)
-        if limited:
+        ranking = self._rank_targets(request, now_ms, self._random)
+        if ranking.limited:
             wanted = 1
-            if best is None:
+            if ranking.best is None:
                 waiting = len(self.pool(request.service).waiting)
                 wanted = waiting if is_queued else waiting + 1
-            self._request_tokens(limited, wanted, best_ms, now_ms)
-        return best, best_ms
+            self._request_tokens(
+                ranking.limited, wanted, ranking.best_ms, now_ms
+            )
+        return ranking
 
     def _request_tokens(
         self,
@@ -411,17 +505,21 @@
             self._on_token_request(load, count)
 
     def _rank_targets(
-        self, request: DispatchRequest, now_ms: float
-    ) -> tuple[loads.TargetLoad | None, float, dict[loads.TargetLoad, float]]:
-        """Return the target of lowest cost, or None, and the cost in ms.
+        self,
+        request: DispatchRequest,
+        now_ms: float,
+        generator: random.Random,
+    ) -> _Ranking:
+        """Return the costs of the targets.
 
-        The third value has the costs of the targets whose rate limit allows no
-        request now.
+        Args:
+            request: The request.
+            now_ms: Current time.
+            generator: Source of the random spread.
         """
-        pool = self.pool(request.service)
+        pool = self._find_pool(request.service)
         work_ms = pool.model.work_ms(request.work_key)
-        best, best_ms = None, math.inf
-        limited: dict[loads.TargetLoad, float] = {}
+        ranking = _Ranking()
         for load in self._candidates(pool, request, now_ms):
             if load.is_paused(now_ms) or load.target.id in request.excluded:
                 continue
@@ -433,12 +531,13 @@
             if load.path.is_lost:
                 cost_ms += _RELAY_COST_MS
             if not self._has_connection(load, request.route.repeatable):
-                cost_ms *= 1 + _COST_JITTER * self._random.random()
+                cost_ms *= 1 + _COST_JITTER * generator.random()
+            ranking.cost_ms_by_load[load] = cost_ms
             if load.lacks_token(now_ms):
-                limited[load] = cost_ms
-            elif cost_ms < best_ms:
-                best, best_ms = load, cost_ms
-        return best, best_ms, limited
+                ranking.limited[load] = cost_ms
+            elif cost_ms < ranking.best_ms:
+                ranking.best, ranking.best_ms = load, cost_ms
+        return ranking
 
     def start(
         self, request: DispatchRequest, load: loads.TargetLoad, now_ms: float
@@ -457,22 +556,36 @@
         Returns:
             The exchange, or None if the request should wait or be refused.
         """
-        pool = self.pool(request.service)
-        load, cost_ms = self._select_target(request, now_ms, is_queued=False)
-        if load is None:
+        ranking = self._select_target(request, now_ms, is_queued=False)
+        if self._delay(request, ranking, now_ms) is not None:
             return None
+        return self.start(request, ranking.best, now_ms)
+
+    def _delay(
+        self, request: DispatchRequest, ranking: _Ranking, now_ms: float
+    ) -> Delay | None:
+        """Return why the best target does not get a request, None if it does.
+
+        Args:
+            request: The request, which does not wait yet.
+            ranking: Costs of the targets.
+            now_ms: Current time.
+        """
+        cost_ms = ranking.best_ms
+        if ranking.best is None:
+            return Delay.NO_FREE_TARGET
         if cost_ms > request.objective_ms - now_ms:
+            pool = self._find_pool(request.service)
             if self._may_be_in_time(pool, request, now_ms):
-                # Only slow targets are free, and a fast one is expected soon.
-                return None
+                return Delay.FASTER_TARGET_EXPECTED
             share = (
                 _LATE_SHARE_CALLER_RETRY
                 if request.is_caller_retry
                 else _LATE_SHARE
             )
             if cost_ms > share * (request.deadline_ms - now_ms):
-                return None
-        return self.start(request, load, now_ms)
+                return Delay.TOO_SLOW
+        return None
 
     def handle_exchange_end(
         self, load: loads.TargetLoad, now_ms: float
@@ -525,20 +638,115 @@
         work_ms = pool.model.work_ms(request.work_key)
         if work_ms > left_ms:
             return False
-        ahead = self._count_ahead(pool, request, now_ms)
-        wait_ms = pool.wait_ms(work_ms, left_ms, ahead, now_ms)
         run_ms = work_ms * pool.model.crowded_factor
+        wait_ms = self._wait_ms(pool, request, now_ms)
         return wait_ms <= (left_ms - run_ms) * _WAIT_SHARE
 
+    def _wait_ms(
+        self, pool: ServicePool, request: DispatchRequest, now_ms: float
+    ) -> float:
+        """Return the expected waiting time for a target that is fast enough."""
+        return pool.wait_ms(
+            pool.model.work_ms(request.work_key),
+            request.objective_ms - now_ms,
+            self._count_ahead(pool, request, now_ms),
+            now_ms,
+        )
+
     def decide(self, request: DispatchRequest, now_ms: float) -> Decision:
         """Decide whether a request that cannot start now waits."""
-        pool = self.pool(request.service)
+        pool = self._find_pool(request.service)
         if pool.has_target(request.excluded) and self._may_be_in_time(
             pool, request, now_ms
         ):
             return Decision.WAIT
         return Decision.REFUSE
 
+    def refusal_reason(self, request: DispatchRequest) -> errors.Reason:
+        """Return the reason for which a request is refused without waiting."""
+        pool = self._find_pool(request.service)
+        if pool.is_evacuated:
+            return errors.Reason.EVACUATED
+        if not pool.has_target(request.excluded):
+            return errors.Reason.NO_TARGETS
+        if all(
+            load.path.is_blocked or load.is_evacuated
+            for load in pool.load_by_id.values()
+        ):
+            return errors.Reason.NO_PATH
+        return errors.Reason.OVERLOAD
+
+    def explain(self, request: DispatchRequest, now_ms: float) -> Explanation:
+        """Return what `try_start` and `decide` would decide on a request.
+
+        Nothing is started, counted or asked for. The random spread of costs is
+        that of the next request.
+        """
+        pool = self._find_pool(request.service)
+        ranking = self._rank_targets(request, now_ms, copy.copy(self._random))
+        delay = self._delay(request, ranking, now_ms)
+        decision, load, reason = Decision.SEND, ranking.best, None
+        if delay is not None:
+            decision, load = self.decide(request, now_ms), None
+        if decision is Decision.REFUSE:
+            reason = self.refusal_reason(request)
+        candidates = [
+            self._candidate(request, other, ranking, load, now_ms)
+            for other in pool.load_by_id.values()
+        ]
+        candidates.sort(key=_candidate_sort_key)
+        return Explanation(
+            decision,
+            load,
+            delay,
+            reason,
+            0.0 if load else self._wait_ms(pool, request, now_ms),
+            self._count_ahead(pool, request, now_ms),
+            candidates,
+        )
+
+    def _candidate(
+        self,
+        request: DispatchRequest,
+        load: loads.TargetLoad,
+        ranking: _Ranking,
+        selected: loads.TargetLoad | None,
+        now_ms: float,
+    ) -> Candidate:
+        work_ms = self._find_pool(request.service).model.work_ms(
+            request.work_key
+        )
+        cost_ms = ranking.cost_ms_by_load.get(load)
+        if load is selected:
+            obstacle = None
+        elif cost_ms is None:
+            obstacle = load.pause_cause(now_ms)
+            if obstacle is None:
+                obstacle = (
+                    loads.Obstacle.EXCLUDED
+                    if load.target.id in request.excluded
+                    else loads.Obstacle.OTHER_DATA_CENTRE
+                )
+        elif cost_ms == math.inf:
+            obstacle = loads.Obstacle.FULL
+        elif load in ranking.limited:
+            obstacle = (
+                loads.Obstacle.COLD
+                if load.is_cold(now_ms)
+                else loads.Obstacle.NO_TOKEN
+            )
+        else:
+            obstacle = (
+                loads.Obstacle.SLOWER if selected else loads.Obstacle.TOO_SLOW
+            )
+        return Candidate(
+            load,
+            obstacle,
+            load.expected_ms(work_ms, now_ms),
+            cost_ms,
+            self._has_connection(load, request.route.repeatable),
+        )
+
     def _count_ahead(
         self, pool: ServicePool, request: DispatchRequest, now_ms: float
     ) -> int:
@@ -604,7 +812,7 @@
 
     def retry_after_ms(self, request: DispatchRequest, now_ms: float) -> float:
         """Return the delay in ms after which a refused caller may retry."""
-        pool = self.pool(request.service)
+        pool = self._find_pool(request.service)
         work_ms = pool.model.work_ms(request.work_key)
         left_ms = max(0.0, request.deadline_ms - now_ms)
         wait_ms = pool.wait_ms(work_ms, left_ms, len(pool.waiting), now_ms)
@@ -667,16 +875,16 @@
     def _try_start_queued(
         self, request: DispatchRequest, now_ms: float
     ) -> loads.Exchange | None:
-        load, cost_ms = self._select_target(request, now_ms, is_queued=True)
-        if load is None:
+        ranking = self._select_target(request, now_ms, is_queued=True)
+        if ranking.best is None:
             return None
         left_ms = request.objective_ms - now_ms
         work_ms = self.pool(request.service).model.work_ms(request.work_key)
         # While a fast target can still meet the objective, slow targets are
         # left to requests that will be late anyway.
-        if work_ms < left_ms < cost_ms:
+        if work_ms < left_ms < ranking.best_ms:
             return None
-        return self.start(request, load, now_ms)
+        return self.start(request, ranking.best, now_ms)
 
     def _is_unservable(self, request: DispatchRequest, now_ms: float) -> bool:
         pool = self.pool(request.service)
@@ -709,3 +917,12 @@
             if pool.waiting:
                 self._refuse_unservable(pool, now_ms)
                 self.dispatch_waiting(service, now_ms)
+
+
+def _candidate_sort_key(candidate: Candidate) -> tuple:
+    cost_ms = candidate.cost_ms
+    return (
+        candidate.obstacle is not None,
+        math.inf if cost_ms is None else cost_ms,
+        candidate.load.target.id,
+    )
--- a/slatechute/gateway/catalogue.py
+++ b/slatechute/gateway/catalogue.py
@@ -237,6 +237,14 @@
         )
         self._observer.evacuation_ended(data_centre)
 
+    def targets(self, service: str) -> list[dialects.PublishedTarget]:
+        """Return the registered targets of a service."""
+        return [
+            target
+            for target in self._target_by_key.values()
+            if target.service == service
+        ]
+
     def _count_targets(self, data_centre: str) -> int:
         return sum(
             target.data_centre == data_centre and not target.leaving
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -31,6 +31,8 @@
 # Time from the loss of a connection until peers are told of a crash. Within it,
 # probes and requests of peers show that a target is alive.
 _CRASH_CHECK_DELAY_S = 0.3
+# HTTP status of a request for which there is no target.
+_REFUSAL_STATUS = 503
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -208,6 +210,30 @@
         dispatch_request = self._dispatch_request(request, trace)
         return self._balancer.describe(dispatch_request, self._clock.now_ms())
 
+    def explain(
+        self, request: CallerRequest
+    ) -> tuple[balancing.Explanation, errors.RequestError | None]:
+        """Return what would be decided on a request, without sending it.
+
+        Returns:
+            The decision on the first exchange and the error if the request
+            would be refused.
+
+        Raises:
+            errors.RequestError: The request would be refused before a target
+                is selected.
+        """
+        trace = Trace()
+        self._check_quarantine(request)
+        explanation = self._balancer.explain(
+            self._dispatch_request(request, trace), self._clock.now_ms()
+        )
+        if explanation.reason is None:
+            return explanation, None
+        return explanation, self._refusal(
+            request, trace, explanation.reason, _REFUSAL_STATUS
+        )
+
     async def forward(
         self, request: CallerRequest, trace: Trace
     ) -> connections.TargetResponse:
@@ -351,18 +377,8 @@
             self._balancer.decide(dispatch_request, now_ms)
             is balancing.Decision.REFUSE
         ):
-            pool = self._balancer.pool(request.service)
-            reason = errors.Reason.OVERLOAD
-            if pool.is_evacuated:
-                reason = errors.Reason.EVACUATED
-            elif not pool.has_target(trace.excluded):
-                reason = errors.Reason.NO_TARGETS
-            elif all(
-                load.path.is_blocked or load.is_evacuated
-                for load in pool.load_by_id.values()
-            ):
-                reason = errors.Reason.NO_PATH
-            raise self._refusal(request, trace, reason, 503)
+            reason = self._balancer.refusal_reason(dispatch_request)
+            raise self._refusal(request, trace, reason, _REFUSAL_STATUS)
         result_future = asyncio.get_running_loop().create_future()
         queued = balancing.QueuedRequest(
             dispatch_request, result_future.set_result
@@ -376,7 +392,7 @@
                 self._release(result_future.result())
             raise
         if isinstance(result, errors.Reason):
-            raise self._refusal(request, trace, result, 503)
+            raise self._refusal(request, trace, result, _REFUSAL_STATUS)
         return result
 
     def _release(self, result: loads.Exchange | errors.Reason) -> None:
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import enum
 import math
 
 from slatechute.gateway import announcements
@@ -12,7 +13,13 @@
 from slatechute.gateway import paths
 from slatechute.gateway import rate_limits
 
-__all__ = ["Exchange", "ServiceModel", "TargetLoad", "uncrowded_slots"]
+__all__ = [
+    "Exchange",
+    "Obstacle",
+    "ServiceModel",
+    "TargetLoad",
+    "uncrowded_slots",
+]
 
 # Time constant with which a reported slowdown decays to the average of the
 # service, as slowdowns of a host last a few hundred milliseconds.
@@ -93,6 +100,39 @@
 _UNUSED_FACTOR = 0.4
 
 
+class Obstacle(enum.StrEnum):
+    """Why a request is not sent to a target.
+
+    Attributes:
+        EVACUATED: Its data centre is evacuated.
+        LEAVING: It accepts no new requests.
+        PATH_LOST: Neither this entry nor a peer has a path to it.
+        PAUSED: It has announced a pause or just refused a request.
+        EJECTED: It has failed or refused too often.
+        EXCLUDED: It must not get this request.
+        OTHER_DATA_CENTRE: The response is large, and the local data centre has
+            a usable target.
+        COLD: It is cold, and this entry has no token for it.
+        NO_TOKEN: It has a rate limit, and this entry has no token for it.
+        FULL: It has no free slot.
+        SLOWER: Another target has a lower cost.
+        TOO_SLOW: It would take too long, and so would all others.
+    """
+
+    EVACUATED = "evacuated"
+    LEAVING = "leaving"
+    PATH_LOST = "path_lost"
+    PAUSED = "paused"
+    EJECTED = "ejected"
+    EXCLUDED = "excluded"
+    OTHER_DATA_CENTRE = "other_data_centre"
+    COLD = "cold"
+    NO_TOKEN = "no_token"
+    FULL = "full"
+    SLOWER = "slower"
+    TOO_SLOW = "too_slow"
+
+
 def uncrowded_slots(slots: int) -> int:
     """Return how many requests a target can run without being crowded."""
     return max(1, math.floor(slots * _CROWDED_SHARE))
@@ -312,6 +352,7 @@
         self._listed_ms = now_ms
         self._warmup_end_ms = now_ms + target.warmup_ms
         self._eject_duration_ms = _INITIAL_EJECT_MS
+        self._ejected_until_ms = -math.inf
         self._exchanges: dict[Exchange, None] = {}
 
     def update(self, target: dialects.PublishedTarget, now_ms: float) -> None:
@@ -411,12 +452,19 @@
 
     def is_paused(self, now_ms: float) -> bool:
         """Return whether no request is sent to the target for now."""
-        return (
-            self.is_evacuated
-            or self.path.is_blocked
-            or now_ms
-            < max(self.paused_until_ms, self.announced.paused_until_ms)
-        )
+        return self.pause_cause(now_ms) is not None
+
+    def pause_cause(self, now_ms: float) -> Obstacle | None:
+        """Return why no request is sent to the target for now, if so."""
+        if self.is_evacuated:
+            return Obstacle.EVACUATED
+        if self.path.is_blocked:
+            return Obstacle.PATH_LOST
+        if now_ms < self._ejected_until_ms:
+            return Obstacle.EJECTED
+        if now_ms < max(self.paused_until_ms, self.announced.paused_until_ms):
+            return Obstacle.PAUSED
+        return None
 
     @property
     def has_cold_limit(self) -> bool:
@@ -504,6 +552,11 @@
             cost *= _AVOIDED_FACTOR
         return cost
 
+    def expected_ms(self, work_ms: float, now_ms: float) -> float:
+        """Return the expected duration of a request that is sent now."""
+        factor = self._duration_factor(self.occupancy() + 1, now_ms)
+        return max(1.0, work_ms * factor)
+
     def _refusal_risk(self) -> float:
         """Return the share of failures that the refusals count for."""
         return _EJECT_FAILURE_SHARE * self.refusal_evidence / _REFUSAL_EVIDENCE
@@ -518,7 +571,7 @@
         exchange = Exchange(
             self,
             now_ms,
-            max(1.0, self._model.work_ms(work_key) * factor),
+            self.expected_ms(self._model.work_ms(work_key), now_ms),
             factor,
             is_crowded,
             self._model.crowded_factor if is_crowded else 1.0,
@@ -577,6 +630,7 @@
     def _eject(self, now_ms: float) -> None:
         """Pause the target, each time for longer."""
         self.pause(self._eject_duration_ms, now_ms)
+        self._ejected_until_ms = now_ms + self._eject_duration_ms
         self._eject_duration_ms = min(
             _MAX_EJECT_MS, self._eject_duration_ms * 2
         )
@@ -592,6 +646,7 @@
         self.failure_share = 0.0
         self.refusal_evidence = 0.0
         self.paused_until_ms = min(self.paused_until_ms, now_ms)
+        self._ejected_until_ms = -math.inf
         self._eject_duration_ms = _INITIAL_EJECT_MS
 
     def record_refusal(self, exchange: Exchange, now_ms: float) -> None:
--- a/slatechute/gateway/rate_limits.py
+++ b/slatechute/gateway/rate_limits.py
@@ -84,6 +84,7 @@
 
     def request(self, count: int, now_ms: float) -> None:
         """Record that tokens are asked for."""
+        self._denied_ms = self._last_denial_ms(now_ms)
         self._pending = count
         self._requested_ms = now_ms
 
@@ -94,16 +95,25 @@
 
     def pending(self, now_ms: float) -> int:
         """Return how many tokens may still arrive."""
-        if self._pending and (
-            now_ms - self._requested_ms > self._times.request_timeout_ms
-        ):
-            self.deny(now_ms)
-        return self._pending
+        return 0 if self._is_overdue(now_ms) else self._pending
+
+    def _is_overdue(self, now_ms: float) -> bool:
+        timeout_ms = self._times.request_timeout_ms
+        return self._pending > 0 and now_ms - self._requested_ms > timeout_ms
+
+    def _last_denial_ms(self, now_ms: float) -> float:
+        """Return when tokens were last denied.
+
+        Tokens that do not arrive in time are denied at the end of that time,
+        whether or not the supply is looked at then.
+        """
+        if self._is_overdue(now_ms):
+            return self._requested_ms + self._times.request_timeout_ms
+        return self._denied_ms
 
     def is_denied(self, now_ms: float) -> bool:
         """Return whether tokens were denied too recently to ask again."""
-        self.pending(now_ms)
-        return now_ms - self._denied_ms < self._times.denial_ms
+        return now_ms - self._last_denial_ms(now_ms) < self._times.denial_ms
 
     def may_request(self, now_ms: float) -> bool:
         """Return whether to ask for tokens."""
@@ -111,8 +121,7 @@
 
     def is_scarce(self, now_ms: float) -> bool:
         """Return whether a request that needs a token has to wait for it."""
-        self.pending(now_ms)
-        return now_ms - self._denied_ms < _SCARCE_MS
+        return now_ms - self._last_denial_ms(now_ms) < _SCARCE_MS
 
 
 class TokenAllocator:
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+import dataclasses
 import random
 
 from slatechute import errors
@@ -10,6 +11,7 @@
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
+from slatechute.gateway import explaining
 from slatechute.gateway import forwarding
 from slatechute.gateway import http_server
 from slatechute.gateway import routing
@@ -49,6 +51,23 @@
 _STARTING_RETRY_AFTER_MS = 1_000.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Times:
+    """Times of an accepted request, as clock times.
+
+    Attributes:
+        arrived_ms: When it arrived.
+        objective_ms: Until when a response has its full value.
+        deadline_ms: By when it must have ended.
+        is_caller_retry: Whether the caller was refused before.
+    """
+
+    arrived_ms: float
+    objective_ms: float
+    deadline_ms: float
+    is_caller_retry: bool
+
+
 class CallerServer:
     """Accepts requests of callers and returns the responses of targets.
 
@@ -154,24 +173,27 @@
         """Refuse a request while the limit of its body is not known."""
         if self._catalogue.table is not None:
             return None
+        return self._build_refusal(
+            http_request,
+            None,
+            self._starting_error(),
+            forwarding.Trace(),
+            self._clock.now_ms(),
+        )
+
+    def _starting_error(self) -> errors.RequestError:
+        """Return the error for requests before the first configuration."""
         uptime_ms = self._clock.now_ms() - self._started_ms
         retry_after_ms = _STARTING_RETRY_AFTER_MS
         if uptime_ms < _USUAL_START_MS:
             retry_after_ms = max(
                 _MIN_STARTING_RETRY_AFTER_MS, _USUAL_START_MS - uptime_ms
             )
-        error = errors.RequestError(
+        return errors.RequestError(
             errors.Reason.STARTING,
             errors.Step.ACCEPTED,
             retry_after_ms=int(retry_after_ms),
         )
-        return self._build_refusal(
-            http_request,
-            None,
-            error,
-            forwarding.Trace(),
-            self._clock.now_ms(),
-        )
 
     async def _handle(
         self, http_request: http_server.Request
@@ -211,25 +233,17 @@
         Raises:
             errors.RequestError: The request cannot be accepted.
         """
-        table = self._catalogue.table
         headers = http_request.header_by_name
         path = http_request.target
-        route = table.match(headers.get("host", ""), path)
-        if route is None:
-            raise errors.RequestError(
-                errors.Reason.UNKNOWN_SERVICE, errors.Step.ACCEPTED, status=404
-            )
+        route = self._find_route(headers.get("host", ""), path)
         try:
             caller_deadline_ms = self._dialect.deadline_ms(headers)
         except ValueError:
             raise errors.RequestError(
                 errors.Reason.BAD_REQUEST, errors.Step.ACCEPTED, status=400
             ) from None
-        elapsed_ms = self._elapsed_before_ms(route, caller_deadline_ms)
-        remaining_ms = min(
-            caller_deadline_ms or _DEFAULT_DEADLINE_MS, route.timeout_ms
-        )
-        self._check_draining(arrived_ms + remaining_ms)
+        self._learn_deadline(route, caller_deadline_ms)
+        times = self._request_times(route, caller_deadline_ms, arrived_ms)
         return forwarding.CallerRequest(
             self._dialect.request_id(headers),
             http_request.method,
@@ -238,12 +252,98 @@
             http_request.body,
             route,
             self._splitter.choose(route),
+            times.arrived_ms,
+            times.objective_ms,
+            times.deadline_ms,
+            times.is_caller_retry,
+        )
+
+    def explain(self, query: explaining.Query) -> explaining.RequestExplanation:
+        """Return what would be decided on a request that arrives now.
+
+        Nothing is sent, counted or changed.
+
+        Raises:
+            errors.RequestError: There is no configuration or no route.
+        """
+        if self._catalogue.table is None:
+            raise self._starting_error()
+        now_ms = self._clock.now_ms()
+        route = self._find_route(query.host, query.path)
+        service = self._splitter.peek(route)
+        request, selection, error = None, None, None
+        try:
+            times = self._request_times(route, query.deadline_ms, now_ms)
+            request = forwarding.CallerRequest(
+                "",
+                query.method,
+                query.path,
+                [],
+                b"",
+                route,
+                service,
+                times.arrived_ms,
+                times.objective_ms,
+                times.deadline_ms,
+                times.is_caller_retry,
+            )
+            selection, error = self._forwarder.explain(request)
+        except errors.RequestError as refusal:
+            error = refusal
+        return explaining.RequestExplanation(
+            route,
+            service,
+            request,
+            selection,
+            error,
+        )
+
+    def _find_route(self, host: str, path: str) -> routing.Route:
+        """Return the route of a request.
+
+        Raises:
+            errors.RequestError: There is none.
+        """
+        route = self._catalogue.table.match(host, path)
+        if route is None:
+            raise errors.RequestError(
+                errors.Reason.UNKNOWN_SERVICE, errors.Step.ACCEPTED, status=404
+            )
+        return route
+
+    def _request_times(
+        self,
+        route: routing.Route,
+        caller_deadline_ms: float | None,
+        arrived_ms: float,
+    ) -> _Times:
+        """Return the times of a request.
+
+        Raises:
+            errors.RequestError: This entry stops before the deadline.
+        """
+        elapsed_ms = self._elapsed_before_ms(route, caller_deadline_ms)
+        remaining_ms = min(
+            caller_deadline_ms or _DEFAULT_DEADLINE_MS, route.timeout_ms
+        )
+        self._check_draining(arrived_ms + remaining_ms)
+        return _Times(
             arrived_ms,
             arrived_ms + route.objective_ms - elapsed_ms,
             arrived_ms + remaining_ms,
             elapsed_ms > 0,
         )
 
+    def _learn_deadline(
+        self, route: routing.Route, deadline_ms: float | None
+    ) -> None:
+        """Update the longest deadline of a route."""
+        if deadline_ms is not None:
+            key = (route.host, route.prefix)
+            self._longest_deadline_ms_by_route[key] = max(
+                deadline_ms, self._longest_deadline_ms_by_route.get(key, 0.0)
+            )
+
     def _elapsed_before_ms(
         self, route: routing.Route, deadline_ms: float | None
     ) -> float:
@@ -255,10 +355,7 @@
         if deadline_ms is None:
             return 0.0
         key = (route.host, route.prefix)
-        longest_ms = max(
-            deadline_ms, self._longest_deadline_ms_by_route.get(key, 0.0)
-        )
-        self._longest_deadline_ms_by_route[key] = longest_ms
+        longest_ms = self._longest_deadline_ms_by_route.get(key, 0.0)
         elapsed_ms = longest_ms - deadline_ms
         return elapsed_ms if elapsed_ms > _RETRY_MARGIN_MS else 0.0
 
