Test and document explanations of requests

Cause: the explanation and the decision on a real request must not differ, and asking must not change what real requests get.

An ejection is only a label of a pause: the first version kept a target paused after its pause had been cut short, which test_retry_beyond_the_own_share_needs_a_grant[True] showed.

--- a/slatechute/commands/base.py
+++ b/slatechute/commands/base.py
@@ -43,8 +43,11 @@
         Control characters are replaced, since those received from other hosts
         could change the terminal.
         """
-        printable = "".join(c if c.isprintable() else "?" for c in text)
-        self.io.write_line(printable, type=output.Type.RAW)
+        self.io.write_line(_printable(text), type=output.Type.RAW)
+
+    def print_error(self, text: str) -> None:
+        """Write a line to standard error, like `print`."""
+        self.io.write_error_line(_printable(text), type=output.Type.RAW)
 
     def print_json(self, value: Any) -> None:
         """Write a value as indented JSON."""
@@ -67,6 +70,10 @@
             self.print("  ".join(cells).rstrip())
 
 
+def _printable(text: str) -> str:
+    return "".join(c if c.isprintable() else "?" for c in text)
+
+
 def run_cancellable(coroutine: Coroutine[Any, Any, _T]) -> _T:
     """Run a coroutine and cancel it on SIGTERM.
 
--- a/slatechute/commands/explain_request.py
+++ b/slatechute/commands/explain_request.py
@@ -8,7 +8,6 @@
 from cleo import helpers
 from cleo.io.inputs import argument
 from cleo.io.inputs import option
-from cleo.io.outputs import output
 
 from slatechute import errors
 from slatechute.commands import base
@@ -23,6 +22,30 @@
 # operator waiting.
 _TIMEOUT_S = 3.0
 _MAX_ERROR_LENGTH = 200
+# Fields that the text output needs. Entries of later builds may send more.
+_FIELDS = frozenset(
+    {
+        "candidates",
+        "data_centre",
+        "deadline_left_ms",
+        "decision",
+        "delay",
+        "entry",
+        "is_caller_retry",
+        "objective_left_ms",
+        "parts",
+        "reason",
+        "requests_ahead",
+        "retry_after_ms",
+        "route",
+        "service",
+        "state",
+        "status",
+        "target",
+        "version",
+        "wait_ms",
+    }
+)
 
 
 class _QueryError(Exception):
@@ -80,20 +103,15 @@
         address = _parse_address(self.option("entry"))
         query = self._query()
         try:
-            explanation = asyncio.run(_fetch(address, query))
-            if self.option("json"):
-                self.print_json(explanation)
-            else:
-                self._print_explanation(explanation)
+            status, body = asyncio.run(_fetch(address, query))
+            explanation = _parse_explanation(status, body)
         except _QueryError as error:
-            self._print_error(f"{address}: {error}")
-            return base.ExitStatus.NEGATIVE
-        except (AttributeError, KeyError, TypeError) as error:
-            self._print_error(
-                f"{address}: the response is not an explanation of this "
-                f"version of slatechute ({error!r})"
-            )
+            self.print_error(f"{address}: {error}")
             return base.ExitStatus.NEGATIVE
+        if self.option("json"):
+            self.print_json(explanation)
+        else:
+            self._print_explanation(explanation)
         return base.ExitStatus.OK
 
     def _query(self) -> dict[str, str]:
@@ -112,10 +130,6 @@
             query["deadline_ms"] = deadline_ms
         return query
 
-    def _print_error(self, text: str) -> None:
-        printable = "".join(c if c.isprintable() else "?" for c in text)
-        self.io.write_error_line(printable, type=output.Type.RAW)
-
     def _print_explanation(self, explanation: dict[str, Any]) -> None:
         route = explanation["route"]
         flags = ["repeatable" if route["repeatable"] else "not repeatable"]
@@ -136,6 +150,7 @@
                 f"{_format_ms(route['timeout_ms'])}",
             ],
             ["service", _format_service(explanation)],
+            ["request", _format_request(explanation)],
             ["decision", _format_decision(explanation)],
         ]
         if explanation["target"] is not None:
@@ -170,11 +185,11 @@
         raise errors.SettingsError(f"--entry {error}") from None
 
 
-async def _fetch(address: str, query: dict[str, str]) -> dict[str, Any]:
-    """Return the explanation of an entry.
+async def _fetch(address: str, query: dict[str, str]) -> tuple[int, bytes]:
+    """Return the HTTP status and the body of the answer of an entry.
 
     Raises:
-        _QueryError: There is none; the message says why.
+        _QueryError: There is no answer; the message says why.
     """
     import aiohttp
     import yarl
@@ -200,18 +215,31 @@
         raise _QueryError(
             f"not reachable: {reason or type(error).__name__}"
         ) from None
+    return response.status, bytes(body)
+
+
+def _parse_explanation(status: int, body: bytes) -> dict[str, Any]:
+    """Return the explanation in an answer.
+
+    Raises:
+        _QueryError: There is none; the message says why.
+    """
     try:
-        content = json.loads(bytes(body))
+        content = json.loads(body)
     except ValueError:
+        content = None
+    if not isinstance(content, dict):
         # The metrics port of earlier builds answers every path with metrics.
         raise _QueryError(
             "the response is not an explanation; is it the metrics port of a "
             "gateway entry, and of a build with explanations?"
-        ) from None
-    if response.status != 200:
-        detail = content.get("error") if isinstance(content, dict) else None
-        text = str(detail or f"responded with HTTP status {response.status}")
+        )
+    if status != 200:
+        text = str(content.get("error") or f"responded with status {status}")
         raise _QueryError(text[:_MAX_ERROR_LENGTH])
+    missing = _FIELDS - content.keys()
+    if missing:
+        raise _QueryError(f"the explanation lacks {', '.join(sorted(missing))}")
     return content
 
 
@@ -225,6 +253,16 @@
     return f"{explanation['service']} is next (weights: {weights})"
 
 
+def _format_request(explanation: dict[str, Any]) -> str:
+    text = (
+        f"objective in {_format_ms(explanation['objective_left_ms'])}, "
+        f"deadline in {_format_ms(explanation['deadline_left_ms'])}"
+    )
+    if explanation["is_caller_retry"]:
+        text += ", a retry by its deadline"
+    return text
+
+
 def _format_decision(explanation: dict[str, Any]) -> str:
     decision, delay = explanation["decision"], explanation["delay"]
     details = []
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -863,9 +863,10 @@
         """Return where the request in the query would be sent now."""
         try:
             query = explaining.parse_query(request.target)
-            explanation = self._caller_server.explain(query)
         except ValueError as error:
             return explaining.error_response(400, str(error))
+        try:
+            explanation = self._caller_server.explain(query)
         except errors.RequestError as error:
             return explaining.error_response(
                 error.status, explaining.error_text(error)
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -460,10 +460,9 @@
             return Obstacle.EVACUATED
         if self.path.is_blocked:
             return Obstacle.PATH_LOST
-        if now_ms < self._ejected_until_ms:
-            return Obstacle.EJECTED
         if now_ms < max(self.paused_until_ms, self.announced.paused_until_ms):
-            return Obstacle.PAUSED
+            is_ejected = now_ms < self._ejected_until_ms
+            return Obstacle.EJECTED if is_ejected else Obstacle.PAUSED
         return None
 
     @property
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -160,6 +160,14 @@
         "--spread-degree",
     ],
     "explain": ["folder", "key"],
+    "explain-request": [
+        "--deadline-ms",
+        "--entry",
+        "--host",
+        "--json",
+        "--method",
+        "path",
+    ],
     "settings": [
         "--address",
         "--admin-address",
