Record denied tokens only for real requests

Ruled out: keeping the changed times, as explanations must not change what real requests get.

Change: TokenSupply.settle records tokens that have not arrived in time, as reading the supply did before. Those who ask for tokens call it; explanations do not.

--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -490,6 +490,8 @@
             max_cost_ms: Only targets of lower cost are asked for.
             now_ms: Current time.
         """
+        for load in limited:
+            load.tokens.settle(now_ms)
         wanted -= sum(load.tokens.pending(now_ms) for load in limited)
         usable = [
             load
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -452,18 +452,24 @@
 
     def is_paused(self, now_ms: float) -> bool:
         """Return whether no request is sent to the target for now."""
-        return self.pause_cause(now_ms) is not None
+        return (
+            self.is_evacuated
+            or self.path.is_blocked
+            or now_ms
+            < max(self.paused_until_ms, self.announced.paused_until_ms)
+        )
 
     def pause_cause(self, now_ms: float) -> Obstacle | None:
         """Return why no request is sent to the target for now, if so."""
+        if not self.is_paused(now_ms):
+            return None
         if self.is_evacuated:
             return Obstacle.EVACUATED
         if self.path.is_blocked:
             return Obstacle.PATH_LOST
-        if now_ms < max(self.paused_until_ms, self.announced.paused_until_ms):
-            is_ejected = now_ms < self._ejected_until_ms
-            return Obstacle.EJECTED if is_ejected else Obstacle.PAUSED
-        return None
+        if now_ms < self._ejected_until_ms:
+            return Obstacle.EJECTED
+        return Obstacle.PAUSED
 
     @property
     def has_cold_limit(self) -> bool:
@@ -581,6 +587,7 @@
         )
         self.local_in_flight += 1
         self.sent += 1
+        self.tokens.settle(now_ms)
         self.tokens.take()
         self._exchanges[exchange] = None
         return exchange
--- a/slatechute/gateway/rate_limits.py
+++ b/slatechute/gateway/rate_limits.py
@@ -84,7 +84,6 @@
 
     def request(self, count: int, now_ms: float) -> None:
         """Record that tokens are asked for."""
-        self._denied_ms = self._last_denial_ms(now_ms)
         self._pending = count
         self._requested_ms = now_ms
 
@@ -101,19 +100,21 @@
         timeout_ms = self._times.request_timeout_ms
         return self._pending > 0 and now_ms - self._requested_ms > timeout_ms
 
-    def _last_denial_ms(self, now_ms: float) -> float:
-        """Return when tokens were last denied.
+    def settle(self, now_ms: float) -> None:
+        """Record tokens that have not arrived in time as denied now.
 
-        Tokens that do not arrive in time are denied at the end of that time,
-        whether or not the supply is looked at then.
+        Until then, the other methods take them for denied at the current time,
+        so whoever asks for tokens must call this before.
         """
         if self._is_overdue(now_ms):
-            return self._requested_ms + self._times.request_timeout_ms
-        return self._denied_ms
+            self.deny(now_ms)
+
+    def _denial_age_ms(self, now_ms: float) -> float:
+        return 0.0 if self._is_overdue(now_ms) else now_ms - self._denied_ms
 
     def is_denied(self, now_ms: float) -> bool:
         """Return whether tokens were denied too recently to ask again."""
-        return now_ms - self._last_denial_ms(now_ms) < self._times.denial_ms
+        return self._denial_age_ms(now_ms) < self._times.denial_ms
 
     def may_request(self, now_ms: float) -> bool:
         """Return whether to ask for tokens."""
@@ -121,7 +122,7 @@
 
     def is_scarce(self, now_ms: float) -> bool:
         """Return whether a request that needs a token has to wait for it."""
-        return now_ms - self._last_denial_ms(now_ms) < _SCARCE_MS
+        return self._denial_age_ms(now_ms) < _SCARCE_MS
 
 
 class TokenAllocator:
--- a/slatechute/gateway/retry_sharing.py
+++ b/slatechute/gateway/retry_sharing.py
@@ -118,6 +118,7 @@
             result.set_result(True)
             return result
         allocator_id = self._allocator_id(service)
+        supply.settle(now_ms)
         if allocator_id is None or supply.is_denied(now_ms):
             result.set_result(False)
             return result
