Limit hedges by the section in the template of the settings

Cause: the operators' limit has to stand in a file of the deployment; the platform renders the settings from deploy/settings.json.

Ruled out: the platform's fields in a section of their own, which earlier builds cannot read during a roll-back.

The nested shape is gone.

--- a/tests/platform_adapter/test_boot.py
+++ b/tests/platform_adapter/test_boot.py
@@ -51,15 +51,15 @@
 
 
 def _with_hedging(section: object) -> str:
-    return json.dumps({"deployment": json.loads(_TEXT), "hedging": section})
+    return json.dumps(json.loads(_TEXT) | {"hedging": section})
 
 
 def test_limits_of_hedges_are_read_beside_the_fields_of_the_platform():
-    """A template with a section of the operators made the file unreadable."""
-    nested = boot.parse(_with_hedging({"share": 0.1, "max_per_s": 5}))
-    assert nested.entry_id == "edge-1"
-    assert (nested.hedging.share, nested.hedging.max_per_s) == (0.1, 5.0)
-    defaults = boot.parse(_TEXT.replace('"node"', '"hedging": {}, "node"'))
+    """Hedges would go on without the operators' limit."""
+    limited = boot.parse(_with_hedging({"share": 0.1, "max_per_s": 5}))
+    assert limited.entry_id == "edge-1"
+    assert (limited.hedging.share, limited.hedging.max_per_s) == (0.1, 5.0)
+    defaults = boot.parse(_with_hedging({}))
     assert (defaults.hedging.share, defaults.hedging.max_per_s) == (0.05, 20.0)
     assert boot.parse(_TEXT).hedging is None
 
