Repeat to peers that a cold target has become warm

Cause: the end of a cold time was reported once. A peer that missed the datagram, or learned later of the end of an evacuation, limited the target for up to cold_s more.

Ruled out: letting requests for tokens end it as well; a stale one could then lift the limit of a cold target.

Change: the entry that probes reports it with each probe for 3 s.

--- a/slatechute/gateway/cold_targets.py
+++ b/slatechute/gateway/cold_targets.py
@@ -18,6 +18,10 @@
 PROTOCOL = 1
 # Longer times are not plausible; warm-ups take seconds.
 _MAX_COLD_MS = 60_000.0
+# For this long after a probe showed that a target has become warm, peers are
+# told with each probe. A datagram may be lost, and a peer may learn up to 2.5 s
+# later that an evacuation has ended, after which it assumes targets to be cold.
+_WARM_NEWS_MS = 3_000.0
 # For this long after a probe showed that the target is warm, reports to peers
 # say so. Later it may have become cold again without this entry knowing it.
 _WARM_REPORT_MS = 1_000.0
@@ -45,6 +49,7 @@
         self._target_id = target_id
         self._until_ms = until_ms
         self._warm_observed_ms = -math.inf
+        self._ended_ms = -math.inf
 
     def is_cold(self, now_ms: float) -> bool:
         """Return whether the target is cold."""
@@ -63,13 +68,19 @@
 
         Returns:
             Whether the peers are to be told: at each report of a cold target,
-            as a datagram may be lost, and when it has become warm.
+            as a datagram may be lost, and for some time when it has become
+            warm.
         """
         was_cold = self.is_cold(now_ms)
         self._until_ms = now_ms + min(_MAX_COLD_MS, cold_ms)
-        self._warm_observed_ms = -math.inf if cold_ms > 0 else now_ms
         self._log_change(was_cold, now_ms, "target")
-        return was_cold or cold_ms > 0
+        if cold_ms > 0:
+            self._warm_observed_ms = -math.inf
+            return True
+        self._warm_observed_ms = now_ms
+        if was_cold:
+            self._ended_ms = now_ms
+        return now_ms - self._ended_ms < _WARM_NEWS_MS
 
     def adopt(self, cold_ms: float, now_ms: float, source: str) -> bool:
         """Adopt what a peer knows.
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -378,7 +378,7 @@
 
     def is_cold(self, now_ms: float) -> bool:
         """Return whether its rate is limited because it is cold."""
-        return self.has_cold_limit and self.cold.is_cold(now_ms)
+        return self._model.cold_per_s > 0 and self.cold.is_cold(now_ms)
 
     def rate_limit_per_s(self, now_ms: float) -> float | None:
         """Return the requests a second for all entries, None for no limit."""
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -11,6 +11,7 @@
 from slatechute.gateway import balancing
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import dialects
+from slatechute.gateway import peers as peer_groups
 from slatechute.gateway import published
 from slatechute.gateway import relaying
 from slatechute.gateway import routing
@@ -104,6 +105,26 @@
     assert balancer.retry_after_ms(request, 0.0) == pytest.approx(0.3 * 800)
 
 
+def test_heartbeat_from_before_a_restore_does_not_end_an_evacuation():
+    """It says how long a peer was connected to the platform of that time."""
+
+    async def check(fleet):
+        app = await fleet.add()
+        app.catalogue.replace([], published.position(2, 5), _STEADY)
+        before = messages.Presence(
+            "e2", "b", "dc1", "", "", 1, "ready", 1, 9, steady_ms=60_000.0
+        )
+        peer = peer_groups.Peer(before, ("127.0.0.2", 1), app.clock.now_ms())
+        app.group.peers_by_id["e2"] = peer
+        restored = published.position(2, 5)
+        app._apply_changes(
+            peer, messages.PublishedChanges(restored, restored, 10.0, [])
+        )
+        assert app._steady_ms() < 2_000.0
+
+    small_fleet.run(check)
+
+
 async def _get(app):
     headers = {"Host": "h", "Id": "r1", "Deadline": "900"}
     url = f"http://{app.settings.callers_address}/a/x"
