--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -11,6 +11,7 @@
 from slatechute.gateway import balancing
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import dialects
+from slatechute.gateway import hedging
 from slatechute.gateway import peers as peer_groups
 from slatechute.gateway import published
 from slatechute.gateway import relaying
@@ -85,7 +86,14 @@
     assert exchange.load.target.id == "b"
     request.excluded = {"b"}
     assert balancer.try_start(request, 0.0) is None
-    assert balancer.start_hedge(request, 0.0, 1e6) is None
+    hedge = balancer.start_hedge(
+        request,
+        [exchange.load],
+        hedging.FixedDelayPolicy(),
+        0.0,
+        max_cost_ms=1e6,
+    )
+    assert hedge is hedging.Denial.NO_TARGET
     # A queue for the target that has failed would end at the deadline.
     assert balancer.decide(request, 0.0) is balancing.Decision.REFUSE
     balancer.set_evacuated(frozenset(), 1.0)
