Derive the denial of overdue tokens from the time of the request

Cause: a denial recorded by a later call shifted the times of requests for tokens, and whoever asked had to make that call.

Change: tokens that have not arrived in time count as denied from the end of the time limit, so that reading a supply changes nothing and needs no other call.

--- a/slatechute/gateway/rate_limits.py
+++ b/slatechute/gateway/rate_limits.py
@@ -84,6 +84,7 @@
 
     def request(self, count: int, now_ms: float) -> None:
         """Record that tokens are asked for."""
+        self._denied_ms = now_ms - self._denial_age_ms(now_ms)
         self._pending = count
         self._requested_ms = now_ms
 
@@ -100,25 +101,31 @@
         timeout_ms = self._times.request_timeout_ms
         return self._pending > 0 and now_ms - self._requested_ms > timeout_ms
 
-    def settle(self, now_ms: float) -> None:
-        """Record tokens that have not arrived in time as denied now.
-
-        Until then, the other methods take them for denied at the current time,
-        so whoever asks for tokens must call this before.
-        """
-        if self._is_overdue(now_ms):
-            self.deny(now_ms)
-
     def _denial_age_ms(self, now_ms: float) -> float:
-        return 0.0 if self._is_overdue(now_ms) else now_ms - self._denied_ms
+        """Return the age of the last denial, or of the end of a request."""
+        denied_ms = self._denied_ms
+        if self._is_overdue(now_ms):
+            timeout_ms = self._times.request_timeout_ms
+            denied_ms = max(denied_ms, self._requested_ms + timeout_ms)
+        return now_ms - denied_ms
 
     def is_denied(self, now_ms: float) -> bool:
         """Return whether tokens were denied too recently to ask again."""
         return self._denial_age_ms(now_ms) < self._times.denial_ms
 
-    def may_request(self, now_ms: float) -> bool:
-        """Return whether to ask for tokens."""
-        return not self.pending(now_ms) and not self.is_denied(now_ms)
+    def may_request(self, now_ms: float, *, min_denial_ms: float = 0.0) -> bool:
+        """Return whether to ask for tokens.
+
+        Args:
+            now_ms: Current time.
+            min_denial_ms: Shortest time after a denial, if it is longer than
+                that of the supply.
+        """
+        return (
+            not self.pending(now_ms)
+            and not self.is_denied(now_ms)
+            and self._denial_age_ms(now_ms) >= min_denial_ms
+        )
 
     def is_scarce(self, now_ms: float) -> bool:
         """Return whether a request that needs a token has to wait for it."""
