Spread requests over the targets with idle connections

Since idle connections count in the choice, targets with one had no random spread, so that the first of equal cost got all requests.

Ruled out: a lost allocator; the test has two targets of equal cost, and the limited one was not chosen even where no token was needed.

Change: the spread applies to all targets; one with an idle connection costs 15% less.

--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -35,9 +35,13 @@
 _RELAY_COST_MS = 4.0
 # Random spread of costs. Entries that learn of a free target at the same time
 # would otherwise all choose it. With the spread, they choose different ones
-# among targets of similar cost. A target to which the entry has an idle
-# connection is chosen before them; entries have connections to different ones.
+# among targets of similar cost.
 _COST_JITTER = 0.2
+# Cost of a target to which the entry has an idle connection, as a share of its
+# time. It is usually chosen before the others of similar cost, and the random
+# spread still decides among several of them: without it, one target got all
+# requests, and one with a rate limit none.
+_IDLE_CONNECTION_COST_SHARE = 0.85
 # Bounds of the retry delay for refused callers. The upper bound is the share of
 # their remaining time that callers accept.
 _MIN_RETRY_MS = 40.0
@@ -463,8 +467,9 @@
                 )
             if load.path.is_lost:
                 cost_ms += _RELAY_COST_MS
-            if not self._has_connection(load, request.route.repeatable):
-                cost_ms *= 1 + _COST_JITTER * self._random.random()
+            cost_ms *= 1 + _COST_JITTER * self._random.random()
+            if self._has_connection(load, request.route.repeatable):
+                cost_ms *= _IDLE_CONNECTION_COST_SHARE
             if load.lacks_token(now_ms):
                 limited[load] = cost_ms
             elif cost_ms < best_ms:
--- a/tests/gateway/test_balancing.py
+++ b/tests/gateway/test_balancing.py
@@ -177,6 +177,21 @@
     assert places[10:] != ["dc1"] * 2
 
 
+def test_requests_are_spread_over_the_targets_with_idle_connections():
+    """One target got all requests, one with a rate limit none of them."""
+    balancer = balancing.Balancer(
+        "dc1", generator=random.Random(1), has_connection=lambda load, _: True
+    )
+    for number in range(4):
+        balancer.add_target(builders.target(f"t{number}", slots=20), 0.0)
+    chosen = set()
+    for _ in range(40):
+        exchange = balancer.try_start(builders.dispatch_request(), 0.0)
+        chosen.add(exchange.load.target.id)
+        exchange.load.record_cancellation(exchange)
+    assert len(chosen) == 4
+
+
 def test_idle_connection_decides_among_equal_targets():
     """A new connection for nearly each request costs targets and callers."""
     connected = {"t3"}
