Let the entries try a platform that is down one after the other

When the readers of a data centre lose the platform, each entry saw no connected reader and took their place: 146 entries called every 0.25 to 0.5 s.

Ruled out: longer backoff of all, which finds the end of an outage late.

Change: an entry tries 0.6 s later for each entry beyond the two readers that ranks before it.

Result: of 48 simulated entries fewer than 16 call the platform within 8 s; the third does so after 0.6 s.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -122,6 +122,7 @@
         self._started_ms = self.clock.now_ms()
         self._role = serving.ActiveRole(self._started_ms)
         self._busy = _BusyShare(settings)
+        self._reader_turn = serving.ReaderTurn(_READERS_PER_DATA_CENTRE)
         self._evacuated_since_ms: dict[str, float] = {}
         self._sent_revision = 0
         self._standby_trials_due_ms = 0.0
@@ -454,14 +455,20 @@
                 )
             return
         own_rank = _reader_rank(self._presence())
-        active_readers = sum(
-            1
+        ahead = [
+            peer.presence
             for peer in self.group.local_peers()
             if _reader_rank(peer.presence) < own_rank
-            and peer.presence.steady_ms > 0
-        )
+        ]
+        active_readers = sum(presence.steady_ms > 0 for presence in ahead)
         self._reader.is_first = not active_readers
-        self._reader.set_active(active_readers < _READERS_PER_DATA_CENTRE)
+        self._reader.set_active(
+            self._reader_turn.is_due(
+                active_readers < _READERS_PER_DATA_CENTRE,
+                len(ahead),
+                self.clock.now_ms(),
+            )
+        )
 
     def _may_read_first(self, uptime_ms: float) -> bool:
         """Return whether this entry reads the platform soon after its start."""
--- a/slatechute/gateway/serving.py
+++ b/slatechute/gateway/serving.py
@@ -16,7 +16,7 @@
 from slatechute import messages
 from slatechute.gateway import settings as gateway_settings
 
-__all__ = ["ActiveRole", "first_read_delay_ms", "rank"]
+__all__ = ["ActiveRole", "ReaderTurn", "first_read_delay_ms", "rank"]
 
 # The loss of half of the hosts of a data centre leaves all active entries dead
 # in one of 64 cases. Smaller data centres have active entries only.
@@ -47,6 +47,10 @@
 # entries restart, callers are waiting already.
 _NO_PEERS_MS = 30.0
 _NO_PEERS_BOOTSTRAP_MS = 800.0
+# While the readers of a data centre have no connection to the platform, the
+# next entry by rank tries as well after this time, as only their hosts may be
+# cut off. Without it, all entries called a platform that was down.
+_READER_TURN_MS = 600.0
 # Where hosts differ, the few strong ones read first and pass the view on. On a
 # link of 10 Mbit/s, the view of 300 targets takes 90 ms.
 _STRONG_PROCESSOR_SHARE = 1.5
@@ -101,6 +105,35 @@
     return delay_ms + share * spread_ms
 
 
+class ReaderTurn:
+    """Decides when an entry reads the platform because readers are missing.
+
+    Args:
+        readers: Number of entries of a data centre that read the platform.
+    """
+
+    def __init__(self, readers: int):
+        self._readers = readers
+        self._missing_since_ms: float | None = None
+
+    def is_due(self, is_missing: bool, ahead: int, now_ms: float) -> bool:
+        """Return whether this entry reads the platform.
+
+        Args:
+            is_missing: Whether too few entries ahead of this one are connected
+                to the platform.
+            ahead: Number of live entries that read the platform before it.
+            now_ms: Current time.
+        """
+        if not is_missing:
+            self._missing_since_ms = None
+            return False
+        if self._missing_since_ms is None:
+            self._missing_since_ms = now_ms
+        turn = max(0, ahead - self._readers + 1)
+        return now_ms - self._missing_since_ms >= turn * _READER_TURN_MS
+
+
 class ActiveRole:
     """Decides whether this entry is active.
 
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -178,3 +178,19 @@
     alone = serving.ActiveRole(started_ms=1_000.0)
     alone.update(own, [], 1_700.0)
     assert alone.is_active
+
+
+def test_platform_that_is_down_is_not_called_by_all_entries():
+    """146 entries took the place of readers that were without connection."""
+    turns = [serving.ReaderTurn(2) for _ in range(48)]
+    for now_ms in range(0, 8_100, 100):
+        reading = [
+            turn.is_due(True, ahead, now_ms) for ahead, turn in enumerate(turns)
+        ]
+        if now_ms == 0:
+            assert reading[:2] == [True, True] and sum(reading) == 2
+        if now_ms == 700:
+            # Only the hosts of the readers may be cut off.
+            assert sum(reading) == 3
+    assert sum(reading) < 16
+    assert not turns[5].is_due(False, 5, 8_100.0)
