Recognise callers that try again by their request, not by their deadline alone

Cause: callers of one route wait for different times, by up to 15%. A deadline below the longest one of the route counted as that of a retry, so 80% of the first attempts did, with objectives that were up to 120 ms too early.

Change: entries report failed attempts to the active peers of their data centre (fingerprint, time since the first attempt, time until the deadline). A request with the same fingerprint and the same deadline as a clock time is a retry, and its objective counts from the first attempt. For attempts that no entry has seen, the range of the deadlines of first attempts is learned by route. An objective is never after the deadline. The histogram of hedges is shared.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -16,6 +16,7 @@
 from slatechute import messages
 from slatechute import metrics
 from slatechute.gateway import announcement_sharing
+from slatechute.gateway import attempt_sharing
 from slatechute.gateway import balancing
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import cold_targets
@@ -146,6 +147,7 @@
         self._announcements = announcement_sharing.AnnouncementSharing(
             self.clock, lambda load: self._pool.close_idle(load.target.address)
         )
+        self._attempts = attempt_sharing.AttemptSharing(self.clock)
         self._token_sharing = token_sharing.TokenSharing(
             settings,
             self.clock,
@@ -185,6 +187,7 @@
         )
         self._sharing.attach(self.group, self.balancer, self._paths)
         self._announcements.attach(self.group, self.balancer)
+        self._attempts.attach(self.group)
         self._token_sharing.attach(self.group, self.balancer)
         self._retry_sharing.attach(self.group)
         self._pool = connections.ConnectionPool()
@@ -232,6 +235,7 @@
             self._dialect,
             self.catalogue,
             self._forwarder,
+            self._attempts,
             self.clock,
             self.metrics,
             self._request_arrived.set,
@@ -336,6 +340,7 @@
                 task.cancel()
         self._prober.stop()
         self._sharing.stop()
+        self._attempts.stop()
         self._reader.stop()
         await self._caller_server.stop()
         for auxiliary_server in self._auxiliary_servers:
@@ -657,6 +662,8 @@
             self._retry_sharing.handle_request(peer, message)
         elif isinstance(message, messages.RetryTokenGrant):
             self._retry_sharing.handle_grant(message)
+        elif isinstance(message, messages.FailedAttempts):
+            self._attempts.handle_report(message)
         elif isinstance(message, messages.AnnouncementReport):
             self._announcements.handle_report(peer, message)
         elif isinstance(message, messages.PublishedChanges):
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -48,9 +48,9 @@
         route: Its route.
         service: Service that runs it.
         arrived_ms: Clock time at which it arrived.
+        first_ms: Clock time of the first attempt of its caller.
         objective_ms: Clock time until which a response has its full value.
         deadline_ms: Clock time by which it must have ended.
-        is_caller_retry: Whether the caller was refused before.
     """
 
     id: str
@@ -61,9 +61,14 @@
     route: routing.Route
     service: str
     arrived_ms: float
+    first_ms: float
     objective_ms: float
     deadline_ms: float
-    is_caller_retry: bool = False
+
+    @property
+    def is_caller_retry(self) -> bool:
+        """Whether the caller has made an attempt before."""
+        return self.first_ms < self.arrived_ms
 
     @property
     def fingerprint(self) -> str:
--- a/slatechute/gateway/hedging.py
+++ b/slatechute/gateway/hedging.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable, Set
 import dataclasses
 import enum
-import math
 from typing import Protocol
 
+from slatechute.gateway import histograms
 from slatechute.gateway import loads
 from slatechute.gateway import settings as gateway_settings
 
@@ -90,7 +90,6 @@
 _BUCKETS_PER_OCTAVE = 8
 _MIN_RATIO = 0.25
 _MAX_RATIO = 16.0
-_BUCKETS = int(math.log2(_MAX_RATIO / _MIN_RATIO)) * _BUCKETS_PER_OCTAVE
 # All weights are halved at this total, so that about the last 500 samples
 # count: 25 of them lie above the quantile.
 _MAX_WEIGHT = 512.0
@@ -298,9 +297,9 @@
 
     def __init__(self):
         self.late_factor = _INITIAL_LATE_FACTOR
-        self._weights = [0.0] * _BUCKETS
-        self._total = 0.0
-        self._samples = 0
+        self._histogram = histograms.DecayingHistogram(
+            _MIN_RATIO, _MAX_RATIO, _BUCKETS_PER_OCTAVE, _MAX_WEIGHT
+        )
 
     def late_ms(self, late: LateExchange) -> float:
         """Return the clock time at which an exchange is late.
@@ -335,16 +334,9 @@
 
     def add(self, ratio: float) -> None:
         """Add the time of an exchange."""
-        self._weights[_bucket(ratio)] += 1
-        self._total += 1
-        self._samples += 1
-        if self._total >= _MAX_WEIGHT:
-            self._weights = [weight / 2 for weight in self._weights]
-            self._total /= 2
-        if (
-            self._samples >= _MIN_SAMPLES
-            and self._samples % _REFRESH_SAMPLES == 0
-        ):
+        self._histogram.add(ratio)
+        samples = self._histogram.samples
+        if samples >= _MIN_SAMPLES and samples % _REFRESH_SAMPLES == 0:
             self.late_factor = min(
                 _MAX_LATE_FACTOR,
                 max(_MIN_LATE_FACTOR, self.quantile(_LATE_QUANTILE)),
@@ -361,18 +353,7 @@
 
     def quantile(self, share: float) -> float:
         """Return the upper edge of the bucket with a quantile."""
-        left = share * self._total
-        for index, weight in enumerate(self._weights):
-            left -= weight
-            if left <= 0:
-                return _MIN_RATIO * 2 ** ((index + 1) / _BUCKETS_PER_OCTAVE)
-        return _MAX_RATIO
-
-
-def _bucket(ratio: float) -> int:
-    clipped = min(_MAX_RATIO, max(_MIN_RATIO, ratio))
-    index = int(math.log2(clipped / _MIN_RATIO) * _BUCKETS_PER_OCTAVE)
-    return min(_BUCKETS - 1, index)
+        return self._histogram.quantile_bounds(share)[1]
 
 
 class _Allowance:
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -8,6 +8,9 @@
 from slatechute import errors
 from slatechute import logs
 from slatechute import metrics
+from slatechute import quarantine
+from slatechute.gateway import attempt_sharing
+from slatechute.gateway import caller_retries
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
@@ -38,8 +41,6 @@
 _MIN_HEADER_TIMEOUT_S = 5.0
 # Requests without a deadline are limited by the timeout of their route.
 _DEFAULT_DEADLINE_MS = 600_000.0
-# Deadlines of a route that differ by less do not indicate a retry.
-_RETRY_MARGIN_MS = 25.0
 # Retry-After of a draining entry: the caller can retry at another address
 # immediately.
 _DRAINING_RETRY_AFTER_MS = 20
@@ -50,6 +51,15 @@
 # For an entry that takes longer to start.
 _STARTING_RETRY_AFTER_MS = 1_000.0
 
+# Callers do not repeat requests that were refused for these reasons.
+_FINAL_REASONS = frozenset(
+    {
+        errors.Reason.BAD_REQUEST,
+        errors.Reason.BODY_TOO_LARGE,
+        errors.Reason.UNKNOWN_SERVICE,
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Times:
@@ -57,15 +67,15 @@
 
     Attributes:
         arrived_ms: When it arrived.
+        first_ms: When the first attempt of its caller was.
         objective_ms: Until when a response has its full value.
         deadline_ms: By when it must have ended.
-        is_caller_retry: Whether the caller was refused before.
     """
 
     arrived_ms: float
+    first_ms: float
     objective_ms: float
     deadline_ms: float
-    is_caller_retry: bool
 
 
 class CallerServer:
@@ -81,6 +91,7 @@
         dialect: dialects.Dialect,
         catalogue: catalogues.Catalogue,
         forwarder: forwarding.Forwarder,
+        attempts: attempt_sharing.AttemptSharing,
         clock: clocks.Clock,
         counters: metrics.Metrics,
         on_request: Callable[[], None] = lambda: None,
@@ -90,11 +101,11 @@
         self._dialect = dialect
         self._catalogue = catalogue
         self._forwarder = forwarder
+        self._attempts = attempts
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._counters = counters
         self._splitter = splitting.Splitter(random.Random())
-        self._longest_deadline_ms_by_route: dict[tuple[str, str], float] = {}
         self._drain_deadline_ms: float | None = None
         self._server = http_server.HttpServer(
             settings.callers_address,
@@ -161,9 +172,9 @@
         """Discard the state of routes that the active table does not have."""
         table = self._catalogue.table
         self._splitter.retain_routes(table)
-        kept = {(route.host, route.prefix) for route in table.routes()}
-        for key in self._longest_deadline_ms_by_route.keys() - kept:
-            del self._longest_deadline_ms_by_route[key]
+        self._attempts.retries.retain_routes(
+            {(route.host, route.prefix) for route in table.routes()}
+        )
 
     # Requests.
 
@@ -242,8 +253,19 @@
             raise errors.RequestError(
                 errors.Reason.BAD_REQUEST, errors.Step.ACCEPTED, status=400
             ) from None
-        self._learn_deadline(route, caller_deadline_ms)
-        times = self._request_times(route, caller_deadline_ms, arrived_ms)
+        elapsed_ms = self._elapsed_ms(
+            route,
+            _attempt_key(headers.get("host", ""), http_request.method, path),
+            caller_deadline_ms,
+            arrived_ms,
+        )
+        if caller_deadline_ms is not None and not elapsed_ms:
+            self._attempts.retries.record_first(
+                (route.host, route.prefix), caller_deadline_ms
+            )
+        times = self._request_times(
+            route, caller_deadline_ms, elapsed_ms, arrived_ms
+        )
         return forwarding.CallerRequest(
             self._dialect.request_id(headers),
             http_request.method,
@@ -253,9 +275,9 @@
             route,
             self._splitter.choose(route),
             times.arrived_ms,
+            times.first_ms,
             times.objective_ms,
             times.deadline_ms,
-            times.is_caller_retry,
         )
 
     def explain(self, query: explaining.Query) -> explaining.RequestExplanation:
@@ -273,7 +295,15 @@
         service = self._splitter.peek(route)
         request, selection, error = None, None, None
         try:
-            times = self._request_times(route, query.deadline_ms, now_ms)
+            elapsed_ms = self._elapsed_ms(
+                route,
+                _attempt_key(query.host, query.method, query.path),
+                query.deadline_ms,
+                now_ms,
+            )
+            times = self._request_times(
+                route, query.deadline_ms, elapsed_ms, now_ms
+            )
             request = forwarding.CallerRequest(
                 "",
                 query.method,
@@ -283,9 +313,9 @@
                 route,
                 service,
                 times.arrived_ms,
+                times.first_ms,
                 times.objective_ms,
                 times.deadline_ms,
-                times.is_caller_retry,
             )
             selection, error = self._forwarder.explain(request)
         except errors.RequestError as refusal:
@@ -315,6 +345,7 @@
         self,
         route: routing.Route,
         caller_deadline_ms: float | None,
+        elapsed_ms: float,
         arrived_ms: float,
     ) -> _Times:
         """Return the times of a request.
@@ -322,42 +353,61 @@
         Raises:
             errors.RequestError: This entry stops before the deadline.
         """
-        elapsed_ms = self._elapsed_before_ms(route, caller_deadline_ms)
         remaining_ms = min(
             caller_deadline_ms or _DEFAULT_DEADLINE_MS, route.timeout_ms
         )
-        self._check_draining(arrived_ms + remaining_ms)
+        deadline_ms = arrived_ms + remaining_ms
+        self._check_draining(deadline_ms)
         return _Times(
             arrived_ms,
-            arrived_ms + route.objective_ms - elapsed_ms,
-            arrived_ms + remaining_ms,
-            elapsed_ms > 0,
+            arrived_ms - elapsed_ms,
+            min(arrived_ms - elapsed_ms + route.objective_ms, deadline_ms),
+            deadline_ms,
         )
 
-    def _learn_deadline(
-        self, route: routing.Route, deadline_ms: float | None
-    ) -> None:
-        """Update the longest deadline of a route."""
-        if deadline_ms is not None:
-            key = (route.host, route.prefix)
-            self._longest_deadline_ms_by_route[key] = max(
-                deadline_ms, self._longest_deadline_ms_by_route.get(key, 0.0)
-            )
-
-    def _elapsed_before_ms(
-        self, route: routing.Route, deadline_ms: float | None
+    def _elapsed_ms(
+        self,
+        route: routing.Route,
+        key: str,
+        caller_deadline_ms: float | None,
+        arrived_ms: float,
     ) -> float:
-        """Return the time that the caller spent on earlier attempts, in ms.
-
-        The deadline of a retry is shorter than the longest one of the route by
-        that time.
-        """
-        if deadline_ms is None:
+        """Return the time since the first attempt of the caller in ms, or 0."""
+        if caller_deadline_ms is None:
             return 0.0
-        key = (route.host, route.prefix)
-        longest_ms = self._longest_deadline_ms_by_route.get(key, 0.0)
-        elapsed_ms = longest_ms - deadline_ms
-        return elapsed_ms if elapsed_ms > _RETRY_MARGIN_MS else 0.0
+        retries = self._attempts.retries
+        first_ms = retries.first_ms(key, arrived_ms + caller_deadline_ms)
+        if first_ms is not None:
+            return max(0.0, arrived_ms - first_ms)
+        return retries.elapsed_ms(
+            (route.host, route.prefix), caller_deadline_ms
+        )
+
+    def _record_attempt(
+        self,
+        http_request: http_server.Request,
+        request: forwarding.CallerRequest | None,
+        error: errors.RequestError,
+        arrived_ms: float,
+    ) -> None:
+        """Record an attempt that the caller may repeat."""
+        is_repeatable = request is not None and request.route.repeatable
+        if error.outcome is not errors.Outcome.NOT_RUN and not is_repeatable:
+            return
+        headers = http_request.header_by_name
+        try:
+            allowed_ms = self._dialect.deadline_ms(headers)
+        except ValueError:
+            return
+        if allowed_ms is None or error.reason in _FINAL_REASONS:
+            return
+        first_ms = request.first_ms if request is not None else arrived_ms
+        key = _attempt_key(
+            headers.get("host", ""), http_request.method, http_request.target
+        )
+        self._attempts.record(
+            caller_retries.FailedAttempt(key, first_ms, arrived_ms + allowed_ms)
+        )
 
     def _check_draining(self, deadline_ms: float) -> None:
         if (
@@ -431,6 +481,7 @@
     ) -> http_server.Response:
         service = request.service if request else ""
         self._counters.count_refusal(error.reason, error.outcome, service)
+        self._record_attempt(http_request, request, error, arrived_ms)
         is_not_run = error.outcome is errors.Outcome.NOT_RUN
         event = "request_refused" if is_not_run else "request_failed"
         self._log_request(
@@ -499,3 +550,11 @@
         logger.info(
             event, total_ms=round(total_ms, 1), exchanges=trace.steps, **fields
         )
+
+
+def _attempt_key(host: str, method: str, path: str) -> str:
+    """Return the fingerprint by which attempts of a caller are compared.
+
+    It does not contain the body, which a starting entry does not read.
+    """
+    return quarantine.fingerprint(host, method, path, b"")
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -14,10 +14,12 @@
 from slatechute import errors
 
 __all__ = [
+    "CallerAttempt",
     "CrashReport",
     "DocumentDigest",
     "DocumentParts",
     "DocumentRequest",
+    "FailedAttempts",
     "Heartbeat",
     "Hello",
     "InflightReport",
@@ -518,6 +520,28 @@
     count: int
 
 
+class CallerAttempt(NamedTuple):
+    """A failed attempt of a caller; an array on the wire.
+
+    Attributes:
+        key: Fingerprint of the request.
+        age_ms: Time since the first attempt of the caller.
+        left_ms: Time until the deadline of the caller.
+    """
+
+    key: str
+    age_ms: float
+    left_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class FailedAttempts(Message):
+    """Report attempts after which callers may send their requests again."""
+
+    TAG: ClassVar[int] = 28
+    attempts: list[CallerAttempt]
+
+
 _TYPES = [cls for cls in Message.__subclasses__() if cls.TAG]
 _FIELDS_BY_TAG = {
     cls.TAG: tuple(field.name for field in dataclasses.fields(cls))
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -234,7 +234,10 @@
         table = routing.RoutingTable(1, [builders.route(parts=_PARTS)])
         app = _entry(table)
         server = app._caller_server
-        server._learn_deadline(table.routes()[0], 900.0)
+        retries = app._attempts.retries
+        route = table.routes()[0]
+        for _ in range(64):
+            retries.record_first((route.host, route.prefix), 900.0)
         load = app.balancer.load_by_id["t2"]
         load.announced.adopt_rate_limit(5.0, 0.0, "target")
         load.tokens.request(1, app.clock.now_ms() - 1000)
@@ -242,14 +245,14 @@
         load.has_room()
         before = _state(app, {})
         exported = _own_metrics(app)
-        # Less than the deadline above, as of a retry, and more than it.
+        # Less than the deadlines above, as of a retry, and more than these.
         for deadline_ms in (300.0, 2000.0) * 50:
             query = dataclasses.replace(_QUERY, deadline_ms=deadline_ms)
             explanation = server.explain(query)
             assert explanation.selection is not None
         assert _state(app, {}) == before
         assert _own_metrics(app) == exported
-        server._learn_deadline(table.routes()[0], 2000.0)
+        retries.record_first((route.host, route.prefix), 2000.0)
         assert _state(app, {}) != before
 
     asyncio.run(check())
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -60,6 +60,7 @@
             builders.route(**route),
             "s",
             now_ms,
+            now_ms,
             now_ms + 200,
             now_ms + deadline_ms,
         )
