Use the usual terms for responses to peers and restored platforms

Renames and rewording only: what a peer has got from a target is a response, a platform is restored, callers retry.

--- a/slatechute/commands/explain_request.py
+++ b/slatechute/commands/explain_request.py
@@ -189,7 +189,7 @@
     """Return the HTTP status and the body of the answer of an entry.
 
     Raises:
-        _QueryError: There is no answer; the message says why.
+        _QueryError: There is no answer; the message has the reason.
     """
     import aiohttp
     import yarl
@@ -222,7 +222,7 @@
     """Return the explanation in an answer.
 
     Raises:
-        _QueryError: There is none; the message says why.
+        _QueryError: There is none; the message has the reason.
     """
     try:
         content = json.loads(body)
--- a/slatechute/gateway/announcements.py
+++ b/slatechute/gateway/announcements.py
@@ -21,7 +21,7 @@
     Attributes:
         rate_limit_per_s: Requests a second that the target takes from all
             entries together, or None without a limit.
-        observed_ms: Clock time of the response that told so.
+        observed_ms: Clock time of the response with the announcement.
         paused_until_ms: Clock time until which the target wants no request
             from this entry.
         avoided_until_ms: Clock time until which the target wants no request
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -60,7 +60,7 @@
 _BEHIND_LIMIT_MS = 250.0
 _BEHIND_LIMIT_CONNECTED_MS = 900.0
 _PEER_VIEW_TIMEOUT_S = 1.0
-# An older heartbeat says nothing about the state of the platform.
+# An older heartbeat does not show the state of the platform.
 _MAX_HEARTBEAT_AGE_MS = 1_500.0
 # Draining ends this long before the platform would kill the process.
 _STOP_MARGIN_MS = 700.0
@@ -377,7 +377,7 @@
             ("trials", 100, self._start_trials),
             ("probes", 100, lambda: self._prober.update_assignment()),
             (
-                "lapses",
+                "expirations",
                 100,
                 lambda: self.catalogue.remove_expired(self._steady_ms()),
             ),
@@ -796,7 +796,7 @@
         presence = self._presence()
         oldest_ms = self.clock.now_ms() - self.settings.max_silence_s * 1000
         # Standbys and entries of other data centres send heartbeats so rarely
-        # that they are taken for lost later than callers may be told of them.
+        # that they count as lost later than callers may get their addresses.
         known = [presence] + [
             peer.presence
             for peer in self.group.live_peers()
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -819,7 +819,7 @@
             ),
             "heard_by_peers": sum(
                 load.path.has_failed
-                and load.path.is_heard_after(load.path.failed_ms)
+                and load.path.has_answered_peer_after(load.path.failed_ms)
                 for load in pool.load_by_id.values()
             ),
             "evacuated": sum(
--- a/slatechute/gateway/cold_targets.py
+++ b/slatechute/gateway/cold_targets.py
@@ -14,16 +14,17 @@
 _LOG = logs.get_logger(__name__)
 
 # Entries of earlier versions do not allocate tokens of cold targets. Heartbeats
-# tell the version of the protocol.
+# contain the version of the protocol.
 PROTOCOL = 1
 # Longer times are not plausible; warm-ups take seconds.
 _MAX_COLD_MS = 60_000.0
-# For this long after a probe showed that a target has become warm, peers are
-# told with each probe. A datagram may be lost, and a peer may learn up to 2.5 s
-# later that an evacuation has ended, after which it assumes targets to be cold.
+# For this long after a probe showed that a target has become warm, it is
+# reported to peers with each probe. A datagram may be lost, and a peer may
+# learn up to 2.5 s later that an evacuation has ended, after which it assumes
+# targets to be cold.
 _WARM_NEWS_MS = 3_000.0
 # For this long after a probe showed that the target is warm, reports to peers
-# say so. Later it may have become cold again without this entry knowing it.
+# state it. Later it may have become cold again without this entry knowing it.
 _WARM_REPORT_MS = 1_000.0
 # Entries that may allocate the tokens of one cold target, wherever the network
 # is divided. Each of them may hand out one token at once, and the fleet may
@@ -67,7 +68,7 @@
             now_ms: Current time.
 
         Returns:
-            Whether the peers are to be told: at each report of a cold target,
+            Whether to report it to the peers: at each report of a cold target,
             as a datagram may be lost, and for some time when it has become
             warm.
         """
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -28,8 +28,8 @@
 # Limit of failed connects per request. Such attempts reach no target and
 # consume no retry budget, but cost time.
 _MAX_CONNECT_FAILURES = 4
-# Time from the loss of a connection until peers are told of a crash. Within it,
-# probes and requests of peers show that a target is alive.
+# Time from the loss of a connection until a crash is reported to peers. Within
+# it, probes and requests of peers show that a target is alive.
 _CRASH_CHECK_DELAY_S = 0.3
 # HTTP status of a request for which there is no target.
 _REFUSAL_STATUS = 503
@@ -761,7 +761,7 @@
             # The peer may have lost its own path without knowing it yet.
             if (
                 error.result is relaying.Result.CONNECT_FAILED
-                and not load.path.is_heard_after(exchange.started_ms)
+                and not load.path.has_answered_peer_after(exchange.started_ms)
             ):
                 return self._connect_error(exchange, now_ms)
             load.record_cancellation(exchange)
@@ -836,8 +836,8 @@
         crashed_ms: float,
         duration_ms: float,
     ) -> None:
-        """Withdraw a recorded crash if a peer has heard the target since."""
-        if load.path.is_heard_after(crashed_ms):
+        """Withdraw a recorded crash if the target has answered a peer since."""
+        if load.path.has_answered_peer_after(crashed_ms):
             self.quarantine.withdraw_crash(fingerprint, load.target.id)
         else:
             self._on_suspected_crash(
--- a/slatechute/gateway/hedging.py
+++ b/slatechute/gateway/hedging.py
@@ -489,7 +489,7 @@
 
         A hedge must start at once, on another host, and in another data centre
         if that of the late exchange is slow. A target with a rate limit keeps
-        its tokens for requests. Hosts cannot be told apart where all targets
+        its tokens for requests. Hosts cannot be distinguished where all targets
         have the same one, as behind a forwarder of ports.
         """
         targets = list(targets)
--- a/slatechute/gateway/path_monitor.py
+++ b/slatechute/gateway/path_monitor.py
@@ -1,9 +1,10 @@
 """Which targets this entry reaches by itself, and which peers reach others.
 
-The path to a target counts as lost when connects fail while a peer hears the
-target, or when several targets of a service fail and none of it responds. When
-all of these are in one data centre, only the paths to that data centre are.
-Trials end that belief. The module does no I/O and reads no clock.
+The path to a target counts as lost when connects fail while a peer gets
+responses of the target, or when several targets of a service fail and none of
+it responds. When all of these are in one data centre, only the paths to that
+data centre are. Trials end that belief. The module does no I/O and reads no
+clock.
 """
 
 from collections.abc import Callable, Iterable
@@ -106,17 +107,19 @@
         if is_new and not load.path.is_lost:
             load.path.restore()
 
-    def record_heard(self, load: loads.TargetLoad, heard_ms: float) -> None:
+    def record_peer_response(
+        self, load: loads.TargetLoad, answered_peer_ms: float
+    ) -> None:
         """Note a response of a target to a peer.
 
         Args:
             load: Load of the target.
-            heard_ms: Clock time of the response.
+            answered_peer_ms: Clock time of the response.
         """
         path = load.path
-        path.heard_ms = max(path.heard_ms, heard_ms)
+        path.answered_peer_ms = max(path.answered_peer_ms, answered_peer_ms)
         if not path.is_lost and path.is_contradicted():
-            self._lose([load], heard_ms, "peer")
+            self._lose([load], answered_peer_ms, "peer")
 
     def record_connect_failure(
         self, load: loads.TargetLoad, started_ms: float, now_ms: float
--- a/slatechute/gateway/paths.py
+++ b/slatechute/gateway/paths.py
@@ -17,8 +17,8 @@
 # A response that a peer has got is reported with a delay, so that it may seem
 # to be younger than a failure that came after it.
 _MAX_REPORT_DELAY_MS = 50.0
-# A target that a peer hears later than this after a failure may have been down
-# meanwhile.
+# A target that answers a peer later than this after a failure may have been
+# down meanwhile.
 _MAX_EVIDENCE_AGE_MS = 1_000.0
 
 
@@ -32,14 +32,14 @@
             request can be sent to the target.
         failed_ms: Clock time at which the last failed connect began, or -inf if
             a later one has succeeded.
-        heard_ms: Clock time of the last response of the target to a peer.
+        answered_peer_ms: Clock time of the last response to a peer.
         trial_due_ms: Clock time at which a lost path is tried again.
     """
 
     __slots__ = (
         "_trial_interval_ms",
         "failed_ms",
-        "heard_ms",
+        "answered_peer_ms",
         "is_blocked",
         "is_lost",
         "trial_due_ms",
@@ -49,7 +49,7 @@
         self.is_lost = False
         self.is_blocked = False
         self.failed_ms = -math.inf
-        self.heard_ms = -math.inf
+        self.answered_peer_ms = -math.inf
         self.trial_due_ms = math.inf
         self._trial_interval_ms = _MIN_TRIAL_INTERVAL_MS
 
@@ -58,15 +58,15 @@
         """Whether the last connect failed."""
         return self.failed_ms > -math.inf
 
-    def is_heard_after(self, time_ms: float) -> bool:
-        """Return whether a peer has certainly heard the target after a time."""
-        return self.heard_ms > time_ms + _MAX_REPORT_DELAY_MS
+    def has_answered_peer_after(self, time_ms: float) -> bool:
+        """Return whether the target has answered a peer after a time."""
+        return self.answered_peer_ms > time_ms + _MAX_REPORT_DELAY_MS
 
     def is_contradicted(self) -> bool:
-        """Return whether a peer has heard the target since a connect failed."""
+        """Return whether the target answered a peer after a failed connect."""
         return (
-            self.is_heard_after(self.failed_ms)
-            and self.heard_ms < self.failed_ms + _MAX_EVIDENCE_AGE_MS
+            self.has_answered_peer_after(self.failed_ms)
+            and self.answered_peer_ms < self.failed_ms + _MAX_EVIDENCE_AGE_MS
         )
 
     def lose(self, now_ms: float) -> None:
--- a/slatechute/gateway/peers.py
+++ b/slatechute/gateway/peers.py
@@ -51,7 +51,7 @@
 # A peer without heartbeats, because it or this entry is a standby of another
 # data centre, is remembered this long to introduce others to it.
 _FORGET_REMOTE_STANDBY_MS = 15_000.0
-# A peer that was heard of more recently is not lost, whatever others report.
+# A peer with a more recent heartbeat is not lost, whatever others report.
 _MIN_LOST_SILENCE_MS = 600.0
 _MAX_DATAGRAM_BYTES = 1_300
 
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -60,8 +60,8 @@
         seeds: Control addresses of some entries.
         platform_address: Address of the platform service.
         address_ttl_s: How long callers may cache a list of addresses.
-        max_silence_s: An entry that has not been heard of for longer is not
-            named to callers.
+        max_silence_s: An entry without a heartbeat for longer is not named
+            to callers.
         shutdown_timeout_s: Time from the stop signal until the process is
             killed.
         retry_ratio: Fleet-wide limit of the retries and hedges that reach a
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -267,9 +267,9 @@
                     reading.slots,
                     reading.slowdown_percent / 100,
                 )
-                heard_ms = now_ms - reading.age_ms
-                load.apply_report(reported_load, heard_ms)
-                self._paths.record_heard(load, heard_ms)
+                answered_peer_ms = now_ms - reading.age_ms
+                load.apply_report(reported_load, answered_peer_ms)
+                self._paths.record_peer_response(load, answered_peer_ms)
             services.add(load.target.service)
         if is_newer and is_local:
             self._apply_waiting(report)
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -120,8 +120,8 @@
 class SlotRequest(Message):
     """Request a slot from a dispatcher; `number` is unique at the sender.
 
-    A `spare_only` request is granted only spare slots, that is, slots that no
-    other request waits for.
+    A `spare_only` request is granted only slots that no other request waits
+    for.
     """
 
     TAG: ClassVar[int] = 4
--- a/slatechute/racing.py
+++ b/slatechute/racing.py
@@ -27,9 +27,9 @@
     every request several iterations of the event loop, although few requests
     get a second attempt.
 
-    A hedge only uses a spare slot. If an exchange lasts much longer, its
-    connection is assumed to be unresponsive, and the next attempt waits for a
-    slot like any request.
+    A hedge only uses a slot that no other request waits for. If an exchange
+    lasts much longer, its connection is assumed to be unresponsive, and the
+    next attempt waits for a slot like any request.
     """
 
     def __init__(
@@ -113,7 +113,7 @@
         if self._request.attempt > 0 or not self._retries.try_consume():
             return
         if self._attempts[-1] is not unresponsive:
-            # The hedge still waits for a spare slot.
+            # The hedge still waits for a slot.
             self._attempts.pop()
             self._cancel_attempt(self._further_tasks.pop())
         reason = errors.Reason.CONNECTION_SILENT
--- a/tests/commands/test_explain_request.py
+++ b/tests/commands/test_explain_request.py
@@ -123,7 +123,7 @@
     ],
 )
 def test_unusable_argument_is_refused(run, arguments):
-    """An invalid argument must not be taken for an unreachable entry."""
+    """An invalid argument must not look like an unreachable entry."""
     status, _, queries = run((200, _content()), *arguments)
     assert status == 2
     assert not queries
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -69,7 +69,7 @@
 def paths(
     balancer: balancing.Balancer, *, has_relay: bool = False
 ) -> path_monitor.PathMonitor:
-    """Return a monitor of paths whose changes nobody is told."""
+    """Return a monitor of paths whose changes are not reported."""
     return path_monitor.PathMonitor(
         balancer, lambda load: None, lambda: None, lambda service: has_relay
     )
--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -27,7 +27,7 @@
 from tests.gateway import earlier_builds
 from tests.gateway import small_fleet
 
-# Statuses with which an entry says that a request has not run.
+# Statuses with which an entry promises that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The metrics port of `platform/boot.py`, which has no setting.
 _METRICS_PORT = 9464
@@ -258,7 +258,7 @@
         fleet: The fleet.
         prefix: Start of the paths that it requests.
         interval_s: Mean time between two requests.
-        is_sticky: Whether it comes back to the same entry until that accepts
+        is_sticky: Whether it returns to the same entry until that accepts
             no connection, as callers do that hold on to an address.
     """
 
--- a/tests/gateway/small_fleet.py
+++ b/tests/gateway/small_fleet.py
@@ -48,7 +48,7 @@
     def restore(
         self, copy: tuple[dict[str, dialects.PublishedItem], int]
     ) -> None:
-        """Come back from an earlier copy."""
+        """Restore the content of an earlier copy."""
         items, self.revision = copy
         self.era += 1
         self.items = {
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -125,7 +125,7 @@
 
 
 def test_services_without_the_limit_are_as_before():
-    """A registration says that a target is cold in any deployment."""
+    """A registration states that a target is cold in any deployment."""
     balancer = balancing.Balancer("dc1")
     balancer.set_services([routing.Service("s", "/health", 10)])
     balancer.add_target(builders.target(warmup_ms=5_000.0), 0.0)
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -260,7 +260,7 @@
 def test_response_is_complete_and_its_connection_kept_or_closed(
     parts, body, is_open
 ):
-    """Excess bytes would be taken for the response to the next request."""
+    """Excess bytes would be read as the response to the next request."""
 
     def check(result, connection):
         assert (result.status // 100 in (2, 3), result.body) == (True, body)
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -103,7 +103,7 @@
 def test_requests_without_other_targets_are_refused_with_the_longest_delay(
     balancer,
 ):
-    """They would wait in vain, or come back at once again and again."""
+    """They would wait in vain, or retry at once again and again."""
     results = []
     request = builders.dispatch_request(0.0)
     balancer.enqueue(balancing.QueuedRequest(request, results.append))
@@ -114,7 +114,7 @@
 
 
 def test_heartbeat_from_before_a_restore_does_not_end_an_evacuation():
-    """It says how long a peer was connected to the platform of that time."""
+    """It states how long a peer was connected to the platform of that time."""
 
     async def check(fleet):
         app = await fleet.add()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -402,7 +402,7 @@
             for load in fixture.balancer.load_by_id.values():
                 load.paused_until_ms = 0.0
         assert sum(len(target.requests) for target in targets) == 2
-        # Peers are told once it is clear that the targets are not alive.
+        # Crashes are reported once it is clear that the targets are not alive.
         await waiting.until(lambda: len(fixture.crashes) == 2)
 
     _run(check, _close_connection, _close_connection, _close_connection)
@@ -420,9 +420,9 @@
                 load.paused_until_ms = 0.0
         quarantined = fixture.forwarder.quarantine
         assert not quarantined.is_empty
-        heard_ms = fixture.clock.now_ms() + 60.0
+        answered_peer_ms = fixture.clock.now_ms() + 60.0
         for load in fixture.balancer.load_by_id.values():
-            fixture.paths.record_heard(load, heard_ms)
+            fixture.paths.record_peer_response(load, answered_peer_ms)
         await waiting.until(lambda: quarantined.is_empty)
         await asyncio.sleep(0.1)
         assert not fixture.crashes
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -222,7 +222,7 @@
 
 
 def test_refusal_with_a_load_that_shows_full_slots_is_no_fault():
-    """The refused request was taken for one of those that the target runs."""
+    """The refused request counted as one of those that the target runs."""
     target = _Target()
     for _ in range(5):
         exchange = target.load.start("k", target.now_ms)
--- a/tests/gateway/test_path_monitor.py
+++ b/tests/gateway/test_path_monitor.py
@@ -59,7 +59,7 @@
     """It would be ejected as failing although it serves the peers."""
     fixture = _Fixture()
     assert not fixture.fail("s0", 1_000.0)
-    fixture.monitor.record_heard(fixture.load("s0"), 1_100.0)
+    fixture.monitor.record_peer_response(fixture.load("s0"), 1_100.0)
     assert fixture.lost_names() == {"s0"}
     assert fixture.lost == [fixture.load("s0")]
 
@@ -67,7 +67,7 @@
 def test_connect_that_times_out_while_a_peer_hears_the_target():
     """The report may arrive before the connect has failed."""
     fixture = _Fixture()
-    fixture.monitor.record_heard(fixture.load("s0"), 1_200.0)
+    fixture.monitor.record_peer_response(fixture.load("s0"), 1_200.0)
     assert fixture.fail("s0", 1_300.0, lasted_ms=300.0)
 
 
@@ -75,15 +75,15 @@
     """Reports of earlier responses arrive after the crash."""
     fixture = _Fixture()
     fixture.fail("s0", 1_000.0)
-    fixture.monitor.record_heard(fixture.load("s0"), 1_010.0)
+    fixture.monitor.record_peer_response(fixture.load("s0"), 1_010.0)
     assert not fixture.lost_names()
 
 
 def test_target_that_is_back_after_a_while_keeps_its_path():
-    """A target that goes down and up would be taken for a lost path."""
+    """A target that goes down and up would count as a lost path."""
     fixture = _Fixture()
     fixture.fail("s0", 1_000.0)
-    fixture.monitor.record_heard(fixture.load("s0"), 3_000.0)
+    fixture.monitor.record_peer_response(fixture.load("s0"), 3_000.0)
     assert not fixture.lost_names()
 
 
@@ -135,7 +135,7 @@
     fixture.fail("s0", 1_000.0)
     load.record_connect_failure(exchange, 1_000.0)
     assert load.is_paused(1_050.0)
-    fixture.monitor.record_heard(load, 1_100.0)
+    fixture.monitor.record_peer_response(load, 1_100.0)
     assert not load.is_paused(1_100.0)
     assert load.failure_share == 0.0
 
@@ -209,7 +209,7 @@
     """A hop costs time and the processor of a peer."""
     fixture = _Fixture(targets=2)
     fixture.fail("s0", 1_000.0)
-    fixture.monitor.record_heard(fixture.load("s0"), 1_100.0)
+    fixture.monitor.record_peer_response(fixture.load("s0"), 1_100.0)
     counts = {"s0": 0, "s1": 0}
     for _ in range(200):
         request = builders.dispatch_request(1_200.0)
@@ -269,8 +269,8 @@
                 fixture.fail(f"s{number}", now_ms)
             else:
                 fixture.monitor.record_response(load, now_ms, is_new=True)
-            heard = fixture.load(f"s{generator.randrange(8)}")
-            fixture.monitor.record_heard(heard, now_ms - 5.0)
+            answered = fixture.load(f"s{generator.randrange(8)}")
+            fixture.monitor.record_peer_response(answered, now_ms - 5.0)
             for tried in fixture.monitor.take_due_trials(now_ms):
                 if int(tried.target.id[1:]) not in cut:
                     fixture.monitor.restore(tried, now_ms)
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -164,7 +164,7 @@
 
 
 def test_refusal_of_the_target_behind_the_hop_is_true():
-    """A caller that is told "not run" sends the request again."""
+    """A caller that gets "not run" sends the request again."""
 
     def script(request):
         return scripted_target.response(request, 503, b"", not_run="1")
@@ -250,7 +250,8 @@
 def test_target_that_is_down_is_no_lost_path():
     """It is ejected instead of being asked for through one peer after another.
 
-    The peer accepts no connection either, and nobody hears the target.
+    The peer accepts no connection either, and no entry gets a response of the
+    target.
     """
 
     async def check(fleet, target, apps, cuts):
--- a/tests/gateway/test_restored_platform.py
+++ b/tests/gateway/test_restored_platform.py
@@ -1,4 +1,4 @@
-"""Tests of a platform that comes back from an older copy of its content."""
+"""Tests of a platform that was restored from an older copy of its content."""
 
 import asyncio
 
@@ -33,7 +33,7 @@
 
 
 def test_restored_content_replaces_the_view(view):
-    """By revisions alone, the next changes would be taken for old ones."""
+    """By revisions alone, the next changes would count as old ones."""
     items = [_item(2, 95, "c"), _item(2, 96, "t/new")]
     changes = view.replace(items, published.position(2, 96))
     assert {item.key: item.value for item in changes} == {
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -296,7 +296,7 @@
         balancer.add_target(builders.target(name), 0.0)
     for name in ("lost", "failed"):
         balancer.load_by_id[name].path.failed_ms = 1_000.0
-    balancer.load_by_id["lost"].path.heard_ms = 1_100.0
-    balancer.load_by_id["failed"].path.heard_ms = 990.0
+    balancer.load_by_id["lost"].path.answered_peer_ms = 1_100.0
+    balancer.load_by_id["failed"].path.answered_peer_ms = 990.0
     fields = balancer.describe(builders.dispatch_request(), 1_200.0)
     assert (fields["unconnected"], fields["heard_by_peers"]) == (2, 1)
--- a/tests/gateway/token_fleet.py
+++ b/tests/gateway/token_fleet.py
@@ -347,7 +347,7 @@
         )
 
     def most_in_a_window(self, target_id: str) -> int:
-        """Return the most requests in a window from entries that were told."""
+        """Return the most requests in a window from entries with the limit."""
         times_ms = [
             arrival.at_ms
             for arrival in self.arrivals
