Probe targets by the requests of their service

Cause: the speed of a host changes within 300 ms, and a request takes 100 ms.

Change: up to about four probes for each request of a service, at most 0.7 of what is allowed for a target, and not more often than 90 ms while there are few requests. Long requests are probed as before.

--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -20,7 +20,7 @@
 from slatechute.util import clock as clocks
 from slatechute.util import steps
 
-__all__ = ["LoadProber", "LoadSharing"]
+__all__ = ["LoadProber", "LoadSharing", "probe_interval_s"]
 
 _LOG = logs.get_logger(__name__)
 
@@ -43,12 +43,14 @@
 # An entry without requests stops to send full reports after this many.
 _MAX_EMPTY_REPORTS = 3
 # A target without requests is probed this often, because its host slows down
-# and recovers within a few hundred milliseconds. At 90 ms, one request in six
-# that was sent to a host believed to be fast was late.
-_MIN_PROBE_INTERVAL_S = 0.045
+# and recovers within a few hundred milliseconds.
+_USUAL_PROBE_INTERVAL_S = 0.09
 # Share of the execution time of a request after which a target is probed. A
 # change of the speed of its host matters the less, the longer requests take.
 _PROBE_WORK_SHARE = 0.4
+# The targets of a service are probed more often than usual while it gets many
+# requests, up to this number of probes for each of them.
+_MAX_PROBES_PER_REQUEST = 4.0
 # The targets of a service without requests for `_UNUSED_SERVICE_MS` are probed
 # at this interval.
 _UNUSED_PROBE_INTERVAL_S = 1.0
@@ -60,9 +62,11 @@
 # in responses: only probes show that a target has become cold.
 _COLD_PROBE_INTERVAL_S = 0.5
 _COLD_CHECK_INTERVAL_S = 0.25
-# Share of the allowed probes that one entry uses: while the entries disagree on
-# the live peers, two of them may probe the same target.
-_PROBE_SHARE = 0.4
+# Share of the allowed probes that one entry uses. While the entries disagree on
+# the live peers, two of them may probe the same target, for a few seconds.
+_PROBE_SHARE = 0.7
+# How often the probe interval of a service is computed again.
+_INTERVAL_REFRESH_MS = 100.0
 # The interval of a service that is used again becomes short within this time.
 _MAX_PROBE_SLEEP_S = 0.25
 _PROBE_TIMEOUT_S = 0.5
@@ -320,6 +324,52 @@
     return _reading(load, now_ms)._replace(in_flight=0, running=running)
 
 
+class _ProbeInterval:
+    """Interval of the probes of the targets of one service."""
+
+    def __init__(self):
+        self._interval_s = _USUAL_PROBE_INTERVAL_S
+        self._computed_ms = -math.inf
+
+    def update(self, pool: balancing.ServicePool, now_ms: float) -> float:
+        """Return the interval in s, from time to time a new one.
+
+        Args:
+            pool: Targets of the service.
+            now_ms: Current time.
+        """
+        if now_ms - self._computed_ms >= _INTERVAL_REFRESH_MS:
+            self._computed_ms = now_ms
+            self._interval_s = probe_interval_s(
+                pool.model.usual_work_ms() / 1000,
+                sum(load.occupancy() for load in pool.load_by_id.values())
+                / max(1, len(pool.load_by_id)),
+            )
+        return self._interval_s
+
+
+def probe_interval_s(work_s: float, occupancy: float) -> float:
+    """Return the interval of the probes of a target that gets requests, in s.
+
+    Args:
+        work_s: Execution time of a request in s.
+        occupancy: Average number of requests at a target of the service.
+
+    >>> probe_interval_s(0.1, 0.1), probe_interval_s(0.1, 1.25)
+    (0.09, 0.02)
+    >>> probe_interval_s(1.0, 2.0)
+    0.4
+    """
+    long_s = _PROBE_WORK_SHARE * work_s
+    if long_s >= _USUAL_PROBE_INTERVAL_S:
+        return long_s
+    requests_per_s = occupancy / work_s
+    return min(
+        _USUAL_PROBE_INTERVAL_S,
+        1 / max(1.0, _MAX_PROBES_PER_REQUEST * requests_per_s),
+    )
+
+
 class LoadProber:
     """Probes the load of the targets that are assigned to this entry.
 
@@ -358,10 +408,10 @@
         # same id is another target.
         self._task_by_load: dict[loads.TargetLoad, asyncio.Task] = {}
         self._assignment_inputs: tuple | None = None
-        self._min_interval_s = max(
-            _MIN_PROBE_INTERVAL_S,
-            1 / max(0.1, settings.probes_per_s * _PROBE_SHARE),
+        self._min_interval_s = 1 / max(
+            0.1, settings.probes_per_s * _PROBE_SHARE
         )
+        self._interval_by_service: dict[str, _ProbeInterval] = {}
 
     def update_assignment(self) -> None:
         """Start and stop probes so that they match the current assignment."""
@@ -461,8 +511,17 @@
             return max(self._min_interval_s, _LIMITED_PROBE_INTERVAL_S)
         if self._clock.now_ms() - pool.last_used_ms > _UNUSED_SERVICE_MS:
             return max(self._min_interval_s, _UNUSED_PROBE_INTERVAL_S)
-        work_s = pool.model.usual_work_ms() / 1000
-        return max(self._min_interval_s, _PROBE_WORK_SHARE * work_s)
+        return max(
+            self._min_interval_s, self._used_interval_s(load.target.service)
+        )
+
+    def _used_interval_s(self, service: str) -> float:
+        """Return the probe interval of a service that gets requests, in s."""
+        interval = self._interval_by_service.get(service)
+        if interval is None:
+            interval = self._interval_by_service[service] = _ProbeInterval()
+        pool = self._balancer.pool(service)
+        return interval.update(pool, self._clock.now_ms())
 
     def _due_s(self, load: loads.TargetLoad, probed_ms: float) -> float:
         """Return the time until the next probe of a target in s.
