Let entries take turns at free slots, and report requests to other data centres

Cause: targets with two useful slots of three got a third and fourth request. Of 1,424 requests that a sender did not know of, 765 were of other data centres and 620 of its own; most of the latter were sent by two entries within 2 ms from their queues, as all entries learn of a free slot at once.

Leases of slots by one entry for each target were not built.

Change: an entry with waiting requests leaves a free slot to peers with waiting requests that precede it by rendezvous hashing, for 2 ms each and 12 ms at most. Requests at targets of another data centre are reported to its active entries.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -25,11 +25,13 @@
 from slatechute.gateway import explaining
 from slatechute.gateway import forwarding
 from slatechute.gateway import http_server
+from slatechute.gateway import loads
 from slatechute.gateway import path_monitor
 from slatechute.gateway import peers as peer_groups
 from slatechute.gateway import published
 from slatechute.gateway import reader
 from slatechute.gateway import relaying
+from slatechute.gateway import remote_requests
 from slatechute.gateway import retry_sharing
 from slatechute.gateway import routing
 from slatechute.gateway import server
@@ -129,6 +131,7 @@
         self._sent_revision = 0
         self._standby_trials_due_ms = 0.0
         self._request_arrived = asyncio.Event()
+        self._dispatch_timer_by_service: dict[str, asyncio.TimerHandle] = {}
         self._first_read_share = random.random()
         self.catalogue = catalogues.Catalogue(settings, dialect, self)
         self._reader = reader.PlatformReader(
@@ -155,13 +158,18 @@
             lambda: self._role.is_active,
             self.metrics.count_denied_tokens,
         )
+        self._remote_requests = remote_requests.RemoteRequests(
+            settings, self.boot_id, self.clock
+        )
         self.balancer = balancing.Balancer(
             settings.data_centre,
-            self._sharing.schedule_report,
+            self._report_load,
             on_token_request=self._token_sharing.request,
             has_connection=lambda load, repeatable: self._pool.has_idle(
                 load.target.address, repeatable=repeatable
             ),
+            entry_id=settings.entry_id,
+            on_later_turn=self._dispatch_later,
         )
         self._retry_sharing = retry_sharing.RetrySharing(
             settings,
@@ -188,6 +196,7 @@
         self._sharing.attach(self.group, self.balancer, self._paths)
         self._announcements.attach(self.group, self.balancer)
         self._attempts.attach(self.group)
+        self._remote_requests.attach(self.group, self.balancer)
         self._token_sharing.attach(self.group, self.balancer)
         self._retry_sharing.attach(self.group)
         self._pool = connections.ConnectionPool()
@@ -335,12 +344,15 @@
 
     async def stop(self) -> None:
         """Cancel all tasks and close all servers and connections."""
+        for timer in self._dispatch_timer_by_service.values():
+            timer.cancel()
         for task in (self._tick_task, self._peer_view_task):
             if task is not None:
                 task.cancel()
         self._prober.stop()
         self._sharing.stop()
         self._attempts.stop()
+        self._remote_requests.stop()
         self._reader.stop()
         await self._caller_server.stop()
         for auxiliary_server in self._auxiliary_servers:
@@ -369,6 +381,7 @@
             ("tokens", 100, lambda: self._token_sharing.tick()),
             ("retries", 100, lambda: self._retry_sharing.tick()),
             ("sharing", 50, lambda: self._sharing.tick()),
+            ("remote_requests", 100, lambda: self._remote_requests.tick()),
             ("behind", 50, lambda: self._check_behind(now_ms())),
             ("peers", 100, lambda: self.group.tick()),
             ("role", 100, self._update_role),
@@ -585,8 +598,25 @@
         since_ms = min(self._evacuated_since_ms.values())
         return (self.clock.now_ms() - since_ms) / 1000
 
+    def _dispatch_later(self, service: str, delay_ms: float) -> None:
+        """Dispatch the waiting requests of a service when it is their turn."""
+        if service not in self._dispatch_timer_by_service:
+            loop = asyncio.get_running_loop()
+            self._dispatch_timer_by_service[service] = loop.call_later(
+                delay_ms / 1000, self._dispatch, service
+            )
+
+    def _dispatch(self, service: str) -> None:
+        del self._dispatch_timer_by_service[service]
+        self.balancer.dispatch_waiting(service, self.clock.now_ms())
+
     # Peers.
 
+    def _report_load(self, load: loads.TargetLoad) -> None:
+        """Report a changed number of requests of this entry at a target."""
+        self._sharing.schedule_report(load)
+        self._remote_requests.schedule_report(load)
+
     def _platform_source(self) -> catalogues.Source:
         return catalogues.Source("platform", self._steady_ms())
 
@@ -662,6 +692,8 @@
             self._retry_sharing.handle_request(peer, message)
         elif isinstance(message, messages.RetryTokenGrant):
             self._retry_sharing.handle_grant(message)
+        elif isinstance(message, messages.RemoteRequests):
+            self._remote_requests.handle_report(message)
         elif isinstance(message, messages.FailedAttempts):
             self._attempts.handle_report(message)
         elif isinstance(message, messages.AnnouncementReport):
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -16,6 +16,7 @@
 from slatechute.gateway import hedging
 from slatechute.gateway import loads
 from slatechute.gateway import routing
+from slatechute.gateway import slot_turns
 
 __all__ = [
     "Balancer",
@@ -163,6 +164,8 @@
         cost_ms_by_load: Costs of all targets that were compared, infinite for
             those without a free slot.
         limited: Costs of the targets whose rate limit allows no request now.
+        turn_ms: Time until this entry may use a free slot that it leaves to
+            peers now, or infinity.
     """
 
     best: loads.TargetLoad | None = None
@@ -173,6 +176,7 @@
     limited: dict[loads.TargetLoad, float] = dataclasses.field(
         default_factory=dict
     )
+    turn_ms: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -325,6 +329,9 @@
         has_connection: Returns whether a request can be sent to a target
             without a new connection; called with the load of the target and
             whether the request may be repeated.
+        entry_id: Id of this entry.
+        on_later_turn: Called with a service and the time in ms after which its
+            waiting requests should be dispatched.
     """
 
     def __init__(
@@ -338,9 +345,15 @@
         has_connection: Callable[
             [loads.TargetLoad, bool], bool
         ] = lambda load, repeatable: False,
+        entry_id: str = "",
+        on_later_turn: Callable[
+            [str, float], None
+        ] = lambda service, delay_ms: None,
     ):
         self.pool_by_service: dict[str, ServicePool] = {}
         self.load_by_id: dict[str, loads.TargetLoad] = {}
+        self._entry_id = entry_id
+        self._on_later_turn = on_later_turn
         self._data_centre = data_centre
         self._evacuated: frozenset[str] = frozenset()
         self._on_load_change = on_load_change
@@ -479,7 +492,9 @@
         A token is asked for where the request would have gone without the rate
         limit.
         """
-        ranking = self._rank_targets(request, now_ms, self._random)
+        ranking = self._rank_targets(
+            request, now_ms, self._random, is_queued=is_queued
+        )
         if ranking.limited:
             wanted = 1
             if ranking.best is None:
@@ -545,6 +560,8 @@
         request: DispatchRequest,
         now_ms: float,
         generator: random.Random,
+        *,
+        is_queued: bool = False,
     ) -> _Ranking:
         """Return the costs of the targets.
 
@@ -552,6 +569,8 @@
             request: The request.
             now_ms: Current time.
             generator: Source of the random spread.
+            is_queued: Whether the request waits, and leaves free slots to
+                waiting requests of peers whose turn it is.
         """
         pool = self._find_pool(request.service)
         work_ms = pool.model.work_ms(request.work_key)
@@ -560,6 +579,11 @@
             if load.is_paused(now_ms) or load.target.id in request.excluded:
                 continue
             cost_ms = load.cost_ms(work_ms, now_ms)
+            if is_queued and cost_ms < math.inf:
+                turn_ms = self._turn_ms(pool, load, now_ms)
+                if turn_ms > 0:
+                    ranking.turn_ms = min(ranking.turn_ms, turn_ms)
+                    continue
             if load.target.data_centre != self._data_centre:
                 cost_ms += max(
                     _REMOTE_COST_MS, _REMOTE_COST_WORK_SHARE * work_ms
@@ -576,6 +600,20 @@
                 ranking.best, ranking.best_ms = load, cost_ms
         return ranking
 
+    def _turn_ms(
+        self, pool: ServicePool, load: loads.TargetLoad, now_ms: float
+    ) -> float:
+        """Return for how long a free slot is left to peers, 0 if it is not."""
+        unchanged_ms = now_ms - load.shared_change_ms
+        if not pool.peer_waiting_by_id or (
+            unchanged_ms >= slot_turns.MAX_DELAY_MS
+        ):
+            return 0.0
+        delay_ms = slot_turns.delay_ms(
+            load.target.id, self._entry_id, pool.peer_waiting_by_id
+        )
+        return max(0.0, delay_ms - unchanged_ms)
+
     def start(
         self, request: DispatchRequest, load: loads.TargetLoad, now_ms: float
     ) -> loads.Exchange:
@@ -914,6 +952,8 @@
     ) -> loads.Exchange | None:
         ranking = self._select_target(request, now_ms, is_queued=True)
         if ranking.best is None:
+            if ranking.turn_ms < math.inf:
+                self._on_later_turn(request.service, ranking.turn_ms)
             return None
         left_ms = request.objective_ms - now_ms
         work_ms = self.pool(request.service).model.work_ms(request.work_key)
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -315,6 +315,8 @@
             refusals.
         refusal_evidence: Evidence that the target refuses far more than its
             service, from 0 for none to that for which it is ejected.
+        shared_change_ms: Clock time of the last change that the peers know as
+            well, -inf if a request of this entry has ended since.
         sent: Number of requests sent by this entry, plus one for each observed
             increase in the requests of a peer.
         paused_until_ms: Clock time until which no request is sent.
@@ -339,6 +341,7 @@
         self.reported_ms = -math.inf
         self.failure_share = 0.0
         self.refusal_evidence = 0.0
+        self.shared_change_ms = -math.inf
         self.sent = 0
         self._log_slowness = 0.0
         self._slowness_updated_ms = now_ms
@@ -373,7 +376,11 @@
         )
 
     def set_peer_in_flight(
-        self, entry_id: str, count: int, sequence: int = 0
+        self,
+        entry_id: str,
+        count: int,
+        sequence: int = 0,
+        now_ms: float = -math.inf,
     ) -> None:
         """Set the number of in-flight requests of a peer.
 
@@ -381,8 +388,11 @@
             entry_id: Id of the peer.
             count: Number of its requests.
             sequence: Sequence number of its report.
+            now_ms: Current time.
         """
         self._sequence_by_peer_id[entry_id] = sequence
+        if count < self.peer_in_flight_by_id.get(entry_id, 0):
+            self.shared_change_ms = now_ms
         self._peer_in_flight += count - self.peer_in_flight_by_id.get(
             entry_id, 0
         )
@@ -420,7 +430,7 @@
         if reported_ms <= self.reported_ms:
             return False
         self.reported_load = load
-        self.reported_ms = reported_ms
+        self.reported_ms = self.shared_change_ms = reported_ms
         self._in_flight_at_report = self.local_in_flight + self._peer_in_flight
         self._model.add_slowdown(load.slowdown)
         return True
@@ -596,6 +606,7 @@
             return False
         del self._exchanges[exchange]
         self.local_in_flight -= 1
+        self.shared_change_ms = -math.inf
         return True
 
     def record_success(self, exchange: Exchange, now_ms: float) -> None:
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -261,7 +261,7 @@
                 continue
             if is_newer and is_local:
                 load.set_peer_in_flight(
-                    report.entry_id, reading.in_flight, report.sequence
+                    report.entry_id, reading.in_flight, report.sequence, now_ms
                 )
                 if reading.in_flight:
                     pool = self.balancer.pool(load.target.service)
--- a/slatechute/messages.py
+++ b/slatechute/messages.py
@@ -34,6 +34,7 @@
     "PublishedChanges",
     "RelayRequest",
     "RelayResponse",
+    "RemoteRequests",
     "RetryTokenGrant",
     "RetryTokenRequest",
     "ServiceLoad",
@@ -542,6 +543,24 @@
     attempts: list[CallerAttempt]
 
 
+@dataclasses.dataclass(slots=True)
+class RemoteRequests(Message):
+    """Report requests in flight at the targets of another data centre.
+
+    Attributes:
+        entry_id: Id of the sender, an entry of another data centre.
+        boot_id: Id of its process start.
+        sequence: Sequence number of the report.
+        in_flight_by_target: Number of its requests by target id.
+    """
+
+    TAG: ClassVar[int] = 29
+    entry_id: str
+    boot_id: str
+    sequence: int
+    in_flight_by_target: dict[str, int]
+
+
 _TYPES = [cls for cls in Message.__subclasses__() if cls.TAG]
 _FIELDS_BY_TAG = {
     cls.TAG: tuple(field.name for field in dataclasses.fields(cls))
--- a/slatechute/ownership.py
+++ b/slatechute/ownership.py
@@ -5,10 +5,11 @@
 
 import xxhash
 
-__all__ = ["EntryGroups", "dispatcher_of", "entry_group", "ranked"]
+__all__ = ["EntryGroups", "dispatcher_of", "entry_group", "ranked", "weight"]
 
 
-def _weight(key: str, member: str) -> int:
+def weight(key: str, member: str) -> int:
+    """Return the rendezvous weight of a member for a key."""
     return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
 
 
@@ -18,7 +19,7 @@
     >>> ranked("plans", ["e1", "e2"]) == ranked("plans", ["e2", "e1"])
     True
     """
-    return sorted(members, key=lambda member: (-_weight(key, member), member))
+    return sorted(members, key=lambda member: (-weight(key, member), member))
 
 
 def entry_group(service: str, entries: Iterable[str], size: int) -> list[str]:
@@ -57,7 +58,7 @@
                 del self._keys_by_service[service]
                 continue
             for member in added:
-                key = (-_weight(service, member), member)
+                key = (-weight(service, member), member)
                 if len(keys) < self._size or key < keys[-1]:
                     bisect.insort(keys, key)
                     del keys[self._size :]
@@ -67,7 +68,7 @@
         keys = self._keys_by_service.get(service)
         if keys is None:
             keys = sorted(
-                (-_weight(service, member), member) for member in self._members
+                (-weight(service, member), member) for member in self._members
             )[: self._size]
             self._keys_by_service[service] = keys
         return [member for _, member in keys]
@@ -94,4 +95,4 @@
     candidates = local or list(entries)
     if not candidates:
         return None
-    return max(candidates, key=lambda entry: (_weight(target_id, entry), entry))
+    return max(candidates, key=lambda entry: (weight(target_id, entry), entry))
