Refuse waiting requests that cannot be in time any more

Cause: load reports after 0.3 ms let every free slot be taken at once, so a waiting request that had become late, and therefore was the last in its queue, waited until its deadline.

Change: a waiting request is refused when its execution time would exceed what is left of its objective, after targets that are free have been tried. Its caller can still retry.

--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -968,7 +968,7 @@
         if not pool.has_target(request.excluded):
             return True
         work_ms = pool.model.work_ms(request.work_key)
-        if now_ms + work_ms > request.deadline_ms:
+        if now_ms + work_ms > request.objective_ms:
             return True
         return self._is_held_back(pool, now_ms) and not self._may_be_in_time(
             pool, request, now_ms
@@ -992,8 +992,8 @@
         """
         for service, pool in self.pool_by_service.items():
             if pool.waiting:
-                self._refuse_unservable(pool, now_ms)
                 self.dispatch_waiting(service, now_ms)
+                self._refuse_unservable(pool, now_ms)
 
 
 def _candidate_sort_key(candidate: Candidate) -> tuple:
