--- a/tests/gateway/test_balancing.py
+++ b/tests/gateway/test_balancing.py
@@ -2,8 +2,10 @@
 
 import random
 
+from slatechute import errors
 from slatechute.gateway import balancing
 from slatechute.gateway import dialects
+from slatechute.gateway import loads
 from tests.gateway import builders
 
 
@@ -145,6 +147,35 @@
     assert order == ["high"]
 
 
+def test_waiting_request_is_refused_once_it_cannot_be_in_time():
+    """It waited until its deadline, so that its caller could not retry."""
+    balancer = _balancer(builders.target("a", slots=1))
+    request = builders.dispatch_request()
+    exchange = balancer.try_start(request, 0.0)
+    results = []
+    balancer.enqueue(balancing.QueuedRequest(request, results.append))
+    work_ms = balancer.pool("s").model.work_ms(request.work_key)
+    latest_ms = request.objective_ms - work_ms
+    balancer.tick(latest_ms - 1.0)
+    assert not results
+    balancer.tick(latest_ms + 1.0)
+    assert results == [errors.Reason.OVERLOAD]
+    assert latest_ms + 1.0 < request.deadline_ms
+    exchange.load.record_cancellation(exchange)
+
+
+def test_waiting_request_uses_a_target_that_is_free_just_in_time():
+    """A refusal before the free target is tried would waste both."""
+    balancer = _balancer(builders.target("a", slots=1))
+    request = builders.dispatch_request()
+    exchange = balancer.try_start(request, 0.0)
+    results = []
+    balancer.enqueue(balancing.QueuedRequest(request, results.append))
+    exchange.load.record_cancellation(exchange)
+    balancer.tick(request.objective_ms)
+    assert isinstance(results[0], loads.Exchange)
+
+
 def test_new_target_gets_a_request_soon():
     """A new target that is never selected never finishes its warm-up."""
     balancer = _balancer(builders.target("old"))
