--- a/slatechute/gateway/attempt_sharing.py
+++ b/slatechute/gateway/attempt_sharing.py
@@ -9,7 +9,7 @@
 
 __all__ = ["AttemptSharing"]
 
-# Callers come again after 40 ms at the earliest, and may choose another entry.
+# Callers retry after 40 ms at the earliest, and may choose another entry.
 _REPORT_DELAY_S = 0.01
 # About 1.2 KB, below the size of a packet.
 _ATTEMPTS_PER_DATAGRAM = 18
--- a/slatechute/gateway/caller_retries.py
+++ b/slatechute/gateway/caller_retries.py
@@ -1,9 +1,9 @@
 """Recognition of callers that try again after a refusal or a failure.
 
 The objective of a request counts from the first attempt of its caller, so an
-entry has to know whether a request is an attempt after others, and when the
-first one was. Each attempt has an id of its own, and callers differ in how long
-they wait, so that a deadline alone does not tell.
+entry has to know whether a request is a retry and when the first attempt was.
+Each attempt has an id of its own, and callers differ in how long they wait, so
+neither the id nor the deadline alone shows it.
 
 The module does no I/O and reads no clock.
 """
@@ -19,8 +19,7 @@
 ]
 
 # Deadlines of two attempts of a caller, as clock times, differ by the network
-# delays only. Other callers with the same request in the same second have this
-# deadline by chance.
+# delays only. Other callers have the same request and deadline only by chance.
 _MAX_DEADLINE_DIFFERENCE_MS = 25.0
 _MAX_ATTEMPTS_KEPT = 8_192
 # A deadline below this quantile of the first attempts of its route is that of a
--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -49,7 +49,7 @@
 # change of the speed of its host matters the less, the longer requests take.
 _PROBE_WORK_SHARE = 0.4
 # The targets of a service are probed more often than usual while it gets many
-# requests, up to this number of probes for each of them.
+# requests, up to about this number of probes for each request.
 _MAX_PROBES_PER_REQUEST = 4.0
 # The targets of a service without requests for `_UNUSED_SERVICE_MS` are probed
 # at this interval.
@@ -273,9 +273,9 @@
                     reading.slots,
                     reading.slowdown_percent / 100,
                 )
-                answered_peer_ms = now_ms - reading.age_ms
-                load.apply_report(reported_load, answered_peer_ms)
-                self._paths.record_peer_response(load, answered_peer_ms)
+                answered_ms = now_ms - reading.age_ms
+                load.apply_report(reported_load, answered_ms)
+                self._paths.record_peer_response(load, answered_ms)
             services.add(load.target.service)
         if is_newer and is_local:
             self._apply_waiting(report)
--- a/slatechute/gateway/slot_turns.py
+++ b/slatechute/gateway/slot_turns.py
@@ -2,7 +2,8 @@
 
 All entries of a data centre learn of a free slot at nearly the same time. If
 each of them sent a waiting request, a target with one free slot would get
-several. Rendezvous hashing gives each target another order of the entries.
+several. Rendezvous hashing gives each target another order of the entries. The
+module does no I/O and reads no clock.
 """
 
 from collections.abc import Iterable
--- a/tests/gateway/test_remote_requests.py
+++ b/tests/gateway/test_remote_requests.py
@@ -72,7 +72,7 @@
     asyncio.run(run())
 
 
-def test_request_from_afar_occupies_a_slot():
+def test_request_of_another_data_centre_occupies_a_slot():
     """Two data centres would use the last free slot at the same time."""
 
     async def check(sender: _Entry, receiver: _Entry) -> None:
@@ -144,7 +144,7 @@
     _run(check)
 
 
-def test_restarted_entry_is_believed():
+def test_reports_of_a_restarted_entry_count():
     """Its sequence numbers begin again."""
 
     async def check(sender: _Entry, receiver: _Entry) -> None:
--- a/tests/gateway/test_slot_turns.py
+++ b/tests/gateway/test_slot_turns.py
@@ -1,4 +1,4 @@
-"""Free slots that several entries with waiting requests learn of at once."""
+"""Free slots that several entries with waiting requests see at once."""
 
 from slatechute.gateway import balancing
 from slatechute.gateway import loads
