Bound the frequent probes of an entry, and report probed loads together

Entries there probe 17 targets each, and the probes by requests come to some 330 a second with a datagram to five peers for each.

Change: probes more often than usual only while they stay below 80 a second for an entry (2 targets an entry on the small sites, 17 on the grown one, where the interval is 90 ms again). Loads that probes show are reported after 3 ms, with others; changed numbers of requests still after 0.3 ms.

--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -28,6 +28,9 @@
 # between two requests of a data centre, also during a burst, so that entries
 # rarely select the same free slot.
 _LOCAL_REPORT_DELAY_S = 0.0003
+# For loads that probes show, of which an entry of a large fleet has hundreds a
+# second.
+_PROBED_REPORT_DELAY_S = 0.003
 # The speed of a host changes within a few hundred milliseconds. Reports to
 # remote data centres at this interval cost 12 KB/s for ten targets and three
 # data centres.
@@ -51,6 +54,10 @@
 # The targets of a service are probed more often than usual while it gets many
 # requests, up to about this number of probes for each request.
 _MAX_PROBES_PER_REQUEST = 4.0
+# Rate up to which an entry probes more often than usual. Each probe is reported
+# to all active peers, so that more would take much of the processor time where
+# an entry has many targets.
+_MAX_FREQUENT_PROBES_PER_S = 80.0
 # The targets of a service without requests for `_UNUSED_SERVICE_MS` are probed
 # at this interval.
 _UNUSED_PROBE_INTERVAL_S = 1.0
@@ -124,16 +131,24 @@
             self._remote_task.cancel()
 
     def schedule_report(self, load: loads.TargetLoad) -> None:
-        """Report a changed load to the active peers after a short delay."""
+        """Report a changed number of requests to the active peers at once."""
         self._unreported_by_id[load.target.id] = load
-        self._schedule_flush()
+        self._schedule_flush(_LOCAL_REPORT_DELAY_S)
 
-    def _schedule_flush(self) -> None:
-        if self._flush_timer is None:
-            loop = asyncio.get_running_loop()
-            self._flush_timer = loop.call_later(
-                _LOCAL_REPORT_DELAY_S, self._flush
-            )
+    def schedule_probed(self, load: loads.TargetLoad) -> None:
+        """Report a load that a probe has shown, together with others."""
+        self._unreported_by_id[load.target.id] = load
+        self._schedule_flush(_PROBED_REPORT_DELAY_S)
+
+    def _schedule_flush(self, delay_s: float) -> None:
+        """Flush after a delay, or earlier if that is scheduled already."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + delay_s
+        if self._flush_timer is not None:
+            if self._flush_timer.when() <= due_s:
+                return
+            self._flush_timer.cancel()
+        self._flush_timer = loop.call_at(due_s, self._flush)
 
     def tick(self) -> None:
         """Send a full report when due, and changed queue lengths soon."""
@@ -150,7 +165,7 @@
             if self._empty_reports <= _MAX_EMPTY_REPORTS:
                 self._flush(is_full=True)
         elif self._waiting_by_service() != self._reported_waiting:
-            self._schedule_flush()
+            self._schedule_flush(_LOCAL_REPORT_DELAY_S)
 
     def _waiting_by_service(self) -> dict[str, int]:
         return {
@@ -516,12 +531,19 @@
         )
 
     def _used_interval_s(self, service: str) -> float:
-        """Return the probe interval of a service that gets requests, in s."""
+        """Return the probe interval of a service that gets requests, in s.
+
+        It is shorter than usual only while this entry has few targets to probe.
+        """
         interval = self._interval_by_service.get(service)
         if interval is None:
             interval = self._interval_by_service[service] = _ProbeInterval()
         pool = self._balancer.pool(service)
-        return interval.update(pool, self._clock.now_ms())
+        shortest_s = min(
+            _USUAL_PROBE_INTERVAL_S,
+            len(self._task_by_load) / _MAX_FREQUENT_PROBES_PER_S,
+        )
+        return max(shortest_s, interval.update(pool, self._clock.now_ms()))
 
     def _due_s(self, load: loads.TargetLoad, probed_ms: float) -> float:
         """Return the time until the next probe of a target in s.
@@ -635,7 +657,7 @@
             if not is_cold_reported:
                 await asyncio.sleep(_NO_LOAD_DELAY_S)
         elif load.apply_report(metadata.load, now_ms):
-            self._sharing.schedule_report(load)
+            self._sharing.schedule_probed(load)
             self._balancer.dispatch_waiting(target.service, now_ms)
         return connection
 
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -300,3 +300,47 @@
     balancer.load_by_id["failed"].path.answered_peer_ms = 990.0
     fields = balancer.describe(builders.dispatch_request(), 1_200.0)
     assert (fields["unconnected"], fields["heard_by_peers"]) == (2, 1)
+
+
+def test_entry_with_many_targets_probes_no_more_often_than_usual():
+    """With 17 targets an entry sent 330 probes a second to be reported."""
+
+    async def check() -> None:
+        fixture = _Fixture(_peer("e2"))
+        prober = sharing.LoadProber(
+            builders.gateway_settings(probes_per_s=60.0),
+            builders.PlainDialect(),
+            fixture.balancer,
+            fixture.group,
+            connections.ConnectionPool(),
+            fixture.paths,
+            fixture.clock,
+            metrics.Metrics(),
+            fixture.sharing,
+        )
+        pool = fixture.balancer.pool("s")
+        pool.last_used_ms = fixture.clock.now_ms()
+        fixture.load.set_peer_in_flight("e2", 4)
+        interval_s = {}
+        for targets in (1, 17):
+            prober._task_by_load = dict.fromkeys(range(targets))
+            interval_s[targets] = prober._interval_s(fixture.load)
+        assert interval_s[1] < 0.03
+        assert interval_s[17] == 0.09
+
+    asyncio.run(check())
+
+
+def test_requests_are_reported_before_probed_loads():
+    """A report that waits for others lets peers use the same slot."""
+
+    async def check() -> None:
+        fixture = _Fixture(_peer("e2"))
+        fixture.sharing.schedule_probed(fixture.load)
+        await asyncio.sleep(0.0015)
+        assert not fixture.group.sent
+        fixture.sharing.schedule_report(fixture.load)
+        await asyncio.sleep(0.0015)
+        assert len(fixture.group.sent) == 1
+
+    asyncio.run(check())
