Allow 160 frequent probes a second for each entry

Cause: targets are assigned to entries by hashing, so entries of the small site have up to five of them.

Change: 160 a second.

--- a/slatechute/gateway/sharing.py
+++ b/slatechute/gateway/sharing.py
@@ -57,7 +57,7 @@
 # Rate up to which an entry probes more often than usual. Each probe is reported
 # to all active peers, so that more would take much of the processor time where
 # an entry has many targets.
-_MAX_FREQUENT_PROBES_PER_S = 80.0
+_MAX_FREQUENT_PROBES_PER_S = 160.0
 # The targets of a service without requests for `_UNUSED_SERVICE_MS` are probed
 # at this interval.
 _UNUSED_PROBE_INTERVAL_S = 1.0
