--- a/slatechute/gateway/caller_retries.py
+++ b/slatechute/gateway/caller_retries.py
@@ -88,11 +88,6 @@
             collections.deque()
         )
 
-    @property
-    def has_attempts(self) -> bool:
-        """Whether any failed attempt is known."""
-        return bool(self._attempts_by_key)
-
     def record(self, attempt: FailedAttempt, now_ms: float) -> None:
         """Record an attempt that has failed here or at a peer."""
         self._drop_expired(now_ms)
