--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -39,6 +40,8 @@
         check: Returns whether the rule held.
         folder: Folder of the record.
     """
+    # Ends the processes of the case also if the case itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     history = record.Record(pathlib.Path(folder) / "record.txt")
     status = NOT_RUN
     with tempfile.TemporaryDirectory() as name:
