Log and count responses of targets that name another request

The log shows the exchange as connect_failed, as for every 421, so that a late copy of a 421 can't be told from a 421 for the request itself.

Change: response_misplaced lines with both ids and the status, and the counter slatechute_misplaced_responses_total.

--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -868,6 +868,15 @@
         is_other_response = (
             metadata.request_id and metadata.request_id != request.id
         )
+        if is_other_response:
+            self._counters.count_misplaced_response()
+            _LOG.notice(
+                "response_misplaced",
+                target=target_id,
+                request_id=request.id,
+                answered_id=metadata.request_id[:100],
+                status=response.status,
+            )
         if metadata.announcement.invalid:
             self._counters.count_invalid_announcement()
         if (
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -148,6 +148,10 @@
             "invalid_announcements",
             "Responses in which a target announced a value that is not usable.",
         )
+        self._misplaced_responses = self._counter(
+            "misplaced_responses",
+            "Responses of targets that named another request than that sent.",
+        )
         self._connect_failures = self._counter(
             "connect_failures", "Connections to targets that were not opened."
         )
@@ -324,6 +328,10 @@
         """Count a response with an announcement that is not usable."""
         self._invalid_announcements.inc()
 
+    def count_misplaced_response(self) -> None:
+        """Count a response that names another request than the one sent."""
+        self._misplaced_responses.inc()
+
     def count_connect_failure(self) -> None:
         """Count a connection to a target that was not opened."""
         self._connect_failures.inc()
