Skip responses of targets to other requests, whatever their status

A target that repeats an earlier 421 late, in place of the response to the next request, was taken to have not run that one: the status 421 was judged before the id in the response. The request ran there and at a second target.

Ruled out: that the retry itself was sent without a reason; all second runs followed a misplaced 421. Late copies of other statuses were compared already, but ended the request as lost, and their connection was kept, so that each later response on it was late as well.

Change: the id is compared where a response is complete, for every status, also for exchanges carried out for a peer. A response to another request is skipped and the own one awaited; the connection is closed after it. A response without an id can't be told from its copy, so its connection isn't used again. Loads and announcements of such responses are not applied any more.

Why it works: targets name the request in each response, so that a copy names an earlier one, and a response without a name can't follow another such one.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -235,6 +235,7 @@
             self._pool,
             self.clock,
             self._paths,
+            self.metrics,
             self._sharing.schedule_report,
             self._announcements.report,
             lambda: self._state == peer_groups.LEAVING,
--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -6,12 +6,19 @@
 `httptools` parses the responses. A target may also send bytes without end:
 what a response may hold, and how long its parsing may take at a time, is
 limited.
+
+A target may also repeat an earlier response in place of the next one. Only the
+id in a response tells, so that a response to another request is skipped and
+the next one is awaited. A response without an id is taken for that to the
+request that was sent; its connection is not used again, as a copy of it could
+not be told from a later response.
 """
 
 import asyncio
 import collections
 from collections.abc import Callable
 import dataclasses
+import enum
 import math
 import re
 import socket
@@ -23,6 +30,7 @@
 from slatechute.util import sockets
 
 __all__ = [
+    "Attribution",
     "ConnectionPool",
     "ExchangeError",
     "HttpClient",
@@ -43,6 +51,8 @@
 _MAX_OVERHEAD_BYTES = 64 * 1024
 _MAX_HEADERS = 256
 _MAX_INFORMATIONAL = 8
+# Responses to earlier requests that are skipped in one exchange.
+_MAX_MISPLACED = 8
 # Time for which one connection is parsed until the event loop goes on, in
 # seconds, and bytes that are parsed between two looks at the clock.
 _MAX_PARSE_S = 0.0005
@@ -64,6 +74,20 @@
 _MAX_IDLE_PER_TARGET = 8
 
 
+class Attribution(enum.Enum):
+    """Which request a response answers.
+
+    Attributes:
+        OWN: The request that was sent.
+        UNNAMED: It does not say so.
+        OTHER: Another one, which was sent earlier on the connection.
+    """
+
+    OWN = enum.auto()
+    UNNAMED = enum.auto()
+    OTHER = enum.auto()
+
+
 class ExchangeError(errors.SlatechuteError):
     """An exchange ended without a complete response.
 
@@ -116,6 +140,15 @@
     return TargetResponse(status, headers, body, by_name)
 
 
+def _attribute_to_request(response: TargetResponse) -> Attribution:
+    """Take each response for that to the request that was sent.
+
+    Entries and the platform do not repeat responses, nor name the request.
+    """
+    del response
+    return Attribution.OWN
+
+
 class TargetConnection(asyncio.Protocol):
     """One connection, which carries one exchange at a time.
 
@@ -143,6 +176,8 @@
         self._body = bytearray()
         self._received = 0
         self._informational = 0
+        self._attribute = _attribute_to_request
+        self._misplaced = 0
         # Bytes that have arrived after the response.
         self._has_excess = False
         # Received bytes that are parsed in the next step of the event loop.
@@ -202,9 +237,19 @@
         path: str,
         headers: list[tuple[str, str]],
         body: bytes,
+        attribute: Callable[
+            [TargetResponse], Attribution
+        ] = _attribute_to_request,
     ) -> TargetResponse:
         """Send a request and return the complete response.
 
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            headers: Headers, in order.
+            body: Complete body.
+            attribute: Returns which request a response answers.
+
         Raises:
             ExchangeError: No complete response was received.
         """
@@ -224,7 +269,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._is_head_request = method == "HEAD"
         self._body = bytearray()
-        self._received = self._informational = 0
+        self._received = self._informational = self._misplaced = 0
+        self._attribute = attribute
         self._status = 0
         self._transport.write(data)
         try:
@@ -387,9 +433,27 @@
             raise ValueError("too many informational responses")
 
     def _complete_response(self) -> None:
-        self._response.set_result(
-            build_response(self._status, self._headers, bytes(self._body))
+        response = build_response(
+            self._status, self._headers, bytes(self._body)
         )
+        attribution = self._attribute(response)
+        if attribution is Attribution.OTHER:
+            self._skip_response()
+            return
+        if attribution is Attribution.UNNAMED or self._misplaced:
+            self._keep_alive = False
+        self._response.set_result(response)
+
+    def _skip_response(self) -> None:
+        """Go on with the next response, as this one is to another request."""
+        self._misplaced += 1
+        if self._is_head_request or self._misplaced > _MAX_MISPLACED:
+            # The parser cannot tell where a response to HEAD ends.
+            self._break_off("the response is to another request")
+            return
+        self._memory.release(self)
+        self._body = bytearray()
+        self._received = self._informational = 0
 
     def fail_for_memory(self) -> None:
         """Break off the response to free its memory."""
--- a/slatechute/gateway/dialects.py
+++ b/slatechute/gateway/dialects.py
@@ -129,7 +129,10 @@
     """Header names and formats of callers, targets and the platform."""
 
     def request_id(self, headers: Mapping[str, str]) -> str:
-        """Return the request id assigned by the caller, or ''."""
+        """Return the request id assigned by the caller, or ''.
+
+        Targets name the request in the same header of their responses.
+        """
         ...
 
     def deadline_ms(self, headers: Mapping[str, str]) -> float | None:
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from slatechute import logs
 from slatechute import metrics
 from slatechute import quarantine
+from slatechute.gateway import attribution
 from slatechute.gateway import balancing
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
@@ -181,6 +182,7 @@
         self._relay = relay
         self._clock = clock
         self._counters = counters
+        self._attributor = attribution.ResponseAttributor(dialect, counters)
         self._on_suspected_crash = on_suspected_crash
         self._on_load_report = on_load_report
         self._on_announcement = on_announcement
@@ -659,7 +661,11 @@
         trace.possibly_run += 1
         try:
             response = await connection.exchange(
-                request.method, request.path, headers, request.body
+                request.method,
+                request.path,
+                headers,
+                request.body,
+                self._attributor.of_request(request.id, target.id),
             )
         except connections.ExchangeError as error:
             if error.not_run:
@@ -858,48 +864,42 @@
         load = exchange.load
         target_id = load.target.id
         now_ms = self._clock.now_ms()
+        if (
+            self._attributor.attribute(request.id, target_id, response)
+            is connections.Attribution.OTHER
+        ):
+            # On connections of this entry they are skipped, but a peer of an
+            # earlier build passes them on.
+            load.record_failure(exchange, now_ms)
+            return _AttemptError(
+                errors.Reason.CONNECTION_LOST, target_id, not_run=False
+            )
         metadata = self._dialect.parse_response(
             response.status, response.header_by_name
         )
-        if metadata.load is not None and load.apply_report(
-            metadata.load, now_ms
-        ):
-            self._on_load_report(load)
-        is_other_response = (
-            metadata.request_id and metadata.request_id != request.id
-        )
-        if is_other_response:
-            self._counters.count_misplaced_response()
-            _LOG.notice(
-                "response_misplaced",
-                target=target_id,
-                request_id=request.id,
-                answered_id=metadata.request_id[:100],
-                status=response.status,
-            )
         if metadata.announcement.invalid:
             self._counters.count_invalid_announcement()
-        if (
-            not metadata.wrong_target
-            and not is_other_response
-            and load.announced.observe(
-                metadata.announcement, now_ms, is_conclusive=metadata.signed
-            )
-        ):
-            self._on_announcement(load)
         if metadata.wrong_target:
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
             load.record_cancellation(exchange)
             return _AttemptError(
                 errors.Reason.CONNECT_FAILED, target_id, not_run=True
             )
-        if metadata.not_run and not is_other_response:
+        if metadata.load is not None and load.apply_report(
+            metadata.load, now_ms
+        ):
+            self._on_load_report(load)
+        if load.announced.observe(
+            metadata.announcement, now_ms, is_conclusive=metadata.signed
+        ):
+            self._on_announcement(load)
+        if metadata.not_run:
             load.record_refusal(exchange, now_ms)
             return _AttemptError(
                 errors.Reason.TARGET_SHED, target_id, not_run=True
             )
         is_success = 200 <= response.status < 300
-        if is_other_response or (is_success and not metadata.signed):
+        if is_success and not metadata.signed:
             load.record_failure(exchange, now_ms)
             return _AttemptError(
                 errors.Reason.CONNECTION_LOST, target_id, not_run=False
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -15,6 +15,8 @@
 from slatechute import errors
 from slatechute import logs
 from slatechute import messages
+from slatechute import metrics
+from slatechute.gateway import attribution
 from slatechute.gateway import balancing
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
@@ -271,6 +273,7 @@
         pool: Connections to targets.
         clock: Monotonic clock.
         paths: Beliefs about the paths of this entry.
+        counters: Metrics of the entry.
         on_load_report: Called with the load of a target that it has reported.
         on_announcement: Called with the load of a target that has announced
             something new about itself.
@@ -289,6 +292,7 @@
         pool: connections.ConnectionPool,
         clock: clocks.Clock,
         paths: path_monitor.PathMonitor,
+        counters: metrics.Metrics,
         on_load_report: Callable[[loads.TargetLoad], None],
         on_announcement: Callable[[loads.TargetLoad], None],
         is_leaving: Callable[[], bool],
@@ -301,6 +305,7 @@
         self._pool = pool
         self._clock = clock
         self._paths = paths
+        self._attributor = attribution.ResponseAttributor(dialect, counters)
         self._on_load_report = on_load_report
         self._on_announcement = on_announcement
         self._is_leaving = is_leaving
@@ -396,7 +401,13 @@
         ]
         try:
             response = await connection.exchange(
-                message.method, message.path, headers, body
+                message.method,
+                message.path,
+                headers,
+                body,
+                self._attributor.of_request(
+                    self._request_id(message), load.target.id
+                ),
             )
         except connections.ExchangeError as error:
             result = Result.CONNECT_FAILED if error.not_run else Result.LOST
@@ -407,14 +418,18 @@
             self._pool.release(address, connection)
             if load.is_evacuated:
                 self._pool.close_idle(address)
-        self._apply_response(message, load, response, is_new=is_new)
+        self._apply_response(load, response, is_new=is_new)
         return messages.RelayResponse(
             Result.RESPONSE, response.status, response.headers
         ), response.body
 
+    def _request_id(self, message: messages.RelayRequest) -> str:
+        return self._dialect.request_id(
+            {name.lower(): value for name, value in message.headers}
+        )
+
     def _apply_response(
         self,
-        message: messages.RelayRequest,
         load: loads.TargetLoad,
         response: connections.TargetResponse,
         *,
@@ -430,12 +445,7 @@
         metadata = self._dialect.parse_response(
             response.status, response.header_by_name
         )
-        request_id = self._dialect.request_id(
-            {name.lower(): value for name, value in message.headers}
-        )
-        if metadata.wrong_target or (
-            metadata.request_id and metadata.request_id != request_id
-        ):
+        if metadata.wrong_target:
             return
         if metadata.load is not None and load.apply_report(
             metadata.load, now_ms
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -312,6 +312,61 @@
     _run_exchange(check, *parts, end=end)
 
 
+def _attribute(response):
+    """Attribute a response by its header `id`, as if request 1 was sent."""
+    name = response.header_by_name.get("id", "")
+    if not name:
+        return connections.Attribution.UNNAMED
+    if name == "1":
+        return connections.Attribution.OWN
+    return connections.Attribution.OTHER
+
+
+_OTHER = _HEAD + b"Id: 0\r\nContent-Length: 5\r\n\r\nother"
+_OWN = _HEAD + b"Id: 1\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    ("response", "ends", "body"),
+    [
+        (_OWN, False, b"ok"),
+        (_OTHER + _OWN, False, b"ok"),
+        (_OTHER * 8 + b"HTTP/1.1 100 X\r\n\r\n" + _OWN, False, b"ok"),
+        (_OTHER.replace(b"other", b"HTTP/") + _OWN, False, b"ok"),
+        (_OTHER, True, None),
+        (_OTHER[:-1], True, None),
+        (_OTHER + _OWN[:-1], True, None),
+        (_HEAD + b"Id: 0\r\n\r\nabc", True, None),
+        (_OTHER.replace(b"Id", b"Connection: close\r\nId") + _OWN, True, None),
+        (_OTHER * 9 + _OWN, False, None),
+    ],
+)
+def test_responses_to_other_requests_are_skipped(response, ends, body):
+    """The next caller got an answer that was not its own, or none."""
+    generator = random.Random(3)
+
+    async def main():
+        for _ in range(20):
+            pieces = [p for p in _split(generator, response) if p]
+            result = await _receive(pieces, ends=ends, attribute=_attribute)
+            assert (result and result[2]) == body
+
+    asyncio.run(main())
+
+
+def test_large_responses_to_other_requests_have_no_overhead():
+    """What was received before must not count for the own response."""
+    other = _HEAD + b"Id: 0\r\nContent-Length: 99999\r\n\r\n" + b"x" * 99_999
+
+    async def main():
+        result = await _receive(
+            [other + other + _OWN], ends=False, attribute=_attribute
+        )
+        assert result[2] == b"ok"
+
+    asyncio.run(main())
+
+
 def test_response_without_length_ends_with_its_connection():
     """It has no other end."""
 
@@ -390,12 +445,14 @@
         pass
 
 
-async def _receive(pieces, *, ends):
+async def _receive(
+    pieces, *, ends, attribute=lambda response: connections.Attribution.OWN
+):
     """Return what an exchange returns or raises when it receives pieces."""
     connection = connections.TargetConnection()
     connection.connection_made(_Transport())
     task = asyncio.ensure_future(
-        connection.exchange("GET", "/a", _HEADERS, b"")
+        connection.exchange("GET", "/a", _HEADERS, b"", attribute)
     )
     await asyncio.sleep(0)
     for piece in pieces:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -269,6 +269,63 @@
     )
 
 
+_EARLIER = b"X\r\nid: earlier\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "late_copy",
+    [
+        scripted_target.response(_EARLIER, 421, b""),
+        scripted_target.response(_EARLIER, 421, b"", not_run="1"),
+        scripted_target.response(_EARLIER, 503, b"", not_run="1"),
+        scripted_target.response(_EARLIER, 500, b"x" * 100_000),
+        scripted_target.response(_EARLIER),
+    ],
+    ids=["421", "421-not-run", "503-not-run", "500-large", "200"],
+)
+def test_late_copy_does_not_stand_for_the_response_of_a_running_request(
+    late_copy,
+):
+    """As "not run", it made a request run twice, or end refused."""
+
+    async def check(fixture, first, second):
+        for _ in range(2):
+            response = await fixture.forward(repeatable=False)
+            assert (response.status, response.body) == (200, b"ok")
+        assert len(first.requests) + len(second.requests) == 2
+        # Another copy may still be on its way.
+        assert first.connections + second.connections == 2
+        assert fixture.counters.value("misplaced_responses_total") == 2
+
+    _run(
+        check,
+        *[lambda request: late_copy + scripted_target.response(request)] * 2,
+    )
+
+
+def test_refusal_that_names_no_request_is_not_taken_for_a_later_one():
+    """Nothing tells its copy from a refusal of the next request."""
+
+    def script(request: bytes) -> bytes:
+        unnamed = scripted_target.response(b"X\r\n\r\n", 503, b"", not_run="1")
+        if len(target.requests) == 1:
+            return unnamed
+        copy = unnamed if target.connections == 1 else b""
+        return copy + scripted_target.response(request)
+
+    async def check(fixture, only):
+        nonlocal target
+        target = only
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(repeatable=False)
+        assert caught.value.outcome is errors.Outcome.NOT_RUN
+        fixture.balancer.load_by_id["t0"].paused_until_ms = 0.0
+        assert (await fixture.forward(repeatable=False)).status == 200
+
+    target = None
+    _run(check, script)
+
+
 def test_truncated_response_is_not_passed_on():
     """A truncated body must not look complete."""
 
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -177,6 +177,26 @@
     _run(check, script=script, repeatable=False)
 
 
+@pytest.mark.parametrize("status", [421, 503, 200])
+def test_late_copy_behind_the_hop_is_not_the_response(status):
+    """As "not run", it made a running request run once more."""
+    earlier = scripted_target.response(
+        b"X\r\nid: earlier\r\n\r\n", status, b"", not_run="1"
+    )
+
+    async def check(fleet, target, apps, cuts):
+        for _ in range(2):
+            assert (await _send(apps[0]))[::2] == (200, b"ok")
+        assert len(target.requests) == 2
+        assert apps[1].metrics.value("misplaced_responses_total") == 2
+
+    _run(
+        check,
+        script=lambda request: earlier + scripted_target.response(request),
+        repeatable=False,
+    )
+
+
 def test_peer_that_stops_takes_no_new_request_and_ends_those_it_has():
     """A planned stop would cut requests that were just passed on."""
 
