Close the connections to an address that belongs to another target

The request was sent to a target whose address had got a successor, and rightly got 421. The retry went to the successor, at the same address and on the same connection, where the 421 was written once more. It names the request, so that its id can't tell it from a response to the retry.

Ruled out: other ways to the same id on one connection. A target that has refused or lost a request is excluded from its retries, a restarted process has other connections, and callers name each attempt anew.

Change: a 421 closes the idle connections to the address, also at a peer that carries out the exchange.

--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -880,6 +880,9 @@
         if metadata.announcement.invalid:
             self._counters.count_invalid_announcement()
         if metadata.wrong_target:
+            # The idle connections lead to the new target of the address. A
+            # retry of the request there must not get this refusal once more.
+            self._pool.close_idle(load.target.address)
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
             load.record_cancellation(exchange)
             return _AttemptError(
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -446,6 +446,9 @@
             response.status, response.header_by_name
         )
         if metadata.wrong_target:
+            # A retry of the request at the new target of the address must not
+            # get this refusal once more.
+            self._pool.close_idle(load.target.address)
             return
         if metadata.load is not None and load.apply_report(
             metadata.load, now_ms
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -303,6 +303,35 @@
     )
 
 
+def test_retry_at_a_reused_address_does_not_get_the_refusal_once_more():
+    """The copy names the retried request, which the new target runs."""
+
+    def script(request: bytes) -> bytes:
+        refusal = scripted_target.response(request, 421, b"")
+        if scripted_target.header(request, "expect-id") == "t0":
+            return refusal
+        copy = refusal if target.connections == 1 else b""
+        return copy + scripted_target.response(request)
+
+    async def check(fixture, only):
+        nonlocal target
+        target = only
+        load = fixture.balancer.load_by_id["t0"]
+        fixture.balancer.add_target(
+            builders.target("successor", address=target.address), 0.0
+        )
+        successor = fixture.balancer.load_by_id["successor"]
+        # The registration that is out of date is chosen first.
+        successor.set_peer_in_flight("e2", 1)
+        response = await fixture.forward(repeatable=False)
+        assert (response.status, response.body) == (200, b"ok")
+        assert len(target.requests) == 2
+        assert load.is_paused(fixture.clock.now_ms())
+
+    target = None
+    _run(check, script)
+
+
 def test_refusal_that_names_no_request_is_not_taken_for_a_later_one():
     """Nothing tells its copy from a refusal of the next request."""
 
