Test responses that end within their head

Cause: other operators report a 200 with an empty or short body after an instance stopped in the middle of its head and closed.

Ruled out: that it can happen here. A response is complete only after the end of its head, and one without a length only after that and the end of its connection. Nothing of an earlier response on the connection counts for a later one.

--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -509,6 +509,49 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize(
+    "before", [b"", b"HTTP/1.1 100 Continue\r\n\r\n", _OTHER, b"\r\n"]
+)
+@pytest.mark.parametrize(
+    "head",
+    [
+        _OWN[:-2],
+        _HEAD + b"Id: 1\r\nConnection: close\r\n\r\n",
+        _HEAD + b"Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ],
+    ids=["length", "ends-with-connection", "chunked"],
+)
+def test_head_that_is_cut_on_a_used_connection_is_no_response(
+    head, before, is_reset
+):
+    """Callers got a 200 with an empty or short body, framed as whole."""
+
+    async def main():
+        for length in range(len(head)):
+            connection = connections.TargetConnection()
+            connection.connection_made(_Transport())
+            for data in (_OWN, before + head[:length]):
+                exchange = asyncio.ensure_future(
+                    connection.exchange("GET", "/a", _HEADERS, b"", _attribute)
+                )
+                await asyncio.sleep(0)
+                connection.data_received(data)
+                await asyncio.sleep(0)
+                if data is _OWN:
+                    assert (await exchange).body == b"ok"
+            if is_reset:
+                connection.connection_lost(ConnectionResetError())
+            else:
+                connection.eof_received()
+                connection.connection_lost(None)
+            with pytest.raises(connections.ExchangeError) as caught:
+                await exchange
+            assert not caught.value.not_run
+
+    asyncio.run(main())
+
+
 def test_mutated_responses_raise_no_other_error():
     """One malformed message must not take the process down."""
     generator = random.Random(2)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -370,6 +370,31 @@
     )
 
 
+def test_response_that_ends_within_its_head_is_not_passed_on():
+    """Callers got a 200 with an empty or short body, framed as whole."""
+    whole = scripted_target.response(b"X\r\nid: r1\r\n\r\n")
+    head_length = whole.index(b"\r\n\r\n") + 4
+
+    def script(request: bytes) -> bytes:
+        target.closes_after_response = len(target.requests) % 2 == 0
+        return whole[
+            : head_length - 1 if target.closes_after_response else None
+        ]
+
+    async def check(fixture, only):
+        nonlocal target
+        target = only
+        for _ in range(3):
+            assert (await fixture.forward(repeatable=False)).body == b"ok"
+            with pytest.raises(errors.RequestError) as caught:
+                await fixture.forward(repeatable=False)
+            assert caught.value.status == 502
+            assert caught.value.outcome is errors.Outcome.UNKNOWN
+
+    target = None
+    _run(check, script)
+
+
 def test_error_response_is_passed_on_unchanged():
     """Status, body and headers of an error response come from the target."""
 
