End an exchange whatever error it meets, and take failed connects for such

A connect to a port above 65535 raises OverflowError, which was not among the errors of a failed connect: the caller got a 500, the exchange stayed open and its slot was never given back. The same for any other unexpected error between the choice of a target and the end of its exchange, such as a Keep-Alive timeout of a superscript digit, and an error in the dispatch of another request that waits replaced the response of one that had run.

Ruled out: the choice of the target. It is one like others until the first connect fails.

Change: an error of any type in a connect is a failed connect. One in an exchange ends it as lost, counts against the target and is logged with its place. The exchange is ended in one place, whatever its result.

--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -27,7 +27,9 @@
 import httptools
 
 from slatechute import errors
+from slatechute import logs
 from slatechute.util import sockets
+from slatechute.util import steps
 
 __all__ = [
     "Attribution",
@@ -40,6 +42,8 @@
     "open_connection",
 ]
 
+_LOG = logs.get_logger(__name__)
+
 # Targets are a few milliseconds away. A lost packet of the handshake is only
 # retransmitted after a second; trying another target is faster.
 CONNECT_TIMEOUT_S = 0.3
@@ -61,6 +65,7 @@
 # header value must not have.
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(r"[\x21-\x7e]+")
+_DIGITS = re.compile(r"[0-9]+")
 _ILLEGAL_IN_VALUE = re.compile(r"[\x00\r\n]")
 _CLOSED_BY_TARGET = "the target closed the connection"
 # Without a Keep-Alive header, idle connections are closed earlier than common
@@ -568,7 +573,7 @@
     """
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and _DIGITS.fullmatch(value):
             return float(value)
     return math.inf
 
@@ -605,6 +610,13 @@
         raise ExchangeError(
             errors.Step.CONNECTING, repr(error), not_run=True
         ) from error
+    except Exception as error:
+        # Addresses come from other programs. Whatever is wrong with one of
+        # them, nothing was sent there.
+        steps.log_unexpected_error(_LOG, "connect", error)
+        raise ExchangeError(
+            errors.Step.CONNECTING, repr(error), not_run=True
+        ) from error
     configure(transport.get_extra_info("socket"))
     return connection
 
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
 from slatechute.util import clock as clocks
+from slatechute.util import steps
 
 __all__ = ["CallerRequest", "Forwarder", "Trace", "first_success"]
 
@@ -408,8 +409,17 @@
             self._handle_exchange_end(result)
 
     def _handle_exchange_end(self, exchange: loads.Exchange) -> None:
-        load = exchange.load
-        self._balancer.handle_exchange_end(load, self._clock.now_ms())
+        """Report the load and dispatch waiting requests, whatever they raise.
+
+        An error of theirs must not replace the result of the exchange.
+        """
+        steps.run_step(
+            _LOG,
+            "dispatch",
+            lambda: self._balancer.handle_exchange_end(
+                exchange.load, self._clock.now_ms()
+            ),
+        )
 
     async def _run_hedged(
         self, request: CallerRequest, trace: Trace, exchange: loads.Exchange
@@ -557,7 +567,7 @@
         exchange: loads.Exchange,
         step: dict[str, object],
     ) -> connections.TargetResponse:
-        """Send the request to the target of an exchange.
+        """Send the request to the target of an exchange, and end the exchange.
 
         Args:
             request: The request.
@@ -568,6 +578,30 @@
         Raises:
             _AttemptError: There was no usable response.
         """
+        try:
+            return await self._send(request, trace, exchange, step)
+        except (_AttemptError, errors.RequestError):
+            raise
+        except Exception as error:
+            # The target may have received the request.
+            steps.log_unexpected_error(_LOG, "exchange", error)
+            exchange.load.record_failure(exchange, self._clock.now_ms())
+            raise _AttemptError(
+                errors.Reason.CONNECTION_LOST,
+                exchange.load.target.id,
+                not_run=False,
+            ) from error
+        finally:
+            exchange.load.record_cancellation(exchange)
+            self._handle_exchange_end(exchange)
+
+    async def _send(
+        self,
+        request: CallerRequest,
+        trace: Trace,
+        exchange: loads.Exchange,
+        step: dict[str, object],
+    ) -> connections.TargetResponse:
         load = exchange.load
         target = load.target
         now_ms = self._clock.now_ms()
@@ -605,7 +639,7 @@
             raise self._handle_relay_error(
                 request, trace, exchange, error
             ) from error
-        except BaseException:
+        except asyncio.CancelledError:
             step["result"] = "cancelled"
             now_ms = self._clock.now_ms()
             load.record_abandonment(exchange, now_ms)
@@ -614,15 +648,9 @@
                     request.service, _relative_time(exchange, now_ms)
                 )
             raise
-        finally:
-            if "result" in step:
-                self._handle_exchange_end(exchange)
-        try:
-            failure = self._classify_response(request, exchange, response)
-        finally:
-            self._handle_exchange_end(exchange)
-            if load.announced.is_leaving or load.is_evacuated:
-                self._pool.close_idle(target.address)
+        failure = self._classify_response(request, exchange, response)
+        if load.announced.is_leaving or load.is_evacuated:
+            self._pool.close_idle(target.address)
         step["result"] = failure.reason if failure else response.status
         if failure is None:
             if not request.route.bulk:
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -377,6 +377,33 @@
     _run_exchange(check, _HEAD + b"\r\nabc", b"def", end="close")
 
 
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:" + "9" * 30, ""]
+)
+def test_address_that_cannot_be_connected_to_is_a_failed_connect(address):
+    """Callers got a 500, and the exchange stayed open for ever."""
+
+    async def main():
+        with pytest.raises(connections.ExchangeError) as caught:
+            await connections.open_connection(address)
+        assert caught.value.step is errors.Step.CONNECTING
+        assert caught.value.not_run
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("timeout", ["\xb2", "9" * 5_000, "-1", "", "1e9"])
+def test_odd_keep_alive_header_does_not_lose_the_response(timeout):
+    """The request has run, and its caller got a 500."""
+
+    def check(result, connection):
+        del connection
+        assert result.body == b"ok"
+
+    head = f"Keep-Alive: timeout={timeout}\r\n".encode("latin-1")
+    _run_exchange(check, _HEAD + head + b"Content-Length: 2\r\n\r\nok")
+
+
 def test_response_to_head_has_no_body():
     """The parser would wait for the body that the headers describe."""
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -395,6 +395,46 @@
     _run(check, script)
 
 
+@pytest.mark.parametrize("repeatable", [False, True])
+@pytest.mark.parametrize("failing", ["parse_response", "target_headers"])
+def test_unexpected_error_ends_the_exchange(failing, repeatable, monkeypatch):
+    """A slot was never given back, and callers got a 500."""
+
+    def fail(*args):
+        raise OverflowError(args)
+
+    monkeypatch.setattr(builders.PlainDialect, failing, fail)
+
+    async def check(fixture, target):
+        for _ in range(5):
+            with pytest.raises(errors.RequestError) as caught:
+                await fixture.forward(repeatable=repeatable)
+            # Of a request that was sent, the outcome is not known.
+            is_unknown = caught.value.outcome is errors.Outcome.UNKNOWN
+            assert is_unknown == bool(fixture.trace.sent)
+        load = fixture.balancer.load_by_id["t0"]
+        assert load.occupancy() == 0
+        assert load.failure_share > 0
+
+    _run(check, _ok)
+
+
+def test_error_of_a_waiting_request_does_not_replace_the_response():
+    """A request that has run was answered 500."""
+
+    async def check(fixture, target):
+        del target
+
+        def fail(load, now_ms):
+            raise asyncio.InvalidStateError
+
+        fixture.balancer.handle_exchange_end = fail
+        response = await fixture.forward(repeatable=False)
+        assert response.status == 200
+
+    _run(check, _ok)
+
+
 def test_error_response_is_passed_on_unchanged():
     """Status, body and headers of an error response come from the target."""
 
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -174,7 +174,21 @@
     assert _WIRE.parse_response(200, {"x-response-signature": "s"}).signed
 
 
-@pytest.mark.parametrize("text", ["", "1,2", "a,b,c", "1,-2,3", "1,2,0"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "1,2",
+        "a,b,c",
+        "1,-2,3",
+        "1,2,0",
+        "1_0,2,3",
+        "1,2," + "9" * 25,
+        "9" * 400 + ",2,3",
+        "1,2,3," + "9" * 400,
+        "1,2,3,10001",
+    ],
+)
 def test_invalid_load_is_ignored(text):
     """A target that reports an invalid load must not attract requests."""
     assert _WIRE.parse_response(200, {"x-server-load": text}).load is None
