Give each slot one owner that gives it back

A request that waits for a slot and whose caller has just left stays in the queue until its task runs. A load report or the end of another exchange in between gave it a slot, setting the result of the cancelled future raised InvalidStateError, and nothing ended the exchange: its slot stayed occupied here and, by the load reports, at all entries. Where many callers leave in one step of the event loop, as after a freeze, a service lost slot after slot.

Ruled out: grants that arrive before the caller leaves; the withdrawal gave these back already.

Change: a waiting request for which nobody waits is not granted a slot but removed. Each exchange has one owner from its start, which ends it in every outcome, also when its task is never started or the grant can't be delivered. The gauge slatechute_unowned_slots and slots_without_owner lines show a slot without an owner.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -78,6 +78,7 @@
 _MAX_CHANGE_DATAGRAMS = 12
 _MAX_CHANGE_BYTES = 1_200
 _BUSY_INTERVAL_MS = 500.0
+_SLOT_CHECK_INTERVAL_MS = 1_000.0
 # Processor time of a request with its reports and probes, at usual speed.
 _REQUEST_PROCESSOR_MS = 5.0
 _BUSY_WEIGHT = 0.5
@@ -264,6 +265,7 @@
             cold_targets=lambda: len(
                 self.balancer.cold_loads(self.clock.now_ms())
             ),
+            unowned_slots=self._forwarder.unowned_slots,
         )
         handlers = (
             (settings.readiness_address, self._get_readiness),
@@ -390,6 +392,7 @@
             ("paths", 50, lambda: self._paths.update()),
             ("trials", 100, self._start_trials),
             ("probes", 100, lambda: self._prober.update_assignment()),
+            ("slots", _SLOT_CHECK_INTERVAL_MS, self._check_slots),
             (
                 "expirations",
                 100,
@@ -397,6 +400,16 @@
             ),
         )
 
+    def _check_slots(self) -> None:
+        """Log slots that are not given back, which only a fault can cause."""
+        slots = self._forwarder.unowned_slots()
+        if slots:
+            _LOG.error(
+                "slots_without_owner",
+                slots=slots,
+                in_flight=self._caller_server.in_flight,
+            )
+
     def _start_trials(self) -> None:
         """Try lost paths again; a standby, which has few requests, rarely."""
         now_ms = self.clock.now_ms()
--- a/slatechute/gateway/balancing.py
+++ b/slatechute/gateway/balancing.py
@@ -141,10 +141,13 @@
         request: The request.
         on_result: Called once with the started exchange, or with the reason of
             the refusal.
+        is_gone: Returns whether nobody waits for the result any more. Such a
+            request may be in the queue until its withdrawal.
     """
 
     request: DispatchRequest
     on_result: Callable[[loads.Exchange | errors.Reason], None]
+    is_gone: Callable[[], bool] = lambda: False
 
     def sort_key(self, now_ms: float, work_ms: float) -> tuple:
         """Return the sort key: on time first, then priority, then due time."""
@@ -911,6 +914,7 @@
         pool = self.pool(service)
         if not pool.waiting or not self._has_room(pool, now_ms):
             return
+        _discard_gone(pool)
         work_ms_by_key = {
             item.request.work_key: pool.model.work_ms(item.request.work_key)
             for item in pool.waiting
@@ -925,10 +929,19 @@
             exchange = self._try_start_queued(queued.request, now_ms)
             if exchange is not None:
                 pool.waiting.remove(queued)
-                queued.on_result(exchange)
+                self._grant(queued, exchange)
                 if not self._has_room(pool, now_ms):
                     return
 
+    def _grant(self, queued: QueuedRequest, exchange: loads.Exchange) -> None:
+        """Hand an exchange over to the request that has waited for it."""
+        try:
+            queued.on_result(exchange)
+        except BaseException:
+            exchange.load.record_cancellation(exchange)
+            self._on_load_change(exchange.load)
+            raise
+
     def _has_room(self, pool: ServicePool, now_ms: float) -> bool:
         return any(
             load.has_room() and not load.is_paused(now_ms)
@@ -975,6 +988,7 @@
         )
 
     def _refuse_unservable(self, pool: ServicePool, now_ms: float) -> None:
+        _discard_gone(pool)
         for queued in list(pool.waiting):
             if self._is_unservable(queued.request, now_ms):
                 pool.waiting.remove(queued)
@@ -996,6 +1010,16 @@
                 self._refuse_unservable(pool, now_ms)
 
 
+def _discard_gone(pool: ServicePool) -> None:
+    """Remove the waiting requests for which nobody waits any more.
+
+    A caller may leave between the event that ends its request and the step of
+    the event loop in which the request withdraws.
+    """
+    if any(queued.is_gone() for queued in pool.waiting):
+        pool.waiting = [item for item in pool.waiting if not item.is_gone()]
+
+
 def _candidate_sort_key(candidate: Candidate) -> tuple:
     cost_ms = candidate.cost_ms
     return (
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -1,8 +1,9 @@
 """Forwarding of a request to targets, with retries and hedges."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 import dataclasses
+import functools
 
 from slatechute import budgets
 from slatechute import errors
@@ -188,6 +189,8 @@
         self._on_load_report = on_load_report
         self._on_announcement = on_announcement
         self._request_retry_token = request_retry_token
+        # Exchanges with a request that ends them.
+        self._owned: set[loads.Exchange] = set()
         self._budget_by_service: dict[str, budgets.RatioBudget] = {}
         self._hedge_policy = hedging.create_policy(settings.hedging)
         counters.create_hedge_series(hedging.Result, hedging.Denial)
@@ -380,6 +383,7 @@
         now_ms = self._clock.now_ms()
         exchange = self._balancer.try_start(dispatch_request, now_ms)
         if exchange is not None:
+            self._owned.add(exchange)
             return exchange
         if (
             self._balancer.decide(dispatch_request, now_ms)
@@ -388,8 +392,14 @@
             reason = self._balancer.refusal_reason(dispatch_request)
             raise self._refusal(request, trace, reason, _REFUSAL_STATUS)
         result_future = asyncio.get_running_loop().create_future()
+
+        def set_result(result: loads.Exchange | errors.Reason) -> None:
+            result_future.set_result(result)
+            if isinstance(result, loads.Exchange):
+                self._owned.add(result)
+
         queued = balancing.QueuedRequest(
-            dispatch_request, result_future.set_result
+            dispatch_request, set_result, result_future.done
         )
         self._balancer.enqueue(queued)
         try:
@@ -397,22 +407,40 @@
         except asyncio.CancelledError:
             self._balancer.withdraw(queued)
             if result_future.done() and not result_future.cancelled():
-                self._release(result_future.result())
+                result = result_future.result()
+                if isinstance(result, loads.Exchange):
+                    self._end_exchange(result)
             raise
         if isinstance(result, errors.Reason):
             raise self._refusal(request, trace, result, _REFUSAL_STATUS)
         return result
 
-    def _release(self, result: loads.Exchange | errors.Reason) -> None:
-        if isinstance(result, loads.Exchange):
-            result.load.record_cancellation(result)
-            self._handle_exchange_end(result)
+    def unowned_slots(self) -> int:
+        """Return the number of slots that no request of this entry gives back.
+
+        It is 0 unless there is a fault of the entry.
+        """
+        return sum(
+            exchange not in self._owned
+            for load in self._balancer.load_by_id.values()
+            for exchange in load.exchanges
+        )
 
-    def _handle_exchange_end(self, exchange: loads.Exchange) -> None:
-        """Report the load and dispatch waiting requests, whatever they raise.
+    def _end_exchange(
+        self, exchange: loads.Exchange, task: asyncio.Task | None = None
+    ) -> None:
+        """Give the slot of an exchange back, report it and use it.
 
-        An error of theirs must not replace the result of the exchange.
+        Args:
+            exchange: The exchange, which may have ended already.
+            task: Task of the exchange, as a callback of its end.
         """
+        del task
+        if exchange not in self._owned:
+            return
+        self._owned.discard(exchange)
+        exchange.load.record_cancellation(exchange)
+        # An error of another request that waits must not replace the result.
         steps.run_step(
             _LOG,
             "dispatch",
@@ -421,13 +449,23 @@
             ),
         )
 
+    def _start_task(
+        self,
+        coroutine: Coroutine[None, None, connections.TargetResponse],
+        exchange: loads.Exchange,
+    ) -> asyncio.Task:
+        """Run an exchange, which also ends if its task is never started."""
+        task = asyncio.ensure_future(coroutine)
+        task.add_done_callback(functools.partial(self._end_exchange, exchange))
+        return task
+
     async def _run_hedged(
         self, request: CallerRequest, trace: Trace, exchange: loads.Exchange
     ) -> connections.TargetResponse:
         """Run an exchange, and a hedge if the exchange is late."""
         step: dict[str, object] = {}
-        original = asyncio.ensure_future(
-            self._run_exchange(request, trace, exchange, step)
+        original = self._start_task(
+            self._run_exchange(request, trace, exchange, step), exchange
         )
         used = [exchange.load]
         hedges: list[asyncio.Task] = []
@@ -534,8 +572,9 @@
         policy.record_hedge(request.service, now_ms)
         self._counters.count_hedge()
         used.append(hedge.load)
-        return asyncio.ensure_future(
-            self._run_hedge(request, trace, hedge, check.cause)
+        self._owned.add(hedge)
+        return self._start_task(
+            self._run_hedge(request, trace, hedge, check.cause), hedge
         )
 
     async def _run_hedge(
@@ -592,8 +631,7 @@
                 not_run=False,
             ) from error
         finally:
-            exchange.load.record_cancellation(exchange)
-            self._handle_exchange_end(exchange)
+            self._end_exchange(exchange)
 
     async def _send(
         self,
--- a/slatechute/gateway/loads.py
+++ b/slatechute/gateway/loads.py
@@ -3,6 +3,7 @@
 They combine reported loads, requests in flight and response times.
 """
 
+from collections.abc import Collection
 import dataclasses
 import enum
 import math
@@ -578,6 +579,11 @@
 
     # Exchanges of this entry.
 
+    @property
+    def exchanges(self) -> Collection[Exchange]:
+        """Exchanges that have not ended, the oldest first."""
+        return self._exchanges.keys()
+
     def start(self, work_key: str, now_ms: float) -> Exchange:
         """Start an exchange for a request that is about to be sent."""
         position = self.occupancy() + 1
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -359,10 +359,10 @@
             return messages.RelayResponse(Result.NO_PATH), b""
         # Requests of an entry of this data centre are in its load reports.
         is_counted = message.data_centre != self._settings.data_centre
-        if is_counted:
-            load.local_in_flight += 1
-            self._on_load_report(load)
+        load.local_in_flight += is_counted
         try:
+            if is_counted:
+                self._on_load_report(load)
             async with asyncio.timeout(
                 max(0.0, deadline_ms - self._clock.now_ms()) / 1000
             ):
@@ -370,8 +370,8 @@
         except TimeoutError:
             return messages.RelayResponse(Result.LOST), b""
         finally:
+            load.local_in_flight -= is_counted
             if is_counted:
-                load.local_in_flight -= 1
                 self._on_load_report(load)
 
     async def _exchange(
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -206,6 +206,10 @@
         self._cold_targets = self._gauge(
             "cold_targets", "Cold targets with a rate limit."
         )
+        self._unowned_slots = self._gauge(
+            "unowned_slots",
+            "Slots that no request gives back; 0 unless there is a fault.",
+        )
         self._adopted_s = math.nan
         self._age.set_function(lambda: time.monotonic() - self._adopted_s)
         self._services = _CappedLabel(MAX_SERVICES)
@@ -402,6 +406,7 @@
         evacuation_age_s: Callable[[], float] | None = None,
         retry_tokens: Callable[[], int] | None = None,
         cold_targets: Callable[[], int] | None = None,
+        unowned_slots: Callable[[], int] | None = None,
     ) -> None:
         """Set the callbacks that gauges read on each export.
 
@@ -418,6 +423,7 @@
                 without one.
             retry_tokens: Returns the retries granted in the current window.
             cold_targets: Returns the cold targets with a rate limit.
+            unowned_slots: Returns the slots that no request gives back.
         """
         for gauge, read in (
             (self._in_flight, in_flight),
@@ -428,6 +434,7 @@
             (self._evacuation_age, evacuation_age_s),
             (self._retry_tokens, retry_tokens),
             (self._cold_targets, cold_targets),
+            (self._unowned_slots, unowned_slots),
         ):
             if read is not None:
                 gauge.set_function(read)
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -105,6 +105,7 @@
     "slatechute_retry_tokens_in_use": ("gauge",),
     "slatechute_spread_faults": ("counter", "kind"),
     "slatechute_total_latency_seconds": ("histogram",),
+    "slatechute_unowned_slots": ("gauge",),
 }
 
 # Options and arguments by command.
@@ -265,6 +266,7 @@
     "settings_reloaded": ["hedging", "seeds"],
     "settings_unusable": ["error"],
     "signal_received": ["signal"],
+    "slots_without_owner": ["in_flight", "slots"],
     "spread_failed": [],
     "status_failed": [],
     "stop_failed": [],
