Do not let the status of a target promise what the target has not said

A target may answer 503 or 429 without saying that it has not run the request. The response was passed on as it is, and callers take these statuses for "not run".

Change: for a request that must not run twice, such a response is a failure of the target with an unknown outcome (502). Repeatable requests get it unchanged.

Measured: the two new cases fail without the change of forwarding.py and pass.

--- a/slatechute/gateway/dialects.py
+++ b/slatechute/gateway/dialects.py
@@ -67,6 +67,8 @@
         request_id: Id of the request that it answers, empty if absent.
         signed: Whether it carries the signature header that only targets set.
         not_run: Whether the target certainly did not run the request.
+        reads_as_not_run: Whether callers conclude from the status that the
+            request has not run.
         wrong_target: Whether the address now belongs to another target.
         target_id: Id of the target that answered, empty if absent.
         load: Load of the target, None if absent.
@@ -76,6 +78,7 @@
     request_id: str = ""
     signed: bool = False
     not_run: bool = False
+    reads_as_not_run: bool = False
     wrong_target: bool = False
     target_id: str = ""
     load: Load | None = None
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -973,6 +973,13 @@
             return _AttemptError(
                 errors.Reason.CONNECTION_LOST, target_id, not_run=False
             )
+        if metadata.reads_as_not_run and not request.route.repeatable:
+            # The request may have run, so that its caller must not conclude
+            # from the status of the target that it has not.
+            load.record_failure(exchange, now_ms)
+            return _AttemptError(
+                errors.Reason.TARGET_ERROR, target_id, not_run=False
+            )
         if response.status >= 500:
             load.record_failure(exchange, now_ms)
             return _AttemptError(
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -449,6 +449,25 @@
     )
 
 
+@pytest.mark.parametrize("status", [429, 503])
+def test_status_of_a_target_does_not_promise_what_it_has_not_said(status):
+    """A request that has run was reported as not run, and sent again."""
+
+    async def check(fixture, target):
+        response = await fixture.forward(repeatable=True, max_attempts=1)
+        assert (response.status, response.body) == (status, b"busy")
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(repeatable=False)
+        assert caught.value.status == 502
+        assert caught.value.outcome is errors.Outcome.UNKNOWN
+        assert len(target.requests) == 2
+
+    _run(
+        check,
+        lambda request: scripted_target.response(request, status, b"busy"),
+    )
+
+
 def test_bytes_after_a_response_close_the_connection():
     """They would be read as the response to the next request."""
 
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -171,6 +171,9 @@
     assert not metadata.wrong_target
     assert _WIRE.parse_response(421, {}).wrong_target
     assert not _WIRE.parse_response(503, {}).not_run
+    for status in (408, 421, 429, 503):
+        assert _WIRE.parse_response(status, {}).reads_as_not_run
+    assert not _WIRE.parse_response(500, {}).reads_as_not_run
     assert _WIRE.parse_response(200, {"x-response-signature": "s"}).signed
 
 
