Count a request as active until its response has left the entry

Up to 64 KB of a response wait in the buffer of the transport for a caller that reads slowly. The request did not count as active meanwhile, so that a planned stop or the idle timeout cut the rest (LOST).

Change: the writer waits until nothing is buffered.

--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -286,6 +286,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         self._transport = transport
+        # A request is active until the kernel has its whole response, so that
+        # neither a stop nor the idle timeout cuts the rest.
+        transport.set_write_buffer_limits(high=0)
         self._idle_since_s = asyncio.get_running_loop().time()
         self.is_over_limit = self._server.add(self)
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -310,9 +310,16 @@
         super().__init__()
         self.unsent = 100
         self.is_aborted = False
+        self.protocol = None
+        self._high = 65_536
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        self._high = high
 
     def write(self, data):
         del data
+        if self.protocol is not None and self.unsent > self._high:
+            self.protocol.pause_writing()
 
     def can_write_eof(self):
         return True
@@ -345,3 +352,25 @@
         await waiting.until(lambda: transport.is_aborted)
 
     _run(check)
+
+
+def test_request_is_active_until_its_response_is_sent():
+    """A stop or the idle timeout cut what the entry had not sent yet."""
+
+    async def check(fixture):
+        transport = _SlowTransport()
+        connection = http_server.Connection(fixture.server)
+        transport.protocol = connection
+        connection.connection_made(transport)
+        fixture.release.set()
+        connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.05)
+        connection.check_timeouts(
+            http_server.Limits(), asyncio.get_running_loop().time() + 1_000
+        )
+        assert fixture.server.active_requests == 1
+        assert not transport.is_aborted
+        connection.resume_writing()
+        await waiting.until(lambda: not fixture.server.active_requests)
+
+    _run(check)
