--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -30,7 +30,7 @@
 # Statuses with which an entry promises that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The metrics port of `platform/boot.py`, which has no setting.
-_METRICS_PORT = 9464
+METRICS_PORT = 9464
 # A start takes 0.6 s; beside other test runs it has taken several seconds.
 _START_LIMIT_S = 15.0
 _HOST = "shop.example"
@@ -38,19 +38,26 @@
 # Longest time for an answer after the deadline that the caller has set.
 _ANSWER_MARGIN_S = 1.0
 _DEADLINE_S = 0.9
+# Time within which callers leave that give up early.
+_MAX_LEAVING_S = 0.15
 # Tries of a caller for one request.
 _MAX_TRIES = 8
 
 
 class Store:
-    """Stand-in of the platform's metadata store."""
+    """Stand-in of the platform's metadata store.
+
+    Attributes:
+        is_down: Whether it turns all calls away.
+    """
 
     def __init__(self):
+        self.is_down = False
         self._revision = 0
         self._item_by_key: dict[str, dict] = {}
         self._changed = asyncio.Event()
 
-    def put(self, key: str, content: dict | None) -> None:
+    def put(self, key: str, content: object) -> None:
         """Write an item, or remove it if there is no content."""
         self._revision += 1
         item: dict = {"key": key, "revision": self._revision}
@@ -65,6 +72,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer a call of an entry."""
+        if self.is_down:
+            return web.Response(status=503)
         if request.path == "/slatechute/kv-range":
             present = [
                 item
@@ -195,7 +204,8 @@
             self._running -= 1
         if self._is_hit(self.DROPPED_SHARE):
             self.dropped.add(request_id)
-            request.transport.abort()
+            if request.transport is not None:
+                request.transport.abort()
         return web.Response(text="ok", headers=self._headers(request_id))
 
 
@@ -260,6 +270,11 @@
         interval_s: Mean time between two requests.
         is_sticky: Whether it returns to the same entry until that accepts
             no connection, as callers do that hold on to an address.
+        leaving_share: Share of its requests that it gives up early.
+
+    Attributes:
+        requests: Its requests, in order.
+        foreign_tries: Ids of tries that got the response to another one.
     """
 
     # How long a caller keeps a list of addresses.
@@ -273,8 +288,11 @@
         interval_s: float,
         *,
         is_sticky: bool = False,
+        leaving_share: float = 0.0,
     ):
         self.requests: list[CallerRequest] = []
+        self.foreign_tries: list[str] = []
+        self.leaving_share = leaving_share
         self._name = name
         self._fleet = fleet
         self._prefix = prefix
@@ -372,8 +390,11 @@
             f"X-Deadline-Ms: {_DEADLINE_S * 1000:.0f}\r\n"
             "Content-Length: 0\r\n\r\n".encode()
         )
+        limit_s = _DEADLINE_S + _ANSWER_MARGIN_S
+        if self._rng.random() < self.leaving_share:
+            limit_s = self._rng.uniform(0.0, _MAX_LEAVING_S)
         try:
-            async with asyncio.timeout(_DEADLINE_S + _ANSWER_MARGIN_S):
+            async with asyncio.timeout(limit_s):
                 head = (await reader.readuntil(b"\r\n\r\n")).lower()
                 length = int(head.split(b"content-length:")[1].split()[0])
                 await reader.readexactly(length)
@@ -384,6 +405,8 @@
             self._disconnect()
         status = int(head.split()[1])
         if status == 200:
+            if f"x-request-id: {attempt_id}\r\n".encode() not in head:
+                self.foreign_tries.append(attempt_id)
             return Outcome.SERVED, status
         is_not_run = status in NOT_RUN_STATUSES
         return Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN, status
@@ -496,7 +519,7 @@
         self.http = await self._exits.enter_async_context(
             aiohttp.ClientSession()
         )
-        self._store_address = await self._serve(self.store.handle)
+        self._store_address = await self.serve(self.store.handle)
         return self
 
     async def __aexit__(self, *exc_info) -> None:
@@ -506,7 +529,7 @@
                 run.process.wait()
         await self._exits.aclose()
 
-    async def _serve(self, handler) -> str:
+    async def serve(self, handler) -> str:
         """Serve HTTP requests on a free port and return the address."""
         runner = web.ServerRunner(web.Server(handler), shutdown_timeout=0.1)
         await runner.setup()
@@ -524,7 +547,7 @@
         target_id = f"t{len(self.targets) + 1}"
         rng = random.Random(f"{self.seed}-{target_id}")
         target = Target(target_id, service, data_centre, rng, limit_per_s)
-        target.address = await self._serve(target.handle)
+        target.address = await self.serve(target.handle)
         self.targets.append(target)
         self.register(target)
         return target
@@ -675,11 +698,23 @@
         return views
 
     def add_caller(
-        self, prefix: str, interval_s: float, *, is_sticky: bool = False
+        self,
+        prefix: str,
+        interval_s: float,
+        *,
+        is_sticky: bool = False,
+        leaving_share: float = 0.0,
     ) -> Caller:
         """Return a new caller; its `run` sends the requests."""
         name = f"c{len(self.callers) + 1}"
-        caller = Caller(name, self, prefix, interval_s, is_sticky=is_sticky)
+        caller = Caller(
+            name,
+            self,
+            prefix,
+            interval_s,
+            is_sticky=is_sticky,
+            leaving_share=leaving_share,
+        )
         self.callers.append(caller)
         return caller
 
@@ -723,7 +758,7 @@
                 for number in range(1, len(MixedFleet.DATA_CENTRES) + 1):
                     sock = stack.enter_context(socket.socket())
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    sock.bind((f"{network}.{number}", _METRICS_PORT))
+                    sock.bind((f"{network}.{number}", METRICS_PORT))
         except OSError:
             continue
         return network
