--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -190,6 +190,9 @@
         "9" * 400 + ",2,3",
         "1,2,3," + "9" * 400,
         "1,2,3,10001",
+        "1,2,3,",
+        "1,2,3,fast",
+        "1,2,3," + "9" * 5_000,
     ],
 )
 def test_invalid_load_is_ignored(text):
