Take a connection that is reset at once for a failed connect

Cause: a target that accepts a connection and resets it, as one with too many connections does, may have closed the socket before its options are set. The OSError of that was not among those of a failed connect, so that the outcome of a request that was not sent counted as unknown, and on it ended with a 500. Found by reading.

Change: setting the options belongs to the connect.

Measured: the new test fails on the commit before and passes.

--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -601,23 +601,27 @@
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
+    connection = TargetConnection()
     try:
         async with asyncio.timeout(timeout_s):
-            transport, connection = await loop.create_connection(
-                TargetConnection, host, int(port)
+            transport, _ = await loop.create_connection(
+                lambda: connection, host, int(port)
             )
+        # Fails if the target has reset the connection already.
+        configure(transport.get_extra_info("socket"))
     except (OSError, ValueError, TimeoutError) as error:
+        connection.close()
         raise ExchangeError(
             errors.Step.CONNECTING, repr(error), not_run=True
         ) from error
     except Exception as error:
         # Addresses come from other programs. Whatever is wrong with one of
         # them, nothing was sent there.
+        connection.close()
         steps.log_unexpected_error(_LOG, "connect", error)
         raise ExchangeError(
             errors.Step.CONNECTING, repr(error), not_run=True
         ) from error
-    configure(transport.get_extra_info("socket"))
     return connection
 
 
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import itertools
 import random
 import socket
@@ -392,6 +393,22 @@
     asyncio.run(main())
 
 
+def test_connection_that_is_reset_at_once_is_a_failed_connect():
+    """Its socket has no options any more: a 500 for a request not sent."""
+
+    def configure(sock):
+        raise OSError(errno.EBADF, "Bad file descriptor")
+
+    async def main():
+        async with _Scripted() as address:
+            with pytest.raises(connections.ExchangeError) as caught:
+                await connections.open_connection(address, configure=configure)
+            assert caught.value.step is errors.Step.CONNECTING
+            assert caught.value.not_run
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("timeout", ["\xb2", "9" * 5_000, "-1", "", "1e9"])
 def test_odd_keep_alive_header_does_not_lose_the_response(timeout):
     """The request has run, and its caller got a 500."""
