--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -12,6 +12,7 @@
 import random
 import re
 import signal
+import time
 
 from aiohttp import web
 
@@ -108,7 +109,8 @@
         )
         self._switches: list[_Switch] = []
         self._busy_entries: set[str] = set()
-        self._calm_tries: set[str] = set()
+        # Address, start and end of each stop by SIGTERM.
+        self._planned_stops: list[tuple[str, float, float]] = []
 
     async def run(self) -> None:
         """Play the run and check it.
@@ -226,7 +228,13 @@
     async def _stop(self) -> None:
         with self._entry() as entry:
             if entry is not None:
-                await self._fleet.replace(entry, mixed_fleet.CURRENT_BUILD)
+                started_s = time.monotonic()
+                await self._fleet.stop(entry)
+                self._planned_stops.append(
+                    (entry.callers, started_s, time.monotonic())
+                )
+                self._fleet.start(entry, mixed_fleet.CURRENT_BUILD)
+                await self._fleet.wait_ready(entry)
 
     async def _reload(self) -> None:
         with self._entry() as entry:
@@ -328,6 +336,17 @@
             for name in caller.foreign_tries
         ]
         assert not foreign, "got the response to another request"
+        cut = [
+            attempt.id
+            for caller in self._fleet.callers
+            if not caller.leaving_share
+            for request in caller.requests
+            for attempt in request.tries
+            if attempt.outcome is mixed_fleet.Outcome.BROKEN
+            and runs[attempt.id]
+            and self._is_within_stop(attempt)
+        ]
+        assert not cut, "ran and was cut by a planned stop"
         for run in self._fleet.runs:
             assert run.exit_status is not None or run.process.poll() is None, (
                 f"{run.log_path.name} ended by itself"
@@ -343,6 +362,12 @@
         )
         assert served >= _MIN_SERVED_SHARE * len(calm), (served, len(calm))
 
+    def _is_within_stop(self, attempt: mixed_fleet.Try) -> bool:
+        return any(
+            attempt.entry == address and start_s <= attempt.ended_s <= end_s
+            for address, start_s, end_s in self._planned_stops
+        )
+
     async def _gauges(self, entry: mixed_fleet.Entry) -> dict[str, float]:
         """Return the metrics without labels of an entry."""
         url = f"http://{entry.host}:{mixed_fleet.METRICS_PORT}/metrics"
