--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -1,5 +1,6 @@
 """Tests of header names and data formats of the users' platform."""
 
+import ipaddress
 import json
 import math
 
@@ -9,6 +10,7 @@
 import wire
 
 from slatechute.gateway import dialects
+from slatechute.util import addresses
 
 _WIRE = wire.Wire()
 _ENTRY = {
@@ -103,6 +105,7 @@
         ("address", None),
         ("address", 7),
         ("address", "nowhere"),
+        ("address", "[::1]:8080"),
         ("info", None),
         ("info.service", None),
         ("info.slots", "6"),
@@ -290,3 +293,67 @@
     announcement = _WIRE.parse_response(status, headers).announcement
     for value in (announcement.rate_limit_per_s, announcement.pause_ms):
         assert value is None or 0 <= value < math.inf
+
+
+_ODD_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.sampled_from([10**400, -(10**30), 1e308, 2**31, 2**53 + 1])
+    | strategies.text(max_size=20)
+    | strategies.sampled_from(
+        ["127.0.0.1:65536", "[::1]:8080", "1.2.3:4", "draining", "s" * 300]
+    ),
+    lambda values: (
+        strategies.lists(values, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), values)
+    ),
+    max_leaves=5,
+)
+_FIELDS = [
+    "address",
+    "info",
+    "info.service",
+    "info.zone",
+    "info.slots",
+    "status",
+    "status.state",
+    "status.seq",
+    "status.cold_left_s",
+    "born",
+]
+
+
+@hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
+@hypothesis.given(
+    key=strategies.text(max_size=12),
+    path=strategies.sampled_from(_FIELDS),
+    value=_ODD_VALUES,
+    depth=strategies.sampled_from([0, 0, 0, 900, 5_000]),
+)
+def test_any_registration_is_a_usable_target_or_none(key, path, value, depth):
+    """A value that is adopted must not raise errors where it is used."""
+    content = json.dumps(_ENTRY | {"born": 1})
+    content = json.dumps(_with_odd_field(json.loads(content), path, value))
+    nested = "[" * depth + "]" * depth
+    text = content[:-1] + (f', "x": {nested}}}' if depth else "}")
+    target = _WIRE.parse_target(_item(f"servers/{key}", text.encode()))
+    if target is None:
+        return
+    assert target.id.isascii() and target.id.isprintable()
+    host, port = addresses.split_address(target.address)
+    assert ipaddress.IPv4Address(host) and 0 < port < 65536
+    assert 0 < target.slots < 2**31
+    assert 0 <= target.warmup_ms < math.inf
+    assert max(target.sequence, target.incarnation) < 2**53 + 1
+    names = (target.id, target.service, target.data_centre)
+    assert max(map(len, names)) <= 200
+
+
+def _with_odd_field(content: dict, path: str, value: object) -> dict:
+    *parents, last = path.split(".")
+    parent = content
+    for name in parents:
+        parent = parent[name]
+    parent[last] = value
+    return content
