Log on which connection an exchange ran and which request was answered

Cause: none of the hypotheses of docs/incidents/refused-after-run.md can be told from another by the line of a request: an exchange that ended with a refusal does not say whether its connection had carried other requests, nor which request the response named.

Change: each exchange has `reused`, the number of earlier exchanges on its connection, and those whose response was not passed on have `status` and `answered_id`. No decision changes.

--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -158,14 +158,14 @@
     """One connection, which carries one exchange at a time.
 
     Attributes:
-        used: Whether an exchange was started on it.
+        exchanges: Number of exchanges that were started on it.
         idle_since_s: Event loop time at which it became idle.
         idle_limit_s: Maximum idle time before it is closed.
         buffered: Bytes of the body that it holds.
     """
 
     def __init__(self, memory: "ResponseMemory | None" = None):
-        self.used = False
+        self.exchanges = 0
         self.idle_since_s = 0.0
         self.idle_limit_s = _MAX_IDLE_S
         self.buffered = 0
@@ -258,7 +258,7 @@
         Raises:
             ExchangeError: No complete response was received.
         """
-        self.used = True
+        self.exchanges += 1
         try:
             data = _encode_request(method, path, headers, body)
         except ValueError as error:
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -34,6 +34,7 @@
 # Time from the loss of a connection until a crash is reported to peers. Within
 # it, probes and requests of peers show that a target is alive.
 _CRASH_CHECK_DELAY_S = 0.3
+_MAX_LOGGED_ID = 100
 # HTTP status of a request for which there is no target.
 _REFUSAL_STATUS = 503
 
@@ -666,7 +667,7 @@
                     request, trace, target, step
                 )
             else:
-                response = await self._send_directly(request, trace, load)
+                response = await self._send_directly(request, trace, load, step)
         except connections.ExchangeError as error:
             step["result"] = str(error)
             raise self._handle_exchange_error(
@@ -690,6 +691,11 @@
         if load.announced.is_leaving or load.is_evacuated:
             self._pool.close_idle(target.address)
         step["result"] = failure.reason if failure else response.status
+        if failure is not None:
+            step["status"] = response.status
+            step["answered_id"] = self._dialect.request_id(
+                response.header_by_name
+            )[:_MAX_LOGGED_ID]
         if failure is None:
             if not request.route.bulk:
                 self._hedge_policy.record_response(
@@ -702,7 +708,11 @@
         raise failure
 
     async def _send_directly(
-        self, request: CallerRequest, trace: Trace, load: loads.TargetLoad
+        self,
+        request: CallerRequest,
+        trace: Trace,
+        load: loads.TargetLoad,
+        step: dict,
     ) -> connections.TargetResponse:
         """Send the request to a target on a connection of this entry.
 
@@ -717,7 +727,8 @@
             )
         finally:
             trace.connecting -= 1
-        is_new = not connection.used
+        is_new = not connection.exchanges
+        step["reused"] = connection.exchanges
         left_ms = max(1.0, request.deadline_ms - self._clock.now_ms())
         headers = [
             *request.headers,
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -393,7 +393,7 @@
             )
             result = Result.NO_PATH if is_path_fault else Result.CONNECT_FAILED
             return messages.RelayResponse(result), b""
-        is_new = not connection.used
+        is_new = not connection.exchanges
         left_ms = max(1.0, deadline_ms - self._clock.now_ms())
         headers = [
             *message.headers,
--- a/tests/gateway/test_slot_accounts.py
+++ b/tests/gateway/test_slot_accounts.py
@@ -34,7 +34,7 @@
     """An exchange that ends when the test says so."""
 
     def __init__(self, exchanges: list[asyncio.Future]):
-        self.used = False
+        self.exchanges = 0
         self._exchanges = exchanges
 
     async def exchange(self, method, path, headers, body, attribute):
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -372,6 +372,7 @@
     "load_age_ms",
     "place",
     "result",
+    "reused",
     "slowdown",
     "slowness",
     "target",
