Keep what each exchange shows about a run in one record

Cause: whether a caller may be told "not run", and whether a request may be sent again, rested on two counters that four places counted up and down, and a peer's result once more. Three faults in a row came from a sign that was taken for proof in one of them.

Change: an exchange has a record with one value of an enum, which says why (never connected, nothing written, not sent by the peer, refused by the target, unknown, answered). Two functions of the records decide; nothing is counted down. A relayed response is attributed from the id that is parsed anyway, so that a direct one is no longer parsed and attributed twice. The line of a request names the evidence of each exchange.

No decision changes: the tests of forwarding, relaying, hedging, paths and slots pass unchanged; the test of log fields has the new field.

--- a/slatechute/gateway/attribution.py
+++ b/slatechute/gateway/attribution.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-import functools
 
 from slatechute import logs
 from slatechute import metrics
@@ -39,16 +38,28 @@
             request_id: Id of the request, empty if it has none.
             target_id: Id of the target that gets it.
         """
-        return functools.partial(self.attribute, request_id, target_id)
+
+        def attribute(
+            response: connections.TargetResponse,
+        ) -> connections.Attribution:
+            answered_id = self._dialect.request_id(response.header_by_name)
+            return self.attribute(
+                request_id, target_id, answered_id, response.status
+            )
+
+        return attribute
 
     def attribute(
-        self,
-        request_id: str,
-        target_id: str,
-        response: connections.TargetResponse,
+        self, request_id: str, target_id: str, answered_id: str, status: int
     ) -> connections.Attribution:
-        """Return which request a response answers."""
-        answered_id = self._dialect.request_id(response.header_by_name)
+        """Return which request a response answers.
+
+        Args:
+            request_id: Id of the request that was sent, empty if it has none.
+            target_id: Id of the target.
+            answered_id: Id in the response, empty if it has none.
+            status: Status of the response.
+        """
         if answered_id == request_id and request_id:
             return connections.Attribution.OWN
         if not answered_id:
@@ -59,6 +70,6 @@
             target=target_id,
             request_id=request_id,
             answered_id=answered_id[:_MAX_LOGGED_ID],
-            status=response.status,
+            status=status,
         )
         return connections.Attribution.OTHER
--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -28,6 +28,7 @@
 
 from slatechute import errors
 from slatechute import logs
+from slatechute.gateway import evidence as evidences
 from slatechute.util import sockets
 from slatechute.util import steps
 
@@ -115,6 +116,15 @@
         self.not_run = not_run
         self.response_started = response_started
 
+    @property
+    def evidence(self) -> evidences.Evidence:
+        """What it shows about whether the request has run."""
+        if not self.not_run:
+            return evidences.Evidence.UNKNOWN
+        if self.step is errors.Step.CONNECTING:
+            return evidences.Evidence.NOT_CONNECTED
+        return evidences.Evidence.NOT_WRITTEN
+
 
 @dataclasses.dataclass(slots=True)
 class TargetResponse:
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from slatechute.gateway import balancing
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
+from slatechute.gateway import evidence as evidences
 from slatechute.gateway import hedging
 from slatechute.gateway import loads
 from slatechute.gateway import path_monitor
@@ -86,27 +87,29 @@
     """History of a request, for retry decisions and logs.
 
     Attributes:
-        sent: Number of exchanges in which a target may have received the
-            request.
-        connecting: Number of exchanges that wait for a connection.
-        possibly_run: Number of exchanges in which a target may have run it.
+        exchanges: Evidence of each exchange, in the order of their starts.
         connect_failures: Number of attempts without a connection.
         steps: Log fields of each exchange, with its target, estimates and
             result.
         excluded: Ids of targets that must not receive the request again.
     """
 
-    sent: int = 0
-    connecting: int = 0
-    possibly_run: int = 0
+    exchanges: list[evidences.ExchangeRecord] = dataclasses.field(
+        default_factory=list
+    )
     connect_failures: int = 0
     steps: list[dict] = dataclasses.field(default_factory=list)
     excluded: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def sent(self) -> int:
+        """Number of exchanges in which a target may have received it."""
+        return evidences.received_count(self.exchanges)
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run the request."""
-        return self.possibly_run > 0
+        return evidences.may_have_run(self.exchanges)
 
 
 class _AttemptError(Exception):
@@ -116,8 +119,8 @@
         self,
         reason: errors.Reason,
         target_id: str,
+        evidence: evidences.Evidence = evidences.Evidence.UNKNOWN,
         *,
-        not_run: bool,
         response: connections.TargetResponse | None = None,
         is_connect_failure: bool = False,
         is_path_fault: bool = False,
@@ -125,7 +128,7 @@
         super().__init__(reason)
         self.reason = reason
         self.target_id = target_id
-        self.not_run = not_run
+        self.evidence = evidence
         self.response = response
         self.is_connect_failure = is_connect_failure
         self.is_path_fault = is_path_fault
@@ -242,9 +245,7 @@
         )
         if explanation.reason is None:
             return explanation, None
-        return explanation, self._refusal(
-            request, trace, explanation.reason, _REFUSAL_STATUS
-        )
+        return explanation, self._refusal(request, trace, explanation.reason)
 
     async def forward(
         self, request: CallerRequest, trace: Trace
@@ -267,9 +268,8 @@
             async with asyncio.timeout(max(0.0, left_ms) / 1000):
                 return await self._run_attempts(request, trace)
         except TimeoutError:
-            status = 504 if trace.may_have_run else 503
             raise self._refusal(
-                request, trace, errors.Reason.DEADLINE, status
+                request, trace, errors.Reason.DEADLINE, unknown_status=504
             ) from None
 
     def _quarantined_ms(self, request: CallerRequest) -> float:
@@ -293,13 +293,23 @@
         request: CallerRequest,
         trace: Trace,
         reason: errors.Reason,
-        status: int,
+        *,
+        status: int = _REFUSAL_STATUS,
+        unknown_status: int = 502,
     ) -> errors.RequestError:
-        """Return the final error with the known outcome of the request."""
+        """Return the final error with the known outcome of the request.
+
+        Args:
+            request: The request.
+            trace: Its history.
+            reason: Why it ends.
+            status: HTTP status if it has not run.
+            unknown_status: HTTP status if it may have run.
+        """
         outcome = errors.Outcome.NOT_RUN
         if trace.may_have_run:
             outcome = errors.Outcome.UNKNOWN
-            status = status if status in (502, 504) else 502
+            status = unknown_status
         peer = trace.steps[-1]["target"] if trace.steps else ""
         step = errors.Step.WRITTEN if trace.sent else errors.Step.WAITING
         retry_ms = self._balancer.retry_after_ms(
@@ -346,15 +356,16 @@
                 elif failure.response is not None:
                     return failure.response
                 else:
-                    status = 503 if failure.not_run else 502
                     raise self._refusal(
-                        request, trace, failure.reason, status
+                        request, trace, failure.reason
                     ) from failure
 
     async def _may_retry(
         self, request: CallerRequest, trace: Trace, failure: _AttemptError
     ) -> bool:
-        if trace.may_have_run and not request.route.repeatable:
+        if not evidences.may_be_sent_again(
+            trace.exchanges, repeatable=request.route.repeatable
+        ):
             return False
         if not failure.is_path_fault:
             trace.excluded.add(failure.target_id)
@@ -391,7 +402,7 @@
             is balancing.Decision.REFUSE
         ):
             reason = self._balancer.refusal_reason(dispatch_request)
-            raise self._refusal(request, trace, reason, _REFUSAL_STATUS)
+            raise self._refusal(request, trace, reason)
         result_future = asyncio.get_running_loop().create_future()
 
         def set_result(result: loads.Exchange | errors.Reason) -> None:
@@ -413,7 +424,7 @@
                     self._end_exchange(result)
             raise
         if isinstance(result, errors.Reason):
-            raise self._refusal(request, trace, result, _REFUSAL_STATUS)
+            raise self._refusal(request, trace, result)
         return result
 
     def unowned_slots(self) -> int:
@@ -551,7 +562,11 @@
         now_ms: float,
     ) -> asyncio.Task | hedging.Denial:
         """Start a hedge that is due, or return the limit that denies it."""
-        if trace.sent + trace.connecting >= request.route.max_attempts:
+        connecting = sum(
+            not record.is_ended and not record.evidence.is_received
+            for record in trace.exchanges
+        )
+        if trace.sent + connecting >= request.route.max_attempts:
             return hedging.Denial.ATTEMPTS
         policy = self._hedge_policy
         denial = policy.denial(request.service, now_ms)
@@ -618,20 +633,30 @@
         Raises:
             _AttemptError: There was no usable response.
         """
+        record = evidences.ExchangeRecord(exchange.load.target.address)
+        trace.exchanges.append(record)
         try:
-            return await self._send(request, trace, exchange, step)
-        except (_AttemptError, errors.RequestError):
+            response = await self._send(request, trace, exchange, step, record)
+            record.end(evidences.Evidence.ANSWERED)
+            return response
+        except _AttemptError as failure:
+            record.end(failure.evidence)
+            raise
+        except errors.RequestError:
             raise
         except Exception as error:
-            # The target may have received the request.
             steps.log_unexpected_error(_LOG, "exchange", error)
             exchange.load.record_failure(exchange, self._clock.now_ms())
             raise _AttemptError(
                 errors.Reason.CONNECTION_LOST,
                 exchange.load.target.id,
-                not_run=False,
+                record.evidence,
             ) from error
         finally:
+            record.end(record.evidence)
+            step["evidence"] = record.evidence
+            if record.reused is not None:
+                step["reused"] = record.reused
             self._end_exchange(exchange)
 
     async def _send(
@@ -640,6 +665,7 @@
         trace: Trace,
         exchange: loads.Exchange,
         step: dict[str, object],
+        record: evidences.ExchangeRecord,
     ) -> connections.TargetResponse:
         load = exchange.load
         target = load.target
@@ -664,12 +690,13 @@
         try:
             if load.path.is_lost:
                 response = await self._send_through_peer(
-                    request, trace, target, step
+                    request, target, step, record
                 )
             else:
-                response = await self._send_directly(request, trace, load, step)
+                response = await self._send_directly(request, load, record)
         except connections.ExchangeError as error:
             step["result"] = str(error)
+            record.end(error.evidence)
             raise self._handle_exchange_error(
                 request, trace, exchange, error
             ) from error
@@ -703,16 +730,13 @@
                     _relative_time(exchange, self._clock.now_ms()),
                 )
             return response
-        if failure.not_run:
-            trace.possibly_run -= 1
         raise failure
 
     async def _send_directly(
         self,
         request: CallerRequest,
-        trace: Trace,
         load: loads.TargetLoad,
-        step: dict,
+        record: evidences.ExchangeRecord,
     ) -> connections.TargetResponse:
         """Send the request to a target on a connection of this entry.
 
@@ -720,22 +744,16 @@
             connections.ExchangeError: There was no complete response.
         """
         target = load.target
-        trace.connecting += 1
-        try:
-            connection = await self._pool.acquire(
-                target.address, repeatable=request.route.repeatable
-            )
-        finally:
-            trace.connecting -= 1
-        is_new = not connection.exchanges
-        step["reused"] = connection.exchanges
+        connection = await self._pool.acquire(
+            target.address, repeatable=request.route.repeatable
+        )
+        record.reused = connection.exchanges
         left_ms = max(1.0, request.deadline_ms - self._clock.now_ms())
         headers = [
             *request.headers,
             *self._dialect.target_headers(target.id, left_ms),
         ]
-        trace.sent += 1
-        trace.possibly_run += 1
+        record.begin_sending()
         try:
             response = await connection.exchange(
                 request.method,
@@ -744,22 +762,19 @@
                 request.body,
                 self._attributor.of_request(request.id, target.id),
             )
-        except connections.ExchangeError as error:
-            if error.not_run:
-                trace.sent -= 1
-                trace.possibly_run -= 1
-            raise
         finally:
             self._pool.release(target.address, connection)
-        self._paths.record_response(load, self._clock.now_ms(), is_new=is_new)
+        self._paths.record_response(
+            load, self._clock.now_ms(), is_new=not record.reused
+        )
         return response
 
     async def _send_through_peer(
         self,
         request: CallerRequest,
-        trace: Trace,
         target: dialects.PublishedTarget,
         step: dict,
+        record: evidences.ExchangeRecord,
     ) -> connections.TargetResponse:
         """Let a peer send the request to a target.
 
@@ -768,8 +783,11 @@
         """
         peer = self._relay.choose(target.service)
         if peer is None:
-            raise relaying.RelayError("no peer has a path", not_run=True)
-        step["relay"] = peer.presence.entry_id
+            raise relaying.RelayError(
+                "no peer has a path",
+                evidence=evidences.Evidence.NOT_SENT_BY_PEER,
+            )
+        step["relay"] = record.peer_id = peer.presence.entry_id
         relayed = relaying.RelayedRequest(
             request.method,
             request.path,
@@ -778,16 +796,12 @@
             request.route.repeatable,
             request.deadline_ms,
         )
-        trace.sent += 1
-        trace.possibly_run += 1
+        record.begin_sending()
         result = relaying.Result.RESPONSE
         try:
             return await self._relay.exchange(peer, target, relayed)
         except relaying.RelayError as error:
             result = error.result or "unknown"
-            if error.not_run:
-                trace.sent -= 1
-                trace.possibly_run -= 1
             raise
         finally:
             self._counters.count_relayed_request(result)
@@ -807,8 +821,8 @@
             # The request itself cannot be sent, which is no fault of the
             # target.
             load.record_cancellation(exchange)
-            raise errors.RequestError(
-                errors.Reason.BAD_REQUEST, errors.Step.WRITING, status=400
+            raise self._refusal(
+                request, trace, errors.Reason.BAD_REQUEST, status=400
             )
         if error.not_run:
             trace.connect_failures += 1
@@ -817,8 +831,8 @@
                 load, exchange.started_ms, now_ms
             ):
                 load.record_cancellation(exchange)
-                return _path_error(target_id)
-            return self._connect_error(exchange, now_ms)
+                return _path_error(target_id, error.evidence)
+            return self._connect_error(exchange, error.evidence, now_ms)
         return self._lost_error(
             request,
             exchange,
@@ -839,16 +853,16 @@
         """
         load = exchange.load
         now_ms = self._clock.now_ms()
-        if error.not_run:
+        if error.evidence.proves_not_run:
             trace.connect_failures += 1
             # The peer may have lost its own path without knowing it yet.
             if (
                 error.result is relaying.Result.CONNECT_FAILED
                 and not load.path.has_answered_peer_after(exchange.started_ms)
             ):
-                return self._connect_error(exchange, now_ms)
+                return self._connect_error(exchange, error.evidence, now_ms)
             load.record_cancellation(exchange)
-            return _path_error(load.target.id)
+            return _path_error(load.target.id, error.evidence)
         if error.result is relaying.Result.LOST:
             return self._lost_error(
                 request,
@@ -858,21 +872,21 @@
             )
         load.record_cancellation(exchange)
         return _AttemptError(
-            errors.Reason.CONNECTION_LOST,
-            load.target.id,
-            not_run=False,
-            is_path_fault=True,
+            errors.Reason.CONNECTION_LOST, load.target.id, is_path_fault=True
         )
 
     def _connect_error(
-        self, exchange: loads.Exchange, now_ms: float
+        self,
+        exchange: loads.Exchange,
+        evidence: evidences.Evidence,
+        now_ms: float,
     ) -> _AttemptError:
         """Record that a target accepts no connections."""
         exchange.load.record_connect_failure(exchange, now_ms)
         return _AttemptError(
             errors.Reason.CONNECT_FAILED,
             exchange.load.target.id,
-            not_run=True,
+            evidence,
             is_connect_failure=True,
         )
 
@@ -891,9 +905,7 @@
             self._record_crash(
                 request.fingerprint, load, now_ms - exchange.started_ms
             )
-        return _AttemptError(
-            errors.Reason.CONNECTION_LOST, load.target.id, not_run=False
-        )
+        return _AttemptError(errors.Reason.CONNECTION_LOST, load.target.id)
 
     def _record_crash(
         self, fingerprint: str, load: loads.TargetLoad, duration_ms: float
@@ -941,19 +953,18 @@
         load = exchange.load
         target_id = load.target.id
         now_ms = self._clock.now_ms()
-        if (
-            self._attributor.attribute(request.id, target_id, response)
-            is connections.Attribution.OTHER
-        ):
-            # On connections of this entry they are skipped, but a peer of an
-            # earlier build passes them on.
-            load.record_failure(exchange, now_ms)
-            return _AttemptError(
-                errors.Reason.CONNECTION_LOST, target_id, not_run=False
-            )
         metadata = self._dialect.parse_response(
             response.status, response.header_by_name
         )
+        attribution = self._attributor.attribute(
+            request.id, target_id, metadata.request_id, response.status
+        )
+        refusal = evidences.Evidence.REFUSED
+        if attribution is connections.Attribution.OTHER:
+            # On connections of this entry, responses to other requests are
+            # skipped, but a peer of an earlier build passes them on.
+            load.record_failure(exchange, now_ms)
+            return _AttemptError(errors.Reason.CONNECTION_LOST, target_id)
         if metadata.announcement.invalid:
             self._counters.count_invalid_announcement()
         if metadata.wrong_target:
@@ -963,7 +974,7 @@
             load.pause(self._settings.expired_target_hold_s * 1000, now_ms)
             load.record_cancellation(exchange)
             return _AttemptError(
-                errors.Reason.CONNECT_FAILED, target_id, not_run=True
+                errors.Reason.CONNECT_FAILED, target_id, refusal
             )
         if metadata.load is not None and load.apply_report(
             metadata.load, now_ms
@@ -975,28 +986,21 @@
             self._on_announcement(load)
         if metadata.not_run:
             load.record_refusal(exchange, now_ms)
-            return _AttemptError(
-                errors.Reason.TARGET_SHED, target_id, not_run=True
-            )
+            return _AttemptError(errors.Reason.TARGET_SHED, target_id, refusal)
         is_success = 200 <= response.status < 300
         if is_success and not metadata.signed:
             load.record_failure(exchange, now_ms)
-            return _AttemptError(
-                errors.Reason.CONNECTION_LOST, target_id, not_run=False
-            )
+            return _AttemptError(errors.Reason.CONNECTION_LOST, target_id)
         if metadata.reads_as_not_run and not request.route.repeatable:
             # The request may have run, so that its caller must not conclude
             # from the status of the target that it has not.
             load.record_failure(exchange, now_ms)
-            return _AttemptError(
-                errors.Reason.TARGET_ERROR, target_id, not_run=False
-            )
+            return _AttemptError(errors.Reason.TARGET_ERROR, target_id)
         if response.status >= 500:
             load.record_failure(exchange, now_ms)
             return _AttemptError(
                 errors.Reason.TARGET_ERROR,
                 target_id,
-                not_run=False,
                 response=response,
             )
         load.record_success(exchange, now_ms)
@@ -1028,7 +1032,7 @@
             if not isinstance(error, _AttemptError):
                 raise error
             failures.append(error)
-    raise min(failures, key=lambda failure: failure.not_run)
+    raise min(failures, key=lambda failure: failure.evidence.proves_not_run)
 
 
 def _relative_time(exchange: loads.Exchange, now_ms: float) -> float:
@@ -1051,12 +1055,12 @@
     return hedging.Result.WON if hedge.done() else hedging.Result.CANCELLED
 
 
-def _path_error(target_id: str) -> _AttemptError:
+def _path_error(target_id: str, evidence: evidences.Evidence) -> _AttemptError:
     """Return the error of an attempt that has not reached its target."""
     return _AttemptError(
         errors.Reason.NO_PATH,
         target_id,
-        not_run=True,
+        evidence,
         is_connect_failure=True,
         is_path_fault=True,
     )
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -20,6 +20,7 @@
 from slatechute.gateway import balancing
 from slatechute.gateway import connections
 from slatechute.gateway import dialects
+from slatechute.gateway import evidence as evidences
 from slatechute.gateway import http_server
 from slatechute.gateway import loads
 from slatechute.gateway import path_monitor
@@ -69,7 +70,7 @@
 
     Attributes:
         result: How it ended at the peer, None if the peer has not said so.
-        not_run: Whether the target certainly did not run the request.
+        evidence: What it shows about whether the request has run.
         response_started: Whether a part of the response has arrived.
     """
 
@@ -78,14 +79,19 @@
         detail: str,
         *,
         result: Result | None = None,
-        not_run: bool,
+        evidence: evidences.Evidence,
         response_started: bool = False,
     ):
         super().__init__(detail)
         self.result = result
-        self.not_run = not_run
+        self.evidence = evidence
         self.response_started = response_started
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the target certainly did not run the request."""
+        return self.evidence.proves_not_run
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayedRequest:
@@ -239,7 +245,7 @@
                 address, repeatable=request.repeatable
             )
         except connections.ExchangeError as error:
-            raise RelayError(str(error), not_run=True) from error
+            raise RelayError(str(error), evidence=error.evidence) from error
         message = messages.RelayRequest(
             target.id,
             target.incarnation,
@@ -257,7 +263,7 @@
                 "POST", RELAY_PATH, headers, content
             )
         except connections.ExchangeError as error:
-            raise RelayError(str(error), not_run=error.not_run) from error
+            raise RelayError(str(error), evidence=error.evidence) from error
         finally:
             self._pool.release(address, connection)
         return _parse(response)
@@ -483,16 +489,18 @@
     Raises:
         RelayError: The peer has passed on none.
     """
+    not_sent = evidences.Evidence.NOT_SENT_BY_PEER
+    unknown = evidences.Evidence.UNKNOWN
     if response.status in _NOT_RELAYED_STATUSES:
-        raise RelayError(f"status {response.status}", not_run=True)
+        raise RelayError(f"status {response.status}", evidence=not_sent)
     if _is_view(response.body):
-        raise RelayError("the peer's build has no relay", not_run=True)
+        raise RelayError("the peer's build has no relay", evidence=not_sent)
     try:
         message, body = _split(response.body)
     except errors.FrameError as error:
-        raise RelayError(str(error), not_run=False) from error
+        raise RelayError(str(error), evidence=unknown) from error
     if not isinstance(message, messages.RelayResponse):
-        raise RelayError(f"status {response.status}", not_run=False)
+        raise RelayError(f"status {response.status}", evidence=unknown)
     if message.result != Result.RESPONSE:
         try:
             result = Result(message.result)
@@ -501,7 +509,7 @@
         raise RelayError(
             result,
             result=result,
-            not_run=result is not Result.LOST,
+            evidence=unknown if result is Result.LOST else not_sent,
             response_started=message.response_started,
         )
     return connections.build_response(message.status, message.headers, body)
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -368,6 +368,7 @@
 }
 _EXCHANGE_FIELDS = {
     "at_ms",
+    "evidence",
     "expected_ms",
     "load_age_ms",
     "place",
