Take a refusal without an id for proof only on a new connection

What callers would see: a request that must not run twice ran and was answered 503, or ran at a second target (REFUSED, TWICE), when a target wrote a refusal without an id on a kept connection before its response.

Cause: a response without an id was attributed to the request that was sent. Only its own connection was closed after it, so the connection before it could have carried other exchanges, whose left-over it may be.

Ruled out: that a copy of such a refusal follows it, since its connection is closed. Through a peer, the entry does not know whether the peer's connection was new, so that a refusal without an id proves nothing there.

Why it works: on a connection without earlier exchanges nothing can be left over, and targets name the request in each response.

--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -714,7 +714,7 @@
                     request.service, _relative_time(exchange, now_ms)
                 )
             raise
-        failure = self._classify_response(request, exchange, response)
+        failure = self._classify_response(request, exchange, record, response)
         if load.announced.is_leaving or load.is_evacuated:
             self._pool.close_idle(target.address)
         step["result"] = failure.reason if failure else response.status
@@ -943,6 +943,7 @@
         self,
         request: CallerRequest,
         exchange: loads.Exchange,
+        record: evidences.ExchangeRecord,
         response: connections.TargetResponse,
     ) -> _AttemptError | None:
         """Update the load of the target from a response.
@@ -959,8 +960,10 @@
         attribution = self._attributor.attribute(
             request.id, target_id, metadata.request_id, response.status
         )
-        refusal = evidences.Evidence.REFUSED
-        if attribution is connections.Attribution.OTHER:
+        refusal = _refusal_evidence(record, attribution)
+        if attribution is connections.Attribution.OTHER or (
+            metadata.not_run and not refusal.proves_not_run
+        ):
             # On connections of this entry, responses to other requests are
             # skipped, but a peer of an earlier build passes them on.
             load.record_failure(exchange, now_ms)
@@ -1009,6 +1012,21 @@
         return None
 
 
+def _refusal_evidence(
+    record: evidences.ExchangeRecord,
+    attribution: connections.Attribution,
+) -> evidences.Evidence:
+    """Return what a response shows that says that the request has not run.
+
+    Without an id, it may be left over from an earlier exchange on its
+    connection.
+    """
+    is_own = attribution is connections.Attribution.OWN or (
+        record.reused == 0 and attribution is connections.Attribution.UNNAMED
+    )
+    return evidences.Evidence.REFUSED if is_own else evidences.Evidence.UNKNOWN
+
+
 async def first_success(
     tasks: set[asyncio.Task],
 ) -> connections.TargetResponse:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -355,6 +355,31 @@
     _run(check, script)
 
 
+@pytest.mark.parametrize("status", [421, 503, 429])
+def test_refusal_without_an_id_on_a_used_connection_is_no_proof(status):
+    """A request that ran at the first target ran at the second as well."""
+    stray = scripted_target.response(b"X\r\n\r\n", status, b"", not_run="1")
+
+    def script(request: bytes) -> bytes:
+        own = scripted_target.response(request)
+        return own if len(first.requests) == 1 else stray + own
+
+    async def check(fixture, *targets):
+        nonlocal first
+        first, second = targets
+        fixture.balancer.load_by_id["t1"].set_peer_in_flight("e2", 1)
+        assert (await fixture.forward(repeatable=False)).status == 200
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(repeatable=False)
+        assert caught.value.outcome is errors.Outcome.UNKNOWN
+        assert caught.value.status == 502
+        assert (len(first.requests), len(second.requests)) == (2, 0)
+        assert [e.evidence for e in fixture.trace.exchanges] == ["unknown"]
+
+    first = None
+    _run(check, script, _ok)
+
+
 def test_truncated_response_is_not_passed_on():
     """A truncated body must not look complete."""
 
