Send a request to the same address only on a new connection

What callers would see: a request that must not run twice was reported as not run although the next target of an address ran it.

After another refusal of the same request, a retry at the next target of the address could use the connection that had carried it, and a copy of it names the request.

Change: an exchange that goes the way of an earlier one of its request opens a connection. Through a peer, the entry cannot ask for that, so a second refusal by the same way proves nothing; peers of this build close their connections after a 421.

Evidence: the new test fails on the commit before (the request ends refused as not run after the target has run it) and passes with this one.

--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -111,6 +111,15 @@
         """Whether a target may have run the request."""
         return evidences.may_have_run(self.exchanges)
 
+    def has_used(self, record: evidences.ExchangeRecord) -> bool:
+        """Return whether the request was sent the same way before."""
+        way = record.address, record.peer_id
+        return any(
+            (earlier.address, earlier.peer_id) == way
+            for earlier in self.exchanges
+            if earlier is not record and earlier.evidence.is_received
+        )
+
 
 class _AttemptError(Exception):
     """An exchange ended without a usable response."""
@@ -693,7 +702,9 @@
                     request, target, step, record
                 )
             else:
-                response = await self._send_directly(request, load, record)
+                response = await self._send_directly(
+                    request, trace, load, record
+                )
         except connections.ExchangeError as error:
             step["result"] = str(error)
             record.end(error.evidence)
@@ -714,7 +725,9 @@
                     request.service, _relative_time(exchange, now_ms)
                 )
             raise
-        failure = self._classify_response(request, exchange, record, response)
+        failure = self._classify_response(
+            request, trace, exchange, record, response
+        )
         if load.announced.is_leaving or load.is_evacuated:
             self._pool.close_idle(target.address)
         step["result"] = failure.reason if failure else response.status
@@ -735,6 +748,7 @@
     async def _send_directly(
         self,
         request: CallerRequest,
+        trace: Trace,
         load: loads.TargetLoad,
         record: evidences.ExchangeRecord,
     ) -> connections.TargetResponse:
@@ -744,9 +758,13 @@
             connections.ExchangeError: There was no complete response.
         """
         target = load.target
-        connection = await self._pool.acquire(
-            target.address, repeatable=request.route.repeatable
-        )
+        if trace.has_used(record):
+            # A copy of the earlier refusal would name this request.
+            connection = await self._pool.open(target.address)
+        else:
+            connection = await self._pool.acquire(
+                target.address, repeatable=request.route.repeatable
+            )
         record.reused = connection.exchanges
         left_ms = max(1.0, request.deadline_ms - self._clock.now_ms())
         headers = [
@@ -942,6 +960,7 @@
     def _classify_response(
         self,
         request: CallerRequest,
+        trace: Trace,
         exchange: loads.Exchange,
         record: evidences.ExchangeRecord,
         response: connections.TargetResponse,
@@ -960,7 +979,7 @@
         attribution = self._attributor.attribute(
             request.id, target_id, metadata.request_id, response.status
         )
-        refusal = _refusal_evidence(record, attribution)
+        refusal = _refusal_evidence(trace, record, attribution)
         if attribution is connections.Attribution.OTHER or (
             metadata.not_run and not refusal.proves_not_run
         ):
@@ -1013,17 +1032,21 @@
 
 
 def _refusal_evidence(
+    trace: Trace,
     record: evidences.ExchangeRecord,
     attribution: connections.Attribution,
 ) -> evidences.Evidence:
     """Return what a response shows that says that the request has not run.
 
     Without an id, it may be left over from an earlier exchange on its
-    connection.
+    connection. With the id, it may be that from an earlier exchange of this
+    request, unless the connection is new.
     """
-    is_own = attribution is connections.Attribution.OWN or (
-        record.reused == 0 and attribution is connections.Attribution.UNNAMED
-    )
+    is_new = record.reused == 0
+    if attribution is connections.Attribution.OWN:
+        is_own = is_new or not trace.has_used(record)
+    else:
+        is_own = is_new and attribution is connections.Attribution.UNNAMED
     return evidences.Evidence.REFUSED if is_own else evidences.Evidence.UNKNOWN
 
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -380,6 +380,31 @@
     _run(check, script, _ok)
 
 
+def test_retry_at_the_same_address_uses_a_new_connection():
+    """A copy of the refusal that names the request stands for its response."""
+
+    def script(request: bytes) -> bytes:
+        refusal = scripted_target.response(request, 503, b"", not_run="1")
+        if scripted_target.header(request, "expect-id") == "t0":
+            return refusal
+        copy = refusal if target.connections == 1 else b""
+        return copy + scripted_target.response(request)
+
+    async def check(fixture, only):
+        nonlocal target
+        target = only
+        fixture.balancer.add_target(
+            builders.target("successor", address=target.address), 0.0
+        )
+        successor = fixture.balancer.load_by_id["successor"]
+        successor.set_peer_in_flight("e2", 1)
+        assert (await fixture.forward(repeatable=False)).status == 200
+        assert (len(target.requests), target.connections) == (2, 2)
+
+    target = None
+    _run(check, script)
+
+
 def test_truncated_response_is_not_passed_on():
     """A truncated body must not look complete."""
 
