Judge a refusal only where there is one

An answered request paid for the check of a refusal, and for the search for earlier exchanges when there was none.

--- a/slatechute/gateway/attribution.py
+++ b/slatechute/gateway/attribution.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import functools
 
 from slatechute import logs
 from slatechute import metrics
@@ -38,16 +39,18 @@
             request_id: Id of the request, empty if it has none.
             target_id: Id of the target that gets it.
         """
+        return functools.partial(self._attribute, request_id, target_id)
 
-        def attribute(
-            response: connections.TargetResponse,
-        ) -> connections.Attribution:
-            answered_id = self._dialect.request_id(response.header_by_name)
-            return self.attribute(
-                request_id, target_id, answered_id, response.status
-            )
-
-        return attribute
+    def _attribute(
+        self,
+        request_id: str,
+        target_id: str,
+        response: connections.TargetResponse,
+    ) -> connections.Attribution:
+        answered_id = self._dialect.request_id(response.header_by_name)
+        return self.attribute(
+            request_id, target_id, answered_id, response.status
+        )
 
     def attribute(
         self, request_id: str, target_id: str, answered_id: str, status: int
--- a/slatechute/gateway/evidence.py
+++ b/slatechute/gateway/evidence.py
@@ -42,16 +42,12 @@
     @property
     def proves_not_run(self) -> bool:
         """Whether the target has not run the request and never will."""
-        return self not in (Evidence.UNKNOWN, Evidence.ANSWERED)
+        return self is not Evidence.UNKNOWN and self is not Evidence.ANSWERED
 
     @property
     def is_received(self) -> bool:
         """Whether the target may have received the request."""
-        return self in (
-            Evidence.REFUSED,
-            Evidence.UNKNOWN,
-            Evidence.ANSWERED,
-        )
+        return self is Evidence.REFUSED or not self.proves_not_run
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -344,7 +344,8 @@
             request.deadline_ms,
             # A request that was sent should not be refused for lack of free
             # slots, so it is treated like a retry of the caller.
-            request.is_caller_retry or bool(trace.sent),
+            request.is_caller_retry
+            or (bool(trace.exchanges) and trace.sent > 0),
             frozenset(trace.excluded),
         )
 
@@ -662,7 +663,7 @@
                 record.evidence,
             ) from error
         finally:
-            record.end(record.evidence)
+            record.is_ended = True
             step["evidence"] = record.evidence
             if record.reused is not None:
                 step["reused"] = record.reused
@@ -758,7 +759,7 @@
             connections.ExchangeError: There was no complete response.
         """
         target = load.target
-        if trace.has_used(record):
+        if len(trace.exchanges) > 1 and trace.has_used(record):
             # A copy of the earlier refusal would name this request.
             connection = await self._pool.open(target.address)
         else:
@@ -976,10 +977,14 @@
         metadata = self._dialect.parse_response(
             response.status, response.header_by_name
         )
-        attribution = self._attributor.attribute(
-            request.id, target_id, metadata.request_id, response.status
-        )
-        refusal = _refusal_evidence(trace, record, attribution)
+        attribution = connections.Attribution.OWN
+        if metadata.request_id != request.id or not request.id:
+            attribution = self._attributor.attribute(
+                request.id, target_id, metadata.request_id, response.status
+            )
+        refusal = evidences.Evidence.UNKNOWN
+        if metadata.not_run:
+            refusal = _refusal_evidence(trace, record, attribution)
         if attribution is connections.Attribution.OTHER or (
             metadata.not_run and not refusal.proves_not_run
         ):
