Do not take a skipped response for the begin of the own one

What callers would see: a request that crashes each target that runs it was sent to one target after the other, four in place of two, when a late copy arrived before the crash.

Cause: since a copy is skipped, but its status stayed, by which the end of the connection was taken for a response that was broken off. Such an exchange counts as no crash.

Evidence: the test fails on the commit before (4 requests reach targets) and passes.

--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -468,7 +468,7 @@
             return
         self._memory.release(self)
         self._body = bytearray()
-        self._received = self._informational = 0
+        self._status = self._received = self._informational = 0
 
     def fail_for_memory(self) -> None:
         """Break off the response to free its memory."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -628,6 +628,27 @@
     _run(check, _close_connection, _close_connection, _close_connection)
 
 
+def test_crash_after_a_late_copy_is_a_crash():
+    """The copy was taken for the beginning of the response.
+
+    The request crashed one target after the other.
+    """
+    late_copy = scripted_target.response(_EARLIER)
+
+    async def check(fixture, *targets):
+        for target in targets:
+            target.closes_after_response = True
+        for _ in range(4):
+            with contextlib.suppress(errors.RequestError):
+                await fixture.forward(repeatable=False)
+            await asyncio.sleep(0.005)
+            for load in fixture.balancer.load_by_id.values():
+                load.paused_until_ms = 0.0
+        assert sum(len(target.requests) for target in targets) == 2
+
+    _run(check, *[lambda request: late_copy] * 3)
+
+
 def test_lost_connections_to_targets_that_peers_hear_are_no_crashes():
     """Connections that are reset on a cut path would quarantine requests."""
 
