Take a response without an id for the own one only as the first of its connection

What callers would see: the response that an earlier exchange had left on a kept connection, without an id, as the answer to their request (MIXED); or, behind a skipped copy on a new connection, a refusal that was believed for a request that ran (TWICE).

Change: one rule for all statuses, in the connection: a response without an id is skipped unless nothing else has arrived on the connection, and the own one is awaited. A connection is only kept after responses that name their request, so that its target names them. A request without an id opens a connection.

Ruled out: to end the exchange as unknown. The own response follows, and a target that writes something else may as well write it behind the own one.

--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -10,8 +10,8 @@
 A target may also repeat an earlier response in place of the next one. Only the
 id in a response tells, so that a response to another request is skipped and
 the next one is awaited. A response without an id is taken for that to the
-request that was sent; its connection is not used again, as a copy of it could
-not be told from a later response.
+request that was sent where it is the first one of its connection; that is not
+used again, as a copy of it could not be told from a later response.
 """
 
 import asyncio
@@ -85,8 +85,9 @@
 
     Attributes:
         OWN: The request that was sent.
-        UNNAMED: It does not say so.
-        OTHER: Another one, which was sent earlier on the connection.
+        UNNAMED: The request that was sent, since nothing else was; it does
+            not say so.
+        OTHER: Another one, or none.
     """
 
     OWN = enum.auto()
@@ -136,12 +137,14 @@
         body: Complete body.
         header_by_name: The same headers by lower-case name. The values of a
             repeated header are joined with commas.
+        is_first: Whether it is known to be the first one of its connection.
     """
 
     status: int
     headers: list[tuple[str, str]]
     body: bytes
     header_by_name: dict[str, str]
+    is_first: bool = False
 
 
 def build_response(
@@ -155,6 +158,9 @@
     return TargetResponse(status, headers, body, by_name)
 
 
+Attribute = Callable[[TargetResponse], Attribution]
+
+
 def _attribute_to_request(response: TargetResponse) -> Attribution:
     """Take each response for that to the request that was sent.
 
@@ -252,9 +258,7 @@
         path: str,
         headers: list[tuple[str, str]],
         body: bytes,
-        attribute: Callable[
-            [TargetResponse], Attribution
-        ] = _attribute_to_request,
+        attribute: Attribute = _attribute_to_request,
     ) -> TargetResponse:
         """Send a request and return the complete response.
 
@@ -451,6 +455,7 @@
         response = build_response(
             self._status, self._headers, bytes(self._body)
         )
+        response.is_first = self.exchanges == 1 and not self._misplaced
         attribution = self._attribute(response)
         if attribution is Attribution.OTHER:
             self._skip_response()
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -759,8 +759,11 @@
             connections.ExchangeError: There was no complete response.
         """
         target = load.target
-        if len(trace.exchanges) > 1 and trace.has_used(record):
-            # A copy of the earlier refusal would name this request.
+        if not request.id or (
+            len(trace.exchanges) > 1 and trace.has_used(record)
+        ):
+            # The id would not tell the response from what an earlier exchange
+            # has left on its connection.
             connection = await self._pool.open(target.address)
         else:
             connection = await self._pool.acquire(
@@ -979,8 +982,10 @@
         )
         attribution = connections.Attribution.OWN
         if metadata.request_id != request.id or not request.id:
+            # The connections of this entry skip other responses, but a peer of
+            # an earlier build passes them on.
             attribution = self._attributor.attribute(
-                request.id, target_id, metadata.request_id, response.status
+                request.id, target_id, response
             )
         refusal = evidences.Evidence.UNKNOWN
         if metadata.not_run:
@@ -988,8 +993,6 @@
         if attribution is connections.Attribution.OTHER or (
             metadata.not_run and not refusal.proves_not_run
         ):
-            # On connections of this entry, responses to other requests are
-            # skipped, but a peer of an earlier build passes them on.
             load.record_failure(exchange, now_ms)
             return _AttemptError(errors.Reason.CONNECTION_LOST, target_id)
         if metadata.announcement.invalid:
@@ -1043,16 +1046,15 @@
 ) -> evidences.Evidence:
     """Return what a response shows that says that the request has not run.
 
-    Without an id, it may be left over from an earlier exchange on its
-    connection. With the id, it may be that from an earlier exchange of this
-    request, unless the connection is new.
+    A peer does not say whether its connection had carried anything else.
     """
-    is_new = record.reused == 0
-    if attribution is connections.Attribution.OWN:
-        is_own = is_new or not trace.has_used(record)
-    else:
-        is_own = is_new and attribution is connections.Attribution.UNNAMED
-    return evidences.Evidence.REFUSED if is_own else evidences.Evidence.UNKNOWN
+    if not record.peer_id:
+        return evidences.Evidence.REFUSED
+    if attribution is connections.Attribution.OWN and not trace.has_used(
+        record
+    ):
+        return evidences.Evidence.REFUSED
+    return evidences.Evidence.UNKNOWN
 
 
 async def first_success(
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -389,10 +389,15 @@
     ) -> tuple[messages.RelayResponse, bytes]:
         address = load.target.address
         started_ms = self._clock.now_ms()
+        request_id = self._request_id(message)
         try:
-            connection = await self._pool.acquire(
-                address, repeatable=message.repeatable
-            )
+            if request_id:
+                connection = await self._pool.acquire(
+                    address, repeatable=message.repeatable
+                )
+            else:
+                # Its response cannot be told from an earlier one.
+                connection = await self._pool.open(address)
         except connections.ExchangeError:
             is_path_fault = self._paths.record_connect_failure(
                 load, started_ms, self._clock.now_ms()
@@ -411,9 +416,7 @@
                 message.path,
                 headers,
                 body,
-                self._attributor.of_request(
-                    self._request_id(message), load.target.id
-                ),
+                self._attributor.of_request(request_id, load.target.id),
             )
         except connections.ExchangeError as error:
             result = Result.CONNECT_FAILED if error.not_run else Result.LOST
