Test that refused requests without an id eject no sound target

What callers would see: while one caller sends requests without an id, the answers of a sound target to the others end: it is ejected, and they get 503. The caller itself gets 502 for requests that the target has refused as not run.

Cause, in: targets refuse a request without an id (400, not run), and the refusal names no request. Since it is no proof on a used connection, and counts as a failure of the target (`record_failure`) instead of a refusal. The share of failures passes the limit at the fourth such request.

Trace: requests with and without an id in turn, on one target: 502 for those without, share of failures 0.3, 0.45, 0.52, 0.55, then ejected for 300 ms and longer each time. answers 503, with a share of 0.

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -425,6 +425,34 @@
     _run(check, script)
 
 
+def test_refused_requests_without_an_id_do_not_eject_a_sound_target():
+    """One caller that names no requests cost the others their answers.
+
+    A target refuses a request without an id, and the refusal has none either.
+    """
+
+    def script(request: bytes) -> bytes:
+        if scripted_target.header(request, "id"):
+            return scripted_target.response(request)
+        return scripted_target.response(request, 400, b"", not_run="1")
+
+    async def check(fixture, target):
+        load = fixture.balancer.load_by_id["t0"]
+        for _ in range(6):
+            assert (await fixture.forward(repeatable=False)).status == 200
+            request = fixture.request(repeatable=False)
+            request.id = ""
+            request.headers.remove(("Id", "r1"))
+            with pytest.raises(errors.RequestError):
+                await fixture.forwarder.forward(request, forwarding.Trace())
+            # The pause after a refusal.
+            await asyncio.sleep(0.03)
+        assert load.failure_share == 0.0
+        assert len(target.requests) == 12
+
+    _run(check, script)
+
+
 def test_retry_at_the_same_address_uses_a_new_connection():
     """A copy of the refusal that names the request stands for its response."""
 
