Answer complete requests behind a response with close

What callers saw: of several requests sent on a connection without waiting, those behind a response with `Connection: close` got no answer, although the entry had read them. In a planned stop each response has that header. They also stayed in the count of in-flight requests until the caller closed, which made the stop longer.

Cause: a response with `close` ended the connection whatever was waiting behind it; only a request that was refused while it arrived waited for those before it.

Ruled out: requests that were run, as those behind the response had not been passed on.

Change: the header is sent with the last request that was complete when the close was decided. Nothing after it is parsed.

--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -274,9 +274,9 @@
         # Requests that wait for the response to the running one.
         self._pending: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task | None = None
-        # Set when the input is not parsed any further, as a request on it was
-        # refused. The requests before that one still get their responses.
-        self._is_refused = False
+        # Set when the input is not parsed any further. The requests that were
+        # complete by then still get their responses.
+        self._is_input_ended = False
         self._is_lingering = False
         self._idle_since_s = 0.0
         self._writable: asyncio.Future | None = None
@@ -307,7 +307,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._is_refused or self._is_lingering or self._transport is None:
+        if self._is_input_ended or self._transport is None:
             return
         is_head = self._incoming is None or not self._incoming.started_s
         if is_head:
@@ -461,11 +461,10 @@
         except Exception as error:
             steps.log_unexpected_error(_LOG, "handler", error)
             response = Response(500, b"internal error\n", close=True)
-        response.close = (
-            response.close
-            or not request.keep_alive
-            or (self._is_refused and not self._pending)
-        )
+        if response.close or not request.keep_alive:
+            self._end_input()
+        # Requests behind this one that were complete are answered as well.
+        response.close = self._is_input_ended and not self._pending
         if self._transport is None:
             return False
         self._transport.write(response.encode(request))
@@ -482,16 +481,21 @@
 
     def _end_with(self, response: Response) -> None:
         """Send the last response, unless an earlier request is running."""
-        self._is_refused = True
-        request, self._incoming = self._incoming, None
-        if request is not None and request.started_s:
-            self._server.active_requests -= 1
+        request = self._end_input()
         if self._task is not None or self._transport is None:
             return
         response.close = True
         self._transport.write(response.encode(request))
         self._linger()
 
+    def _end_input(self) -> Request | None:
+        """Parse no further bytes; return the request that was incomplete."""
+        self._is_input_ended = True
+        request, self._incoming = self._incoming, None
+        if request is not None and request.started_s:
+            self._server.active_requests -= 1
+        return request
+
     def _linger(self) -> None:
         """End the output, and read until the caller has ended its own."""
         self._is_lingering = True
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -274,6 +274,32 @@
     _run(check)
 
 
+@pytest.mark.parametrize("closing", ["/a", "/b"])
+def test_complete_requests_are_answered_before_a_close(closing):
+    """Pipelined requests behind a response with `close` got no answer."""
+    released = asyncio.Event()
+
+    async def handle(request):
+        await released.wait()
+        path = request.target
+        return http_server.Response(200, path.encode(), close=path == closing)
+
+    async def check(fixture):
+        fixture.server.handler = handle
+        reader, writer = await fixture.connect()
+        for path in (b"/a", b"/b", b"/c"):
+            writer.write(b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n" % path)
+        writer.write(b"PUT /d HTTP/1.1\r\nContent-Length: 5\r\n\r\nx")
+        await waiting.until(lambda: fixture.server.active_requests == 4)
+        released.set()
+        for path in (b"/a", b"/b", b"/c"):
+            assert await _read_response(reader) == (200, path)
+        assert await reader.read() == b""
+        assert fixture.server.active_requests == 0
+
+    _run(check)
+
+
 def test_connections_above_the_limit_are_marked():
     """Their requests are refused instead of left without a response."""
 
