Refuse what no target has once a stop has decided to end

What callers saw: when an entry stopped, a request that arrived between the end of its drain and the close of its connections was passed on to a target and cut without an answer. At the drain limit, requests that still waited for a target and unfinished uploads were cut without an answer as well, so that their callers could not know that they had not run, and requests at targets were cut 0.7 s before the process would be killed.

Cause: some steps of the event loop pass between the decision of `drain` and the call of `stop`, and nothing refused requests in them. At the limit, `stop` closed all connections whatever state their requests were in.

Ruled out: requests accepted late in the grace whose deadline is beyond the limit were refused before, with and without a deadline of the caller.

Change: in the step of the decision, all requests that no target has are refused as not run, with Retry-After, and later ones as they arrive. Requests at targets go on for 0.3 s more.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -64,8 +64,11 @@
 _PEER_VIEW_TIMEOUT_S = 1.0
 # An older heartbeat does not show the state of the platform.
 _MAX_HEARTBEAT_AGE_MS = 1_500.0
-# Draining ends this long before the platform would kill the process.
-_STOP_MARGIN_MS = 700.0
+# Requests whose deadline is later than this before the platform would kill the
+# process are not accepted, and those that no target has are refused then.
+_ACCEPT_MARGIN_MS = 700.0
+# Requests at targets are ended this long before that time.
+_STOP_MARGIN_MS = 400.0
 # A draining entry without requests for this long is no longer in use.
 _DRAIN_IDLE_MS = 1_200.0
 # With one reader per data centre, changes would be late while the connection of
@@ -329,17 +332,25 @@
         self._role.release()
         self.group.announce()
         start_ms = self.clock.now_ms()
-        limit_ms = self.settings.shutdown_timeout_s * 1000 - _STOP_MARGIN_MS
-        self._caller_server.start_draining(start_ms + limit_ms)
-        while (elapsed_ms := self.clock.now_ms() - start_ms) < limit_ms:
+        kill_ms = start_ms + self.settings.shutdown_timeout_s * 1000
+        limit_ms = kill_ms - _ACCEPT_MARGIN_MS
+        self._caller_server.start_draining(limit_ms)
+        while (now_ms := self.clock.now_ms()) < limit_ms:
             if (
                 not self._in_flight()
-                and elapsed_ms > self.settings.address_ttl_s * 1000
+                and now_ms - start_ms > self.settings.address_ttl_s * 1000
                 and self._caller_server.idle_ms > _DRAIN_IDLE_MS
             ):
                 break
             await asyncio.sleep(_TICK_INTERVAL_S)
-        return not self._in_flight()
+        # There is no step of the event loop between the decision and this call,
+        # so that no request is passed on which `stop` would cut.
+        self._caller_server.refuse_unsent()
+        while self._in_flight():
+            if self.clock.now_ms() >= kill_ms - _STOP_MARGIN_MS:
+                return False
+            await asyncio.sleep(_TICK_INTERVAL_S)
+        return True
 
     def _in_flight(self) -> int:
         """Return the number of requests of callers and of peers."""
--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -210,6 +210,11 @@
             lambda: Connection(self), host, port, backlog=_BACKLOG
         )
 
+    def recheck_incoming(self) -> None:
+        """Call `refuse_early` again for requests whose bodies still arrive."""
+        for connection in list(self.connections):
+            connection.recheck_incoming()
+
     async def stop(self) -> None:
         """Close the server and all connections."""
         if self._sweeper is not None:
@@ -257,10 +262,13 @@
     Attributes:
         is_over_limit: Whether the connection is above the limit, so that its
             first request is refused.
+        is_lingering: Whether the last response was written, and the end of the
+            caller's output is awaited.
     """
 
     def __init__(self, server: HttpServer):
         self.is_over_limit = False
+        self.is_lingering = False
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -277,7 +285,6 @@
         # Set when the input is not parsed any further. The requests that were
         # complete by then still get their responses.
         self._is_input_ended = False
-        self._is_lingering = False
         self._idle_since_s = 0.0
         self._writable: asyncio.Future | None = None
 
@@ -441,7 +448,7 @@
     async def _run(self) -> None:
         """Run the pending requests in order."""
         try:
-            while self._pending and not self._is_lingering:
+            while self._pending and not self.is_lingering:
                 request = self._pending.popleft()
                 try:
                     if not await self._serve(request):
@@ -474,6 +481,13 @@
             self._linger()
         return not response.close
 
+    def recheck_incoming(self) -> None:
+        """Refuse the request that is being received if it is refused now."""
+        if self._incoming is not None and self._incoming.started_s:
+            refusal = self._server.refuse_early(self._incoming)
+            if refusal is not None:
+                self._end_with(refusal)
+
     def _refuse(self, status: int, reason: errors.Reason) -> None:
         """Answer a request that cannot be received, and close."""
         self._server.on_refused(reason)
@@ -498,7 +512,7 @@
 
     def _linger(self) -> None:
         """End the output, and read until the caller has ended its own."""
-        self._is_lingering = True
+        self.is_lingering = True
         if self._transport is None:
             return
         if self._transport.can_write_eof():
@@ -518,7 +532,7 @@
 
     def check_timeouts(self, limits: Limits, now_s: float) -> None:
         """Close the connection if its caller is too slow or idle for long."""
-        if self._task is not None or self._is_lingering:
+        if self._task is not None or self.is_lingering:
             return
         if self._incoming is not None and self._incoming.started_s:
             if now_s - self._incoming.started_s > limits.body_timeout_s:
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -78,6 +78,35 @@
     deadline_ms: float
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _ForwardedRequest:
+    """A request that is being forwarded.
+
+    Attributes:
+        task: Task that waits for its response.
+        trace: Its history.
+        is_ended: Whether the stop of the entry has ended it.
+    """
+
+    task: asyncio.Task
+    trace: forwarding.Trace
+    is_ended: bool = False
+
+    @property
+    def is_at_target(self) -> bool:
+        """Whether a target may be running it."""
+        return any(
+            record.evidence.is_received and not record.is_ended
+            for record in self.trace.exchanges
+        )
+
+    def end(self) -> None:
+        """End it without a response of a target."""
+        if not self.is_ended:
+            self.is_ended = True
+            self.task.cancel()
+
+
 class CallerServer:
     """Accepts requests of callers and returns the responses of targets.
 
@@ -107,11 +136,13 @@
         self._counters = counters
         self._splitter = splitting.Splitter(random.Random())
         self._drain_deadline_ms: float | None = None
+        self._is_refusing = False
+        self._forwarded: set[_ForwardedRequest] = set()
         self._server = http_server.HttpServer(
             settings.callers_address,
             self._handle,
             limits=self._limits,
-            refuse_early=self._refuse_while_starting,
+            refuse_early=self._refuse_early,
             max_connections=settings.max_connections,
             on_refused=lambda reason: counters.count_refusal(
                 reason, errors.Outcome.NOT_RUN, ""
@@ -168,6 +199,14 @@
         """
         self._drain_deadline_ms = drain_deadline_ms
 
+    def refuse_unsent(self) -> None:
+        """Refuse all requests that no target has, from now on."""
+        self._is_refusing = True
+        self._server.recheck_incoming()
+        for forwarded in list(self._forwarded):
+            if not forwarded.is_at_target:
+                forwarded.end()
+
     def discard_removed_routes(self) -> None:
         """Discard the state of routes that the active table does not have."""
         table = self._catalogue.table
@@ -178,16 +217,24 @@
 
     # Requests.
 
-    def _refuse_while_starting(
+    def _refuse_early(
         self, http_request: http_server.Request
     ) -> http_server.Response | None:
-        """Refuse a request while the limit of its body is not known."""
-        if self._catalogue.table is not None:
+        """Refuse a request before its body.
+
+        That is while the limit of its body is not known, and in the last part
+        of a stop, in which the body may not arrive any more.
+        """
+        if self._is_refusing:
+            error = _draining_error()
+        elif self._catalogue.table is None:
+            error = self._starting_error()
+        else:
             return None
         return self._build_refusal(
             http_request,
             None,
-            self._starting_error(),
+            error,
             forwarding.Trace(),
             self._clock.now_ms(),
         )
@@ -221,7 +268,7 @@
                     errors.Reason.OVERLOAD, errors.Step.ACCEPTED
                 )
             request = self._accept(http_request, arrived_ms)
-            target_response = await self._forwarder.forward(request, trace)
+            target_response = await self._forward(request, trace)
             response = self._build_response(request, target_response, trace)
         except errors.RequestError as error:
             response = self._build_refusal(
@@ -232,10 +279,33 @@
             raise
         response.close = (
             self._drain_deadline_ms is not None
+            or self._is_refusing
             or http_request.connection.is_over_limit
         )
         return response
 
+    async def _forward(
+        self, request: forwarding.CallerRequest, trace: forwarding.Trace
+    ) -> connections.TargetResponse:
+        """Return the response of a target, unless a stop ends the request.
+
+        Raises:
+            errors.RequestError: There is no response.
+        """
+        task = asyncio.current_task()
+        cancellations = task.cancelling()
+        forwarded = _ForwardedRequest(task, trace)
+        self._forwarded.add(forwarded)
+        try:
+            return await self._forwarder.forward(request, trace)
+        except asyncio.CancelledError:
+            # The connection of the caller may have ended as well.
+            if not forwarded.is_ended or task.uncancel() > cancellations:
+                raise
+            raise _draining_error(trace) from None
+        finally:
+            self._forwarded.discard(forwarded)
+
     def _accept(
         self, http_request: http_server.Request, arrived_ms: float
     ) -> forwarding.CallerRequest:
@@ -410,15 +480,11 @@
         )
 
     def _check_draining(self, deadline_ms: float) -> None:
-        if (
+        if self._is_refusing or (
             self._drain_deadline_ms is not None
             and deadline_ms > self._drain_deadline_ms
         ):
-            raise errors.RequestError(
-                errors.Reason.STARTING,
-                errors.Step.ACCEPTED,
-                retry_after_ms=_DRAINING_RETRY_AFTER_MS,
-            )
+            raise _draining_error()
 
     def _forwarded_headers(
         self, http_request: http_server.Request
@@ -552,6 +618,35 @@
         )
 
 
+def _draining_error(
+    trace: forwarding.Trace | None = None,
+) -> errors.RequestError:
+    """Return the error for requests that a stopping entry does not finish.
+
+    Args:
+        trace: History of the request if it was accepted.
+    """
+    if trace is None:
+        step, peer = errors.Step.ACCEPTED, ""
+    else:
+        step = errors.Step.WRITTEN if trace.sent else errors.Step.WAITING
+        peer = trace.steps[-1]["target"] if trace.steps else ""
+    if trace is not None and trace.may_have_run:
+        return errors.RequestError(
+            errors.Reason.DEADLINE,
+            step,
+            peer,
+            outcome=errors.Outcome.UNKNOWN,
+            status=504,
+        )
+    return errors.RequestError(
+        errors.Reason.STARTING,
+        step,
+        peer,
+        retry_after_ms=_DRAINING_RETRY_AFTER_MS,
+    )
+
+
 def _attempt_key(host: str, method: str, path: str) -> str:
     """Return the fingerprint by which attempts of a caller are compared.
 
