Answer requests at targets at the end of a stop, and wait for the answers

What callers saw: at the end of the grace, and at a second stop signal, requests at targets were cut without an answer. A response that was written just before the end could be lost where the caller had sent bytes behind its request: closing a socket with unread bytes sends a reset, which discards what the caller has not received yet.

Cause: `stop` closed each connection at once, also those whose last response was on its way.

Ruled out: a reset by the end of the process itself, as all sockets are closed before, and the kernel goes on sending what was written to a socket without unread bytes.

Change: `stop` ends the requests at targets with a 504, so that their callers know that the entry has given up and that they may have run. It then reads on, for 0.2 s at most, until all responses are sent and their callers have closed.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -357,7 +357,8 @@
         return self._caller_server.in_flight + self._relay_server.in_flight
 
     async def stop(self) -> None:
-        """Cancel all tasks and close all servers and connections."""
+        """Answer all requests, and close all servers and connections."""
+        await self._caller_server.stop()
         for timer in self._dispatch_timer_by_service.values():
             timer.cancel()
         for task in (self._tick_task, self._peer_view_task):
@@ -368,7 +369,6 @@
         self._attempts.stop()
         self._remote_requests.stop()
         self._reader.stop()
-        await self._caller_server.stop()
         for auxiliary_server in self._auxiliary_servers:
             await auxiliary_server.stop()
         self.group.stop()
--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -34,6 +34,7 @@
 _LINGERING_S = 2.0
 # Requests that a caller may send before the response to an earlier one.
 _MAX_PIPELINED = 8
+_FINISH_INTERVAL_S = 0.01
 # Connections above the limit that stay open until their first request is
 # refused. Further ones are closed immediately.
 _MAX_REFUSED_CONNECTIONS = 64
@@ -215,6 +216,20 @@
         for connection in list(self.connections):
             connection.recheck_incoming()
 
+    async def finish(self, timeout_s: float) -> None:
+        """Wait until all responses are sent and their last ones were read.
+
+        Callers end a connection once they have read its last response.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while self.active_requests or any(
+            connection.is_lingering for connection in self.connections
+        ):
+            if loop.time() >= end_s:
+                return
+            await asyncio.sleep(_FINISH_INTERVAL_S)
+
     async def stop(self) -> None:
         """Close the server and all connections."""
         if self._sweeper is not None:
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -44,6 +44,8 @@
 # Retry-After of a draining entry: the caller can retry at another address
 # immediately.
 _DRAINING_RETRY_AFTER_MS = 20
+# Longest time for the last responses of a stop on their way to callers.
+_LAST_RESPONSES_S = 0.2
 # Time from the start of an entry until it has read its configuration, unless
 # the platform and all peers are unavailable, with a margin.
 _USUAL_START_MS = 350.0
@@ -188,7 +190,11 @@
         await self._server.start()
 
     async def stop(self) -> None:
-        """Close the server and all connections."""
+        """Answer all requests now and close the server and all connections."""
+        self.refuse_unsent()
+        for forwarded in list(self._forwarded):
+            forwarded.end()
+        await self._server.finish(_LAST_RESPONSES_S)
         await self._server.stop()
 
     def start_draining(self, drain_deadline_ms: float) -> None:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -123,6 +123,7 @@
     [
         (9.0, _ACCEPT_S + 0.1, 504),
         (_ACCEPT_S + 0.1, 9.0, 200),
+        (9.0, 9.0, 504),
     ],
 )
 def test_request_at_a_target_is_answered_at_the_drain_limit(
@@ -159,6 +160,7 @@
         assert status == 503
         assert float(headers["retry-after"]) < 0.1
         assert time.monotonic() - started_s < _ACCEPT_S + 0.15
+        assert (await callers[0].response())[0] == 504
         await stopping
         assert len(targets[0].requests) == 1
 
@@ -210,3 +212,49 @@
         await stopping
 
     _run(check)
+
+
+def test_second_signal_answers_the_requests():
+    """They were cut without an answer, those that only waited as well."""
+
+    async def check(app, targets):
+        targets[0].delay_s = 9.0
+        callers = [await _Caller.connect(app) for _ in range(2)]
+        callers[0].send()
+        await targets[0].arrived.wait()
+        callers[1].send()
+        await waiting.until(lambda: app._caller_server.in_flight == 2)
+        draining = asyncio.create_task(app.drain())
+        await asyncio.sleep(0.05)
+        draining.cancel()
+        stopping = asyncio.create_task(app.stop())
+        assert (await callers[0].response())[0] == 504
+        assert (await callers[1].response())[0] == 503
+        await stopping
+        assert len(targets[0].requests) == 1
+
+    _run(check, slots=1)
+
+
+def test_request_that_crosses_a_close_does_not_reset_the_response():
+    """The rest of a response that the caller had not read yet was lost."""
+    answer = b"x" * 60_000
+
+    def script(request):
+        return scripted_target.response(request, 200, answer)
+
+    async def check(app, targets):
+        caller = await _Caller.connect(app, receive_bytes=4_096)
+        draining = asyncio.create_task(app.drain())
+        caller.send(deadline_ms=300.0)
+        await draining
+        assert not app._caller_server.in_flight
+        caller.send(deadline_ms=300.0)
+        stopping = asyncio.create_task(app.stop())
+        await asyncio.sleep(0.05)
+        status, _, body = await caller.response()
+        assert (status, body) == (200, answer)
+        await stopping
+        assert len(targets[0].requests) == 1
+
+    _run(check, script=script)
