Send no request to a target again after a stop has decided to end

What callers saw: a request that its target refused after the drain limit was sent to another target, which was cut at its work soon after (504 instead of a refusal as not run).

Cause: only waiting requests were refused at the limit; retries went on.

Ruled out: first exchanges, which `refuse_unsent` ends before anything is sent.

Change: a hook of the forwarder denies retries from then on, so that the caller gets the response of the target or a refusal.

Measured: the new test fails on the commit before (504 instead of 503) and passes with the change.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -346,6 +346,7 @@
         # There is no step of the event loop between the decision and this call,
         # so that no request is passed on which `stop` would cut.
         self._caller_server.refuse_unsent()
+        self._forwarder.stop_retries()
         while self._in_flight():
             if self.clock.now_ms() >= kill_ms - _STOP_MARGIN_MS:
                 return False
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -204,6 +204,7 @@
         self._request_retry_token = request_retry_token
         # Exchanges with a request that ends them.
         self._owned: set[loads.Exchange] = set()
+        self._is_stopping = False
         self._budget_by_service: dict[str, budgets.RatioBudget] = {}
         self._hedge_policy = hedging.create_policy(settings.hedging)
         counters.create_hedge_series(hedging.Result, hedging.Denial)
@@ -220,6 +221,10 @@
             self._settings, hedging=settings.hedging
         )
 
+    def stop_retries(self) -> None:
+        """Send no request to a target again, as this entry ends soon."""
+        self._is_stopping = True
+
     def _budget(self, service: str) -> budgets.RatioBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
@@ -372,7 +377,7 @@
     async def _may_retry(
         self, request: CallerRequest, trace: Trace, failure: _AttemptError
     ) -> bool:
-        if not evidences.may_be_sent_again(
+        if self._is_stopping or not evidences.may_be_sent_again(
             trace.exchanges, repeatable=request.route.repeatable
         ):
             return False
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -214,6 +214,28 @@
     _run(check)
 
 
+def test_refused_request_is_not_passed_on_again_after_the_drain_limit():
+    """The second target was cut at its work soon after."""
+
+    def refuse(request):
+        return scripted_target.response(request, 503, b"", not_run="1")
+
+    async def check(app, targets):
+        for target in targets:
+            target.delay_s = _ACCEPT_S + 0.1
+        caller = await _Caller.connect(app)
+        caller.send()
+        await waiting.until(lambda: targets[0].requests or targets[1].requests)
+        stopping = asyncio.create_task(_stop(app))
+        status, headers, _ = await caller.response()
+        assert status == 503
+        assert "retry-after" in headers
+        await stopping
+        assert len(targets[0].requests) + len(targets[1].requests) == 1
+
+    _run(check, script=refuse, targets=2)
+
+
 def test_second_signal_answers_the_requests():
     """They were cut without an answer, those that only waited as well."""
 
