Count requests of peers in a stop until their responses are sent

What callers saw: nothing yet. A large response of a relayed exchange could be cut by the stop of the peer that carries it out, where the link between the two takes it slowly; the caller of the other entry then gets a 502.

Cause: a relayed exchange counted as in flight until its response was handed to the connection, not until it was sent.

Ruled out: exchanges that arrive while the peer leaves and the sender does not know; they are refused as not sent, as a second test shows.

Change: the requests of the control address count, from their headers until their responses are sent.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -283,14 +283,14 @@
             for address, handler in handlers
             if address
         ]
+        self._control_server: http_server.HttpServer | None = None
         if settings.control_address:
-            self._auxiliary_servers.append(
-                http_server.HttpServer(
-                    settings.control_address,
-                    self._handle_peer_request,
-                    limits=self._peer_request_limits,
-                )
+            self._control_server = http_server.HttpServer(
+                settings.control_address,
+                self._handle_peer_request,
+                limits=self._peer_request_limits,
             )
+            self._auxiliary_servers.append(self._control_server)
 
     @property
     def is_reading(self) -> bool:
@@ -355,7 +355,10 @@
 
     def _in_flight(self) -> int:
         """Return the number of requests of callers and of peers."""
-        return self._caller_server.in_flight + self._relay_server.in_flight
+        in_flight = self._caller_server.in_flight
+        if self._control_server is not None:
+            in_flight += self._control_server.active_requests
+        return in_flight
 
     async def stop(self) -> None:
         """Answer all requests, and close all servers and connections."""
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -242,6 +242,50 @@
     _run(check, repeatable=False)
 
 
+def test_peer_that_stops_refuses_requests_as_not_sent():
+    """A sender that does not know of the stop must not call them lost."""
+
+    async def check(fleet, target, apps, cuts):
+        drained = asyncio.create_task(apps[1].drain())
+        apps[0]._relay_client._may_relay = lambda peer, service: True
+        await asyncio.sleep(0)
+        status, headers, _ = await _send(apps[0], method="PUT", body=b"x")
+        assert status == 503
+        assert "Retry-After" in headers
+        assert not target.requests
+        await drained
+
+    _run(check, repeatable=False)
+
+
+def test_request_of_a_peer_is_in_flight_until_its_response_is_sent():
+    """A stop would cut what a slow link has not taken yet."""
+    answer = b"x" * 8_000_000
+
+    def script(request):
+        return scripted_target.response(request, 200, answer)
+
+    async def check(fleet, target, apps, cuts):
+        message = messages.RelayRequest(
+            "t1", 1, 9_000.0, "dc1", True, "GET", "/a/x", [("Host", "h")]
+        )
+        content = relaying._join(message, b"")
+        host, port = apps[1].settings.control_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /relay HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+            % len(content)
+            + content
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        assert not apps[1]._relay_server.in_flight
+        assert apps[1]._in_flight() == 1
+        await reader.readexactly(len(answer))
+        await waiting.until(lambda: not apps[1]._in_flight())
+
+    _run(check, script=script)
+
+
 def test_request_without_any_path_is_refused_at_once():
     """It would wait until its deadline although nobody can send it."""
 
