--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -34,6 +34,7 @@
 _LINGERING_S = 2.0
 # Requests that a caller may send before the response to an earlier one.
 _MAX_PIPELINED = 8
+_FINISH_INTERVAL_S = 0.01
 # Connections above the limit that stay open until their first request is
 # refused. Further ones are closed immediately.
 _MAX_REFUSED_CONNECTIONS = 64
@@ -210,6 +211,25 @@
             lambda: Connection(self), host, port, backlog=_BACKLOG
         )
 
+    def recheck_incoming(self) -> None:
+        """Call `refuse_early` again for requests whose bodies still arrive."""
+        for connection in list(self.connections):
+            connection.recheck_incoming()
+
+    async def finish(self, timeout_s: float) -> None:
+        """Wait until all responses are sent and their last ones were read.
+
+        Callers end a connection once they have read its last response.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while self.active_requests or any(
+            connection.is_lingering for connection in self.connections
+        ):
+            if loop.time() >= end_s:
+                return
+            await asyncio.sleep(_FINISH_INTERVAL_S)
+
     async def stop(self) -> None:
         """Close the server and all connections."""
         if self._sweeper is not None:
@@ -257,10 +277,13 @@
     Attributes:
         is_over_limit: Whether the connection is above the limit, so that its
             first request is refused.
+        is_lingering: Whether the last response was written, and the end of the
+            caller's output is awaited.
     """
 
     def __init__(self, server: HttpServer):
         self.is_over_limit = False
+        self.is_lingering = False
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -274,10 +297,9 @@
         # Requests that wait for the response to the running one.
         self._pending: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task | None = None
-        # Set when the input is not parsed any further, as a request on it was
-        # refused. The requests before that one still get their responses.
-        self._is_refused = False
-        self._is_lingering = False
+        # Set when the input is not parsed any further. The requests that were
+        # complete by then still get their responses.
+        self._is_input_ended = False
         self._idle_since_s = 0.0
         self._writable: asyncio.Future | None = None
 
@@ -307,7 +329,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._is_refused or self._is_lingering or self._transport is None:
+        if self._is_input_ended or self._transport is None:
             return
         is_head = self._incoming is None or not self._incoming.started_s
         if is_head:
@@ -441,7 +463,7 @@
     async def _run(self) -> None:
         """Run the pending requests in order."""
         try:
-            while self._pending and not self._is_lingering:
+            while self._pending and not self.is_lingering:
                 request = self._pending.popleft()
                 try:
                     if not await self._serve(request):
@@ -461,11 +483,10 @@
         except Exception as error:
             steps.log_unexpected_error(_LOG, "handler", error)
             response = Response(500, b"internal error\n", close=True)
-        response.close = (
-            response.close
-            or not request.keep_alive
-            or (self._is_refused and not self._pending)
-        )
+        if response.close or not request.keep_alive:
+            self._end_input()
+        # Requests behind this one that were complete are answered as well.
+        response.close = self._is_input_ended and not self._pending
         if self._transport is None:
             return False
         self._transport.write(response.encode(request))
@@ -475,6 +496,13 @@
             self._linger()
         return not response.close
 
+    def recheck_incoming(self) -> None:
+        """Refuse the request that is being received if it is refused now."""
+        if self._incoming is not None and self._incoming.started_s:
+            refusal = self._server.refuse_early(self._incoming)
+            if refusal is not None:
+                self._end_with(refusal)
+
     def _refuse(self, status: int, reason: errors.Reason) -> None:
         """Answer a request that cannot be received, and close."""
         self._server.on_refused(reason)
@@ -482,19 +510,24 @@
 
     def _end_with(self, response: Response) -> None:
         """Send the last response, unless an earlier request is running."""
-        self._is_refused = True
-        request, self._incoming = self._incoming, None
-        if request is not None and request.started_s:
-            self._server.active_requests -= 1
+        request = self._end_input()
         if self._task is not None or self._transport is None:
             return
         response.close = True
         self._transport.write(response.encode(request))
         self._linger()
 
+    def _end_input(self) -> Request | None:
+        """Parse no further bytes; return the request that was incomplete."""
+        self._is_input_ended = True
+        request, self._incoming = self._incoming, None
+        if request is not None and request.started_s:
+            self._server.active_requests -= 1
+        return request
+
     def _linger(self) -> None:
         """End the output, and read until the caller has ended its own."""
-        self._is_lingering = True
+        self.is_lingering = True
         if self._transport is None:
             return
         if self._transport.can_write_eof():
@@ -514,7 +547,7 @@
 
     def check_timeouts(self, limits: Limits, now_s: float) -> None:
         """Close the connection if its caller is too slow or idle for long."""
-        if self._task is not None or self._is_lingering:
+        if self._task is not None or self.is_lingering:
             return
         if self._incoming is not None and self._incoming.started_s:
             if now_s - self._incoming.started_s > limits.body_timeout_s:
