End an exchange at a response without an id that may be left over

What callers would see: a download that its target refuses without an id on a kept connection ended with 504 at its deadline, beside a free target; and a request without an id whose refusal follows a skipped copy ran twice.

Cause: a response without an id on a used connection was skipped like one to another request, and the own one awaited, which may never come; and requests without an id were trusted for being sent on new connections.

Change: such a response ends the exchange as unknown at once, whatever its status. Repeatable requests go on to another target; others end with 502.

Ruled out: to go on skipping. It serves the callers of a target that writes what belongs to nothing before its response, and holds those of one that does not name a response; targets name each one, so that both are faults of theirs.

--- a/slatechute/gateway/attribution.py
+++ b/slatechute/gateway/attribution.py
@@ -51,8 +51,7 @@
         answered_id = self._dialect.request_id(response.header_by_name)
         if answered_id == request_id and request_id:
             return connections.Attribution.OWN
-        # Requests without an id are sent on new connections.
-        if not answered_id and (response.is_first or not request_id):
+        if not answered_id and response.is_first:
             return connections.Attribution.UNNAMED
         self._counters.count_misplaced_response()
         _LOG.notice(
@@ -62,4 +61,6 @@
             answered_id=answered_id[:_MAX_LOGGED_ID],
             status=response.status,
         )
-        return connections.Attribution.OTHER
+        if answered_id:
+            return connections.Attribution.OTHER
+        return connections.Attribution.UNCERTAIN
--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -10,8 +10,8 @@
 A target may also repeat an earlier response in place of the next one. Only the
 id in a response tells, so that a response to another request is skipped and
 the next one is awaited. A response without an id is taken for that to the
-request that was sent where it is the first one of its connection; that is not
-used again, as a copy of it could not be told from a later response.
+request that was sent only where it is the first one of its connection; that is
+not used again, as a copy of it could not be told from a later response.
 """
 
 import asyncio
@@ -87,12 +87,14 @@
         OWN: The request that was sent.
         UNNAMED: The request that was sent, since nothing else was; it does
             not say so.
-        OTHER: Another one, or none.
+        OTHER: Another one.
+        UNCERTAIN: It does not say so, and may be left over from another one.
     """
 
     OWN = enum.auto()
     UNNAMED = enum.auto()
     OTHER = enum.auto()
+    UNCERTAIN = enum.auto()
 
 
 class ExchangeError(errors.SlatechuteError):
@@ -460,6 +462,9 @@
         if attribution is Attribution.OTHER:
             self._skip_response()
             return
+        if attribution is Attribution.UNCERTAIN:
+            self._break_off("the response names no request")
+            return
         if attribution is Attribution.UNNAMED or self._misplaced:
             self._keep_alive = False
         self._response.set_result(response)
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -36,6 +36,7 @@
 # it, probes and requests of peers show that a target is alive.
 _CRASH_CHECK_DELAY_S = 0.3
 _MAX_LOGGED_ID = 100
+_NOT_OWN = (connections.Attribution.OTHER, connections.Attribution.UNCERTAIN)
 # HTTP status of a request for which there is no target.
 _REFUSAL_STATUS = 503
 
@@ -987,15 +988,15 @@
         )
         attribution = connections.Attribution.OWN
         if metadata.request_id != request.id or not request.id:
-            # The connections of this entry skip other responses, but a peer of
-            # an earlier build passes them on.
+            # The connections of this entry return no others, but a peer of an
+            # earlier build passes them on.
             attribution = self._attributor.attribute(
                 request.id, target_id, response
             )
         refusal = evidences.Evidence.UNKNOWN
         if metadata.not_run:
             refusal = _refusal_evidence(trace, record, attribution)
-        if attribution is connections.Attribution.OTHER or (
+        if attribution in _NOT_OWN or (
             metadata.not_run and not refusal.proves_not_run
         ):
             load.record_failure(exchange, now_ms)
