Test a refusal without an id of a request without one, behind a late copy

What callers would see: a request without an id that must not run twice runs at two targets (TWICE), or is answered 503 and runs (REFUSED).

Cause, in: asks whether a response without an id is the first of its connection, but not for requests without an id (`response.is_first or not request_id`), as these open a connection. A response that was skipped on it before shows that it carries a left-over; docs/design/evidence.md believes a response without an id only if nothing else has arrived on its connection.

Trace: a request without an id gets, on its new connection, a response that names another request (skipped), a 503 without an id that says "not run", and its own response. It is sent to the second target: (1, 1) requests instead of (1, 0).

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -455,6 +455,31 @@
     _run(check, script)
 
 
+def test_request_without_an_id_does_not_believe_what_follows_a_late_copy():
+    """It ran at the first target and at the second.
+
+    What has arrived before shows that the connection has a left-over.
+    """
+    stray = scripted_target.response(b"X\r\n\r\n", 503, b"", not_run="1")
+    late_copy = scripted_target.response(_EARLIER)
+
+    async def check(fixture, first, second):
+        fixture.balancer.load_by_id["t1"].set_peer_in_flight("e2", 1)
+        request = fixture.request(repeatable=False)
+        request.id = ""
+        request.headers.remove(("Id", "r1"))
+        with contextlib.suppress(errors.RequestError):
+            await fixture.forwarder.forward(request, fixture.trace)
+        assert (len(first.requests), len(second.requests)) == (1, 0)
+        assert fixture.trace.may_have_run
+
+    _run(
+        check,
+        lambda request: late_copy + stray + scripted_target.response(request),
+        _ok,
+    )
+
+
 def test_retry_at_the_same_address_uses_a_new_connection():
     """A copy of the refusal that names the request stands for its response."""
 
