Test that a refusal without an id does not hold a repeatable request

What callers would see: a download whose target refuses it without an id on a kept connection ends with 504 at its deadline, while another target is free.

Requests of bulk routes have no hedge that would replace them.

Trace: the first request is answered with its id, the second is refused without one, and nothing follows.

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -480,6 +480,30 @@
     )
 
 
+@pytest.mark.parametrize("status", [421, 503])
+def test_refusal_without_an_id_does_not_hold_a_repeatable_request(status):
+    """It waited for another response until its deadline, a free target beside.
+
+    Downloads have no hedges.
+    """
+
+    def script(request: bytes) -> bytes:
+        if len(first.requests) == 1:
+            return scripted_target.response(request)
+        return scripted_target.response(b"X\r\n\r\n", status, b"", not_run="1")
+
+    async def check(fixture, *targets):
+        nonlocal first
+        first, second = targets
+        fixture.balancer.load_by_id["t1"].set_peer_in_flight("e2", 1)
+        assert (await fixture.forward(bulk=True)).status == 200
+        assert (await fixture.forward(bulk=True)).status == 200
+        assert (len(first.requests), len(second.requests)) == (2, 1)
+
+    first = None
+    _run(check, script, _ok)
+
+
 def test_retry_at_the_same_address_uses_a_new_connection():
     """A copy of the refusal that names the request stands for its response."""
 
