--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -485,6 +485,8 @@
     DATA_CENTRES = ("z1", "z1", "z1", "z1", "z2", "z2")
     # Time from the stop signal until the process would be killed.
     STOP_S = 2.4
+    # Timeout of the routes.
+    TIMEOUT_S = 1.0
     LIMIT_PER_S = 5.0
 
     def __init__(
@@ -574,7 +576,7 @@
                 "target_latency_s": 0.3,
                 "action": {
                     "service": service,
-                    "timeout_s": 1.0,
+                    "timeout_s": self.TIMEOUT_S,
                     "max_attempts": 3,
                 },
             }
