Count the time of a stop from its signal

What callers saw: nothing yet. The platform's time until it kills a process begins with the signal, while an entry counted from the step of its event loop that handled it. A step of 0.4 s or more would have let the kill cut the last requests.

Cause: the signal was noticed only by the event loop.

Ruled out: a signal during the start. No configuration has been adopted then, and requests are refused before their bodies.

Change: the handler of the signal notes its time, which runs between two instructions of the busy step. The drain is shorter by what has passed since. How long callers may keep the address still counts from the announcement.

Measured: a signal at the beginning of a step of 0.3 s is counted with 0.3 s or more.

--- a/slatechute/application.py
+++ b/slatechute/application.py
@@ -248,9 +248,12 @@
             self._tasks.append(asyncio.create_task(poller.run()))
         _LOG.info("entry_started", boot_id=self.boot_id)
 
-    async def drain(self) -> bool:
+    async def drain(self, elapsed_s: float = 0.0) -> bool:
         """Leave the fleet and wait for the requests in flight.
 
+        Args:
+            elapsed_s: Time since the stop signal.
+
         Returns:
             False if requests were still in flight at the drain limit.
         """
@@ -260,8 +263,9 @@
         self._schedule_plan()
         _LOG.info("entry_draining")
         start_ms = self.clock.now_ms()
+        limit_ms = self.settings.drain_limit_ms - elapsed_s * 1000
         keep_ms = self._configuration.fleet.keep_ms
-        while self.clock.now_ms() - start_ms < self.settings.drain_limit_ms:
+        while self.clock.now_ms() - start_ms < limit_ms:
             may_be_cached = self.clock.now_ms() - start_ms < keep_ms
             if not may_be_cached and not self._callers.inflight:
                 return True
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -322,9 +322,12 @@
             hedging=_hedging_fields(self.settings),
         )
 
-    async def drain(self) -> bool:
+    async def drain(self, elapsed_s: float = 0.0) -> bool:
         """Announce that the entry is leaving and finish in-flight requests.
 
+        Args:
+            elapsed_s: Time since the stop signal.
+
         Returns:
             False if requests were still in flight when the time limit ended.
         """
@@ -332,7 +335,8 @@
         self._role.release()
         self.group.announce()
         start_ms = self.clock.now_ms()
-        kill_ms = start_ms + self.settings.shutdown_timeout_s * 1000
+        left_s = self.settings.shutdown_timeout_s - elapsed_s
+        kill_ms = start_ms + left_s * 1000
         limit_ms = kill_ms - _ACCEPT_MARGIN_MS
         self._caller_server.start_draining(limit_ms)
         while (now_ms := self.clock.now_ms()) < limit_ms:
--- a/slatechute/process.py
+++ b/slatechute/process.py
@@ -4,6 +4,8 @@
 from collections.abc import Coroutine
 import errno
 import signal
+import time
+import types
 from typing import Any, Protocol
 
 from slatechute import errors
@@ -29,9 +31,12 @@
         """Open the ports and serve."""
         ...
 
-    async def drain(self) -> bool | None:
+    async def drain(self, elapsed_s: float) -> bool | None:
         """Leave the fleet and finish the requests in flight.
 
+        Args:
+            elapsed_s: Time since the stop signal, which counts for the limit.
+
         Returns:
             False if requests were interrupted at the drain limit.
         """
@@ -57,13 +62,29 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_log_unhandled)
     drain_requested, stop_requested = asyncio.Event(), asyncio.Event()
+    signalled_s = 0.0
 
-    def on_signal(number: signal.Signals) -> None:
+    def on_signal(number: signal.Signals, received_s: float) -> None:
+        nonlocal signalled_s
         _LOG.notice("signal_received", signal=number.name)
-        (stop_requested if drain_requested.is_set() else drain_requested).set()
+        if drain_requested.is_set():
+            stop_requested.set()
+        else:
+            signalled_s = received_s
+            drain_requested.set()
+
+    def record_signal(number: int, frame: types.FrameType | None) -> None:
+        # The event loop may be busy, while the time until the process is killed
+        # passes.
+        del frame
+        loop.call_soon_threadsafe(
+            on_signal, signal.Signals(number), time.monotonic()
+        )
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal, number)
+    previous_by_number = {
+        number: signal.signal(number, record_signal)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
     try:
         # A signal during the start needs no drain, since no request has been
         # accepted yet.
@@ -72,7 +93,9 @@
         _LOG.notice("entry_started")
         await drain_requested.wait()
         _LOG.notice("entry_draining")
-        clean = await _run_interruptible(application.drain(), stop_requested)
+        clean = await _run_interruptible(
+            application.drain(time.monotonic() - signalled_s), stop_requested
+        )
         _LOG.notice("entry_drained", clean=clean)
         return clean
     except OSError as error:
@@ -83,8 +106,8 @@
         ) from None
     finally:
         await _stop(application)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.remove_signal_handler(number)
+        for number, previous in previous_by_number.items():
+            signal.signal(number, previous)
 
 
 async def _run_interruptible(
--- a/tests/commands/test_entry.py
+++ b/tests/commands/test_entry.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import time
 import types
 
 import pytest
@@ -28,7 +29,7 @@
         self._address = addresses.split_address(entry_settings.address)
     async def start(self):
         self._server = await asyncio.start_server(print, *self._address)
-    async def drain(self):
+    async def drain(self, elapsed_s):
         print("draining", flush=True)
     async def stop(self):
         print("stopped", flush=True)
@@ -47,6 +48,7 @@
 
     def __init__(self, signals=(), *, clean=None, error=None, hang=()):
         self.calls = []
+        self.elapsed_s = 0.0
         self._signals = dict(signals)
         self._clean = clean
         self._error = error
@@ -66,7 +68,8 @@
         if self._error:
             raise self._error
 
-    async def drain(self):
+    async def drain(self, elapsed_s):
+        self.elapsed_s = elapsed_s
         await self._step("drain")
         return self._clean
 
@@ -95,6 +98,22 @@
     assert application.calls == ["start", "drain", "stop"]
 
 
+def test_time_of_a_busy_event_loop_counts_for_the_drain():
+    """Guards against a drain that the platform's kill interrupts."""
+
+    class _BusyApplication(_FakeApplication):
+        async def start(self):
+            asyncio.get_running_loop().call_later(0.01, self._block)
+
+        def _block(self):
+            os.kill(os.getpid(), signal.SIGTERM)
+            time.sleep(0.3)
+
+    application = _BusyApplication()
+    assert _run(application) == 0
+    assert 0.3 <= application.elapsed_s < 1.0
+
+
 def test_signal_during_start_stops():
     """Guards against a start that waits for the platform and blocks a stop."""
     application = _FakeApplication({"start": [signal.SIGTERM]}, hang=["start"])
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -90,10 +90,10 @@
         return int(lines[0].split()[1]), header_by_name, body
 
 
-async def _stop(app):
+async def _stop(app, elapsed_s=0.0):
     """Stop an entry as `process.run` does; return the time that it took."""
     started_s = time.monotonic()
-    await app.drain()
+    await app.drain(elapsed_s)
     await app.stop()
     return time.monotonic() - started_s
 
@@ -258,6 +258,21 @@
     _run(check, slots=1)
 
 
+def test_time_before_the_drain_shortens_it():
+    """The process would be killed before it has answered the requests."""
+
+    async def check(app, targets):
+        targets[0].delay_s = 9.0
+        caller = await _Caller.connect(app)
+        caller.send()
+        await targets[0].arrived.wait()
+        stopping = asyncio.create_task(_stop(app, elapsed_s=0.5))
+        assert (await caller.response())[0] == 504
+        assert await stopping < _KILL_S - 0.5
+
+    _run(check)
+
+
 def test_request_that_crosses_a_close_does_not_reset_the_response():
     """The rest of a response that the caller had not read yet was lost."""
     answer = b"x" * 60_000
