Close the port before the connections at the end of a stop

What callers saw: callers that opened a connection just before the end had it closed before their first request was read, so that they could not know whether it had run.

Cause: the port and all connections were closed in the same step.

Ruled out: that such requests were passed on; none of them reached a target.

Change: the port is closed first. For 50 ms more, requests on connections that are open already are refused as not run.

Measured: the new test fails on the commit before.

--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -35,6 +35,8 @@
 # Requests that a caller may send before the response to an earlier one.
 _MAX_PIPELINED = 8
 _FINISH_INTERVAL_S = 0.01
+# Time for the first request of a connection that was accepted last.
+_MIN_FINISH_S = 0.05
 # Connections above the limit that stay open until their first request is
 # refused. Further ones are closed immediately.
 _MAX_REFUSED_CONNECTIONS = 64
@@ -217,16 +219,21 @@
             connection.recheck_incoming()
 
     async def finish(self, timeout_s: float) -> None:
-        """Wait until all responses are sent and their last ones were read.
+        """Stop to listen, and wait until callers have read all responses.
 
-        Callers end a connection once they have read its last response.
+        Callers end a connection once they have read its last response. Those
+        that have connected just before get a response as well.
         """
+        if self._server is not None:
+            self._server.close()
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + timeout_s
-        while self.active_requests or any(
-            connection.is_lingering for connection in self.connections
+        start_s = loop.time()
+        while (
+            self.active_requests
+            or any(connection.is_lingering for connection in self.connections)
+            or (self.connections and loop.time() < start_s + _MIN_FINISH_S)
         ):
-            if loop.time() >= end_s:
+            if loop.time() >= start_s + timeout_s:
                 return
             await asyncio.sleep(_FINISH_INTERVAL_S)
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -258,6 +258,24 @@
     _run(check, slots=1)
 
 
+def test_last_connections_are_answered_and_later_ones_not_accepted():
+    """A request that was on its way at the end was cut without an answer."""
+
+    async def check(app, targets):
+        caller = await _Caller.connect(app)
+        await waiting.until(lambda: app._caller_server._server.connections)
+        stopping = asyncio.create_task(app.stop())
+        await asyncio.sleep(0.02)
+        caller.send()
+        assert (await caller.response())[0] == 503
+        with pytest.raises(ConnectionRefusedError):
+            await _Caller.connect(app)
+        await stopping
+        assert not targets[0].requests
+
+    _run(check)
+
+
 def test_time_before_the_drain_shortens_it():
     """The process would be killed before it has answered the requests."""
 
