Drop the headers of a refusal from responses of targets

What callers saw: "Slatechute-Outcome: not-run" on a response with status 200, 500 or 502 of a target that has run the request. A target that passes on the headers by which an entry refused a request of its own spoke for this entry.

Cause: the header counted as a refusal with status 503 and 429 only, but was passed on with each status. By the contract of callers, it says that the request has not run.

Ruled out: the same by a 503 or 429, which never reaches the caller as such.

Change: the four headers by which an entry refuses (outcome, reason, step, peer) are dropped from each response of a target.

--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -30,6 +30,14 @@
 # A target may pass on the headers of a downstream refusal; with another status
 # it has run the request itself.
 _REFUSAL_STATUSES = frozenset({429, 503})
+# Headers by which an entry refuses a request. Those of a target would speak for
+# this entry.
+_DROPPED_HEADERS = util_headers.HOP_BY_HOP | {
+    "slatechute-outcome",
+    "slatechute-reason",
+    "slatechute-step",
+    "slatechute-peer",
+}
 _LONG_KEEPALIVE_S = 15.0
 # A request that must not run twice, and a retry, only use connections that have
 # been idle for less than this: others may have become unresponsive meanwhile.
@@ -238,7 +246,7 @@
         [
             (k, v)
             for k, v in headers.items()
-            if k.lower() not in util_headers.HOP_BY_HOP
+            if k.lower() not in _DROPPED_HEADERS
         ],
         body,
         response.status in _REFUSAL_STATUSES
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -19,7 +19,13 @@
 
     async def handle(http: web.BaseRequest) -> web.Response:
         received_headers.update(http.headers)
-        headers = {exchange.OUTCOME_HEADER: "not-run"}
+        headers = {
+            exchange.OUTCOME_HEADER: "not-run",
+            "Slatechute-Reason": "overload",
+            "Slatechute-Step": "accepted",
+            "Slatechute-Peer": "e2",
+            "X-Other": "kept",
+        }
         return web.Response(status=status, headers=headers)
 
     async def main() -> exchange.TargetResponse:
@@ -64,6 +70,19 @@
     assert response.not_run is not_run
 
 
+@pytest.mark.parametrize("status", [200, 500, 502])
+def test_downstream_refusal_does_not_become_one_of_this_entry(status):
+    """Guards against "not-run" for a request that its target has run.
+
+    The target passes on the headers by which an entry has refused a request of
+    its own.
+    """
+    response, _ = _exchange(status, is_first=True)
+    names = {name.lower() for name, _ in response.headers}
+    assert "x-other" in names
+    assert not {name for name in names if name.startswith("slatechute-")}
+
+
 @pytest.mark.parametrize("limit", [4, 10])
 def test_connections_stay_within_the_limit(limit):
     """Guards against more connections than a target accepts from the fleet."""
