Close idle connections on which a target has written

Cause: aiohttp parses bytes that arrive on an idle connection, and hands the message to the next exchange before that has been written.

Ruled out: bytes that arrive together with the end of the response; aiohttp closes the connection then.

Change: a used connection on which something has arrived is closed in place of being used again. Nothing of the request has been written, so that it goes on another connection. New connections are left as they are, as a target may write a refusal at once.

Not covered: bytes that arrive later than the choice of the connection, and the first part of a head alone, whose rest then is a malformed response.

--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 import dataclasses
+import weakref
 
 import aiohttp
 import yarl
@@ -42,6 +43,8 @@
 # A request that must not run twice, and a retry, only use connections that have
 # been idle for less than this: others may have become unresponsive meanwhile.
 _SHORT_KEEPALIVE_S = 0.25
+# Protocols of the connections that have carried an exchange.
+_used_protocols: weakref.WeakSet[asyncio.Protocol] = weakref.WeakSet()
 
 
 class ExchangeError(errors.SlatechuteError):
@@ -102,6 +105,38 @@
         self._response.close()
 
 
+class _Response(aiohttp.ClientResponse):
+    """Response that records on which connection it arrives."""
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        """Read the headers."""
+        _used_protocols.add(connection.protocol)
+        return await super().start(connection)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Opens connections, and reuses those on which nothing has arrived."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return an idle or a new connection."""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            is_idle = not protocol.should_close
+            if is_idle or protocol not in _used_protocols:
+                return connection
+            # Bytes that arrived after the last response would be taken for the
+            # next one.
+            connection.close()
+
+
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -158,7 +193,7 @@
     def _create_session(
         self, keepalive_s: float, limit: int
     ) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(
+        connector = _Connector(
             limit=0,
             limit_per_host=limit,
             keepalive_timeout=keepalive_s,
@@ -174,6 +209,7 @@
             ),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             middlewares=(_send_once,),
+            response_class=_Response,
         )
 
     def _url(self, address: str, path: str) -> yarl.URL:
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -19,16 +19,16 @@
 from slatechute.fakes import tcp_proxy
 from slatechute.policies import baselines
 from slatechute.util import clock as clocks
+from tests import scripted_target
 
 
 @dataclasses.dataclass
 class _Setup:
     executor: execution.Executor
-    targets: list[fakes.FakeTarget]
+    targets: list[fakes.FakeTarget] | list[scripted_target.ScriptedTarget]
     proxies: list[tcp_proxy.FaultProxy]
     clock: clocks.MonotonicClock
     metrics: metrics.Metrics
-    order: list[str]
 
     def request(self, number: int = 1, **kwargs) -> requests.Request:
         rule = models.RequestRule(
@@ -52,7 +52,15 @@
 
     def runs(self, number: int = 1) -> int:
         key = f"e1-aa.1.{number}"
-        return sum(len(t.runs_by_request_id.get(key, ())) for t in self.targets)
+        return sum(_run_count(target, key) for target in self.targets)
+
+
+def _run_count(
+    target: fakes.FakeTarget | scripted_target.ScriptedTarget, key: str
+) -> int:
+    if isinstance(target, scripted_target.ScriptedTarget):
+        return target.run_ids.count(key)
+    return len(target.runs_by_request_id.get(key, ()))
 
 
 class _FirstTarget(baselines.RandomChoice):
@@ -65,7 +73,7 @@
 @contextlib.asynccontextmanager
 async def _setup(count: int = 2, work_ms: float = 5.0):
     async with contextlib.AsyncExitStack() as stack:
-        targets, proxies, listed = [], [], []
+        targets, proxies = [], []
         for number in range(count):
             settings = fakes.TargetSettings(
                 name=f"t{number}", work_ms=work_ms, fixed_work=True
@@ -78,24 +86,41 @@
             stack.push_async_callback(proxy.stop)
             targets.append(target)
             proxies.append(proxy)
-            listed.append(
-                instances.Target(
-                    f"t{number}", "plans", proxy.address, "d", "live"
-                )
-            )
-        clock = clocks.MonotonicClock()
-        client = exchange.TargetClient(lambda service: 20)
-        stack.push_async_callback(client.stop)
-        counters = metrics.Metrics()
-        executor = execution.Executor(
-            _FirstTarget(clock, lambda service: listed),
-            client,
-            clock,
-            events.EventBus(),
-            lambda message: None,
-            counters,
-        )
-        yield _Setup(executor, targets, proxies, clock, counters, [])
+        addresses = [proxy.address for proxy in proxies]
+        yield _create_setup(stack, addresses, targets, proxies)
+
+
+@contextlib.asynccontextmanager
+async def _scripted_setup(*scripts: scripted_target.Script):
+    async with contextlib.AsyncExitStack() as stack:
+        targets = [scripted_target.ScriptedTarget(s) for s in scripts]
+        for target in targets:
+            await target.start()
+            stack.push_async_callback(target.stop)
+        addresses = [target.address for target in targets]
+        yield _create_setup(stack, addresses, targets, [])
+
+
+def _create_setup(
+    stack: contextlib.AsyncExitStack, addresses: list[str], targets, proxies
+) -> _Setup:
+    listed = [
+        instances.Target(f"t{number}", "plans", address, "d", "live")
+        for number, address in enumerate(addresses)
+    ]
+    clock = clocks.MonotonicClock()
+    client = exchange.TargetClient(lambda service: 20)
+    stack.push_async_callback(client.stop)
+    counters = metrics.Metrics()
+    executor = execution.Executor(
+        _FirstTarget(clock, lambda service: listed),
+        client,
+        clock,
+        events.EventBus(),
+        lambda message: None,
+        counters,
+    )
+    return _Setup(executor, targets, proxies, clock, counters)
 
 
 def _run(scenario) -> None:
@@ -379,3 +404,78 @@
         assert setup.runs() == 1
 
     _run(scenario)
+
+
+# Responses that a target writes once more. `named` is whether the target names
+# the request in its responses; those of earlier builds do not.
+
+_NAMED = pytest.mark.parametrize("named", [True, False])
+
+
+def _run_response(http: scripted_target.Exchange, *, named: bool) -> bytes:
+    http.run()
+    return scripted_target.response(200, http.request_id, named=named)
+
+
+def _refusal(http: scripted_target.Exchange, *, named: bool) -> bytes:
+    return scripted_target.response(
+        503, http.request_id, named=named, not_run=True
+    )
+
+
+async def _check_outcome(setup: _Setup, request: requests.Request) -> str:
+    """Execute a request that must not run twice and check its outcome.
+
+    Returns:
+        "served", "unknown" or "not-run".
+    """
+    try:
+        attempt = await setup.executor.execute(request)
+    except errors.RequestError as error:
+        outcome = error.outcome
+    else:
+        outcome = "served"
+        assert exchange.OUTCOME_HEADER not in dict(attempt.response.headers)
+        assert attempt.response.body == request.id.encode()
+    # The target may run the request after the response that was taken for it.
+    await asyncio.sleep(0.05)
+    runs = sum(_run_count(target, request.id) for target in setup.targets)
+    assert runs <= 1
+    assert outcome != "not-run" or runs == 0
+    return outcome
+
+
+def _run_scripted(scenario, *scripts: scripted_target.Script) -> None:
+    async def main():
+        async with _scripted_setup(*scripts) as setup:
+            await scenario(setup)
+
+    asyncio.run(main())
+
+
+@_NAMED
+@pytest.mark.parametrize("status", [200, 503])
+def test_late_copy_on_an_idle_connection_is_not_a_response(named, status):
+    """Guards against a request that is answered before it is sent."""
+
+    async def scenario(setup):
+        first = setup.request(1, repeatable=False)
+        await _check_outcome(setup, first)
+        await asyncio.sleep(0.03)
+        second = setup.request(2, repeatable=False)
+        assert await _check_outcome(setup, second) == "served"
+
+    async def script(http: scripted_target.Exchange) -> None:
+        is_refused = status == 503 and not seen_ids
+        seen_ids.append(http.request_id)
+        if is_refused:
+            data = _refusal(http, named=named)
+        else:
+            data = _run_response(http, named=named)
+        http.write(data)
+        if len(seen_ids) == 1:
+            await asyncio.sleep(0.01)
+            http.write(data)
+
+    seen_ids: list[str] = []
+    _run_scripted(scenario, script)
