Believe a refusal of a target only for the request that it names

Cause: a refusal was believed for where it arrived. It is no proof if it may be that of another request, or an earlier one of the same request: a retry, or a caller's resend with its id, may use the connection that carried the refusal.

Ruled out: to compare ids alone. It leaves the last two cases, and targets of earlier builds name nothing. To open a connection for each retry at the same target, as gateway entries do: it leaves resends.

Change: a refusal counts if it names the request, or names nothing and arrives on a connection without earlier exchanges; and a connection is closed after each refusal, so that a copy of it never arrives at another exchange. Other refusals are errors of the target with an unknown outcome.

--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -16,12 +16,14 @@
 __all__ = [
     "ExchangeError",
     "OUTCOME_HEADER",
+    "REQUEST_ID_HEADER",
     "TARGET_STATE_HEADER",
     "TargetClient",
     "TargetResponse",
 ]
 
 OUTCOME_HEADER = "Slatechute-Outcome"
+REQUEST_ID_HEADER = "Slatechute-Request-Id"
 TARGET_STATE_HEADER = "Slatechute-Target-State"
 # Responses up to this size are read completely before the caller receives the
 # first byte, so that a repeatable request can be retried if one is truncated.
@@ -69,7 +71,7 @@
         status: HTTP status.
         headers: End-to-end headers.
         body: Complete body, or None if it has to be streamed by `chunks`.
-        not_run: Whether the target reports that it did not run the request.
+        not_run: Whether the target has certainly not run the request.
         leaving: Whether the target reports that it is leaving.
     """
 
@@ -106,14 +108,44 @@
 
 
 class _Response(aiohttp.ClientResponse):
-    """Response that records on which connection it arrives."""
+    """Response that is compared with the request for which it arrived.
+
+    Attributes:
+        not_run: Whether it proves that the target did not run the request.
+    """
+
+    not_run = False
 
     async def start(
         self, connection: aiohttp.connector.Connection
     ) -> aiohttp.ClientResponse:
         """Read the headers."""
-        _used_protocols.add(connection.protocol)
-        return await super().start(connection)
+        protocol = connection.protocol
+        is_new = protocol not in _used_protocols
+        _used_protocols.add(protocol)
+        await super().start(connection)
+        answered_id = self.headers.get(REQUEST_ID_HEADER, "")
+        is_named = answered_id == self.request_info.headers[REQUEST_ID_HEADER]
+        is_refusal = (
+            self.status in _REFUSAL_STATUSES
+            and self.headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN
+        )
+        if is_refusal:
+            # The target may write it once more. The same request may follow a
+            # refusal, by a retry or resend, so that its id would not do.
+            self._prevent_reuse(protocol)
+        self.not_run = is_refusal and (is_named or (is_new and not answered_id))
+        return self
+
+    def _prevent_reuse(
+        self, protocol: aiohttp.client_proto.ResponseHandler
+    ) -> None:
+        """Close the connection at the end of the response."""
+        if self.connection is None:
+            # The response is complete, and the connection in the pool.
+            protocol.close()
+        else:
+            protocol.force_close()
 
 
 class _Connector(aiohttp.TCPConnector):
@@ -257,7 +289,7 @@
         session = self._session(request.service, keepalive_s)
         headers = [
             *request.headers,
-            ("Slatechute-Request-Id", request.id),
+            (REQUEST_ID_HEADER, request.id),
             ("Slatechute-Deadline-Ms", str(max(1, int(remaining_ms)))),
             ("Slatechute-Attempt", str(request.attempt + (not is_first))),
         ]
@@ -271,7 +303,7 @@
         return await _read_response(response)
 
 
-async def _read_response(response: aiohttp.ClientResponse) -> TargetResponse:
+async def _read_response(response: _Response) -> TargetResponse:
     headers = response.headers
     length = response.content_length
     body = None
@@ -285,8 +317,7 @@
             if k.lower() not in _DROPPED_HEADERS
         ],
         body,
-        response.status in _REFUSAL_STATUSES
-        and headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN,
+        response.not_run,
         headers.get(TARGET_STATE_HEADER) == "leaving",
         response,
     )
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -1,6 +1,7 @@
 """Tests of attempts, retries and hedges with targets behind a fault proxy."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 
@@ -412,6 +413,34 @@
 _NAMED = pytest.mark.parametrize("named", [True, False])
 
 
+def _repeating(
+    respond: Callable[[scripted_target.Exchange], bytes], *, named: bool
+) -> scripted_target.Script:
+    """Return the script of a target that repeats the last response.
+
+    It writes the last response of the connection once more before it runs the
+    next request.
+    """
+
+    async def script(http: scripted_target.Exchange) -> None:
+        if not http.earlier_bytes:
+            http.write(respond(http))
+            return
+        http.write(http.earlier_bytes[-1])
+        http.run()
+        await asyncio.sleep(0.02)
+        http.write(scripted_target.response(200, http.request_id, named=named))
+
+    return script
+
+
+def _serving(*, named: bool) -> scripted_target.Script:
+    async def script(http: scripted_target.Exchange) -> None:
+        http.write(_run_response(http, named=named))
+
+    return script
+
+
 def _run_response(http: scripted_target.Exchange, *, named: bool) -> bytes:
     http.run()
     return scripted_target.response(200, http.request_id, named=named)
@@ -453,6 +482,96 @@
     asyncio.run(main())
 
 
+@_NAMED
+def test_late_copy_of_a_refusal_does_not_stand_for_a_running_request(named):
+    """Guards against a second run because of the refusal of another request."""
+
+    async def scenario(setup):
+        for number in (1, 2):
+            request = setup.request(number, repeatable=False)
+            assert await _check_outcome(setup, request) == "served"
+
+    refusing = _repeating(lambda http: _refusal(http, named=named), named=named)
+    _run_scripted(scenario, refusing, _serving(named=named))
+
+
+@_NAMED
+def test_late_copy_of_a_refusal_is_not_reported_as_not_run(named):
+    """Guards against "not-run" for a request that the only target has run."""
+
+    async def scenario(setup):
+        first = setup.request(1, repeatable=False)
+        assert await _check_outcome(setup, first) == "not-run"
+        second = setup.request(2, repeatable=False)
+        await _check_outcome(setup, second)
+
+    refusing = _repeating(lambda http: _refusal(http, named=named), named=named)
+    _run_scripted(scenario, refusing)
+
+
+@_NAMED
+def test_refusal_is_not_read_again_by_a_retry_at_the_same_target(named):
+    """Guards against a copy that names the request, as it was sent before.
+
+    Both targets refuse the request, and the first one gets it again.
+    """
+
+    async def scenario(setup):
+        request = setup.request(repeatable=False)
+        assert await _check_outcome(setup, request) == "served"
+
+    async def second_time(http: scripted_target.Exchange) -> None:
+        attempts.append(http)
+        if len(attempts) == 1:
+            http.write(_refusal(http, named=named))
+            return
+        for data in http.earlier_bytes[-1:]:
+            http.write(data)
+            await asyncio.sleep(0.02)
+        http.write(_run_response(http, named=named))
+
+    async def refusing(http: scripted_target.Exchange) -> None:
+        http.write(_refusal(http, named=named))
+
+    attempts: list[scripted_target.Exchange] = []
+    _run_scripted(scenario, second_time, refusing)
+
+
+@_NAMED
+def test_refusal_is_not_read_again_by_a_resend(named):
+    """Guards against a copy that names the request, as the caller resends it.
+
+    A caller may send a request that was not run again, with its id.
+    """
+
+    async def scenario(setup):
+        first = setup.request(1, repeatable=False)
+        assert await _check_outcome(setup, first) == "not-run"
+        resend = setup.request(1, repeatable=False)
+        await _check_outcome(setup, resend)
+
+    refusing = _repeating(lambda http: _refusal(http, named=named), named=named)
+    _run_scripted(scenario, refusing)
+
+
+def test_refusal_without_an_id_on_a_used_connection_is_no_proof():
+    """Guards against a refusal that may answer an earlier request."""
+
+    async def scenario(setup):
+        first = setup.request(1, repeatable=False)
+        assert await _check_outcome(setup, first) == "served"
+        second = setup.request(2, repeatable=False)
+        await _check_outcome(setup, second)
+
+    async def script(http: scripted_target.Exchange) -> None:
+        if http.earlier_bytes:
+            http.write(_refusal(http, named=False))
+            await asyncio.sleep(0.02)
+        http.write(_run_response(http, named=True))
+
+    _run_scripted(scenario, script, _serving(named=True))
+
+
 @_NAMED
 @pytest.mark.parametrize("status", [200, 503])
 def test_late_copy_on_an_idle_connection_is_not_a_response(named, status):
