Pass on a response of a target only to the request that it names

What callers saw: the response to a request of another caller (R2), when a target wrote it once more before the response to the next request on the connection. The request ran without a response.

Cause: a response was passed on for where it arrived, and aiohttp released the connection to the pool while the target ran the request.

Ruled out: skipping the misplaced response. aiohttp hands out the connection at the end of its body; an unknown outcome is safe.

Change: targets name the request (`Slatechute-Request-Id`), as those of the project did already. A response that names another request ends the exchange with an unknown outcome and its connection; it is counted and logged as by gateway entries. After a response that names nothing, of a target of an earlier build, the connection is closed, so that each exchange with it opens one; their refusals are then believed again, as they come on new connections.

--- a/slatechute/attempts.py
+++ b/slatechute/attempts.py
@@ -7,6 +7,7 @@
 from slatechute import events
 from slatechute import exchange
 from slatechute import leases
+from slatechute import logs
 from slatechute import metrics
 from slatechute import requests
 from slatechute import statechart
@@ -15,11 +16,13 @@
 
 __all__ = ["Attempt", "AttemptError", "Dependencies"]
 
+_LOG = logs.get_logger(__name__)
 _CHART = statechart.load("request")
 # The slot of an older lease may have been granted to another request before the
 # exchange starts.
 _MAX_LEASE_AGE_MS = 250.0
 _RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
+_MAX_LOGGED_ID = 100
 
 _STATE_BY_STEP = {
     errors.Step.CONNECTING: "connecting",
@@ -212,6 +215,8 @@
             self.finish(leases.Result.OK)
 
     def _fail_exchange(self, err: exchange.ExchangeError) -> AttemptError:
+        if isinstance(err, exchange.MisplacedResponseError):
+            self._report_misplaced(err)
         self._state = _STATE_BY_STEP[err.step]
         not_run = _CHART.attribute(self._state, "outcome") == "not-run"
         reason = (
@@ -225,6 +230,16 @@
         failure.crashed = crashed
         return failure
 
+    def _report_misplaced(self, err: exchange.MisplacedResponseError) -> None:
+        self._dependencies.counters.count_misplaced_response()
+        _LOG.notice(
+            "response_misplaced",
+            target=self.lease.target.id,
+            request_id=self.request.id,
+            answered_id=err.answered_id[:_MAX_LOGGED_ID],
+            status=err.status,
+        )
+
     def fail(
         self, reason: errors.Reason, result: leases.Result, *, status: int
     ) -> AttemptError:
--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "ExchangeError",
+    "MisplacedResponseError",
     "OUTCOME_HEADER",
     "REQUEST_ID_HEADER",
     "TARGET_STATE_HEADER",
@@ -63,6 +64,21 @@
         self.not_run = not_run
 
 
+class MisplacedResponseError(ExchangeError):
+    """A target has answered by the response to another request.
+
+    Attributes:
+        answered_id: Id in the response.
+        status: HTTP status of the response.
+    """
+
+    def __init__(self, answered_id: str, status: int):
+        detail = "the response is to another request"
+        super().__init__(errors.Step.READING, detail, not_run=False)
+        self.answered_id = answered_id
+        self.status = status
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class TargetResponse:
     """Response of a target whose headers have arrived.
@@ -119,7 +135,11 @@
     async def start(
         self, connection: aiohttp.connector.Connection
     ) -> aiohttp.ClientResponse:
-        """Read the headers."""
+        """Read the headers.
+
+        Raises:
+            MisplacedResponseError: The response names another request.
+        """
         protocol = connection.protocol
         is_new = protocol not in _used_protocols
         _used_protocols.add(protocol)
@@ -130,11 +150,13 @@
             self.status in _REFUSAL_STATUSES
             and self.headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN
         )
-        if is_refusal:
+        if is_refusal or not is_named:
             # The target may write it once more. The same request may follow a
             # refusal, by a retry or resend, so that its id would not do.
             self._prevent_reuse(protocol)
-        self.not_run = is_refusal and (is_named or (is_new and not answered_id))
+        if answered_id and not is_named:
+            raise MisplacedResponseError(answered_id, self.status)
+        self.not_run = is_refusal and (is_named or is_new)
         return self
 
     def _prevent_reuse(
@@ -279,8 +301,8 @@
                 downstream requests as well.
 
         Raises:
-            ExchangeError: There was no response, or a buffered one was
-                truncated.
+            ExchangeError: There was no response to the request, or a buffered
+                one was truncated.
         """
         may_be_unresponsive = request.rule.repeatable and is_first
         keepalive_s = (
--- a/slatechute/fakes/target.py
+++ b/slatechute/fakes/target.py
@@ -51,6 +51,8 @@
         cold_ms: Length of the warm-up of a new instance.
         cold_factor: Factor of the execution time during the warm-up.
         restart_ms: Time from a crash until the target listens again.
+        names_requests: Whether responses name their request; targets of
+            earlier builds do not.
         report_lag_ms: Minimum age of the state that the health and load
             endpoints report; the maximum is twice as long.
         seed: Seed of the execution times.
@@ -67,6 +69,7 @@
     cold_ms: float = 0.0
     cold_factor: float = 5.0
     restart_ms: float = 500.0
+    names_requests: bool = True
     report_lag_ms: float = 500.0
     seed: int = 0
 
@@ -393,7 +396,7 @@
         if self.leaving:
             headers["Slatechute-Target-State"] = "leaving"
         request_id = request.headers.get("Slatechute-Request-Id")
-        if request_id is not None:
+        if request_id is not None and self.settings.names_requests:
             headers["Slatechute-Request-Id"] = request_id
         if isinstance(chunks, bytes):
             size = len(chunks)
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import io
+import json
 
 import pytest
 
@@ -12,6 +14,7 @@
 from slatechute import exchange
 from slatechute import execution
 from slatechute import leases
+from slatechute import logs
 from slatechute import metrics
 from slatechute import requests
 from slatechute.configuration import instances
@@ -72,12 +75,17 @@
 
 
 @contextlib.asynccontextmanager
-async def _setup(count: int = 2, work_ms: float = 5.0):
+async def _setup(
+    count: int = 2, work_ms: float = 5.0, names_requests: tuple[bool, ...] = ()
+):
     async with contextlib.AsyncExitStack() as stack:
         targets, proxies = [], []
         for number in range(count):
             settings = fakes.TargetSettings(
-                name=f"t{number}", work_ms=work_ms, fixed_work=True
+                name=f"t{number}",
+                work_ms=work_ms,
+                fixed_work=True,
+                names_requests=not names_requests or names_requests[number],
             )
             target = fakes.FakeTarget(settings)
             await target.start()
@@ -572,6 +580,27 @@
     _run_scripted(scenario, script, _serving(named=True))
 
 
+@_NAMED
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_late_copy_of_a_response_does_not_reach_another_caller(
+    named, repeatable
+):
+    """Guards against a response to another request (R2)."""
+
+    async def scenario(setup):
+        first = setup.request(1, repeatable=repeatable)
+        assert await _check_outcome(setup, first) == "served"
+        second = setup.request(2, repeatable=repeatable)
+        with contextlib.suppress(errors.RequestError):
+            attempt = await setup.executor.execute(second)
+            assert attempt.response.body == second.id.encode()
+
+    repeating = _repeating(
+        lambda http: _run_response(http, named=named), named=named
+    )
+    _run_scripted(scenario, repeating, _serving(named=named))
+
+
 @_NAMED
 @pytest.mark.parametrize("status", [200, 503])
 def test_late_copy_on_an_idle_connection_is_not_a_response(named, status):
@@ -598,3 +627,83 @@
 
     seen_ids: list[str] = []
     _run_scripted(scenario, script)
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_response_that_names_another_request_is_reported(status):
+    """Guards against repeated responses that no operator can see."""
+
+    async def scenario(setup):
+        request = setup.request(1, repeatable=False)
+        assert await _check_outcome(setup, request) == "unknown"
+        assert setup.metrics.value("misplaced_responses_total") == 1
+
+    async def script(http: scripted_target.Exchange) -> None:
+        http.run()
+        http.write(
+            scripted_target.response(
+                status, "e1-aa.1.7", named=True, not_run=status == 503
+            )
+        )
+
+    stream = io.StringIO()
+    logs.setup(stream, "info")
+    try:
+        _run_scripted(scenario, script)
+    finally:
+        logs.setup(None, "warning")
+    (line,) = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert line["event"] == "response_misplaced"
+    assert line["target"] == "t0"
+    assert line["request_id"] == "e1-aa.1.1"
+    assert line["answered_id"] == "e1-aa.1.7"
+    assert line["status"] == status
+
+
+@pytest.mark.parametrize(("named", "connections"), [(True, 1), (False, 5)])
+def test_connection_is_kept_if_responses_name_their_request(named, connections):
+    """Guards against a new connection for each request, and unsafe reuse."""
+
+    async def scenario(setup):
+        for number in range(5):
+            await setup.executor.execute(setup.request(number))
+        assert setup.targets[0].connections == connections
+
+    _run_scripted(scenario, _serving(named=named))
+
+
+@pytest.mark.parametrize(
+    "names_requests", [(True, False), (False, True), (False, False)]
+)
+def test_targets_of_earlier_builds_are_served(names_requests):
+    """Guards against an upgrade of entries that needs one of the targets.
+
+    Small, streamed and refused responses, with and without a request body.
+    """
+
+    async def main():
+        async with _setup(names_requests=names_requests) as setup:
+            setup.executor.set_rules(models.FleetRules(retry_ratio=1))
+            for number in range(32):
+                setup.targets[0].shedding = number % 2 == 0
+                setup.targets[1].shedding = number % 2 == 1
+                size = 200_000 if number % 4 < 2 else 200
+                request = setup.request(
+                    number,
+                    repeatable=False,
+                    method="POST",
+                    body=b"x" * size if number % 8 < 4 else b"",
+                    headers=[("X-Answer-Bytes", str(size))],
+                )
+                attempt = await setup.executor.execute(request)
+                response = attempt.response
+                body = response.body
+                if body is None:
+                    body = b"".join([c async for c in response.chunks()])
+                    attempt.finish(leases.Result.OK)
+                expected = fakes.response_chunks(request.id, size)
+                assert body == b"".join(expected)
+                assert setup.runs(number) == 1
+            assert setup.metrics.value("misplaced_responses_total") == 0
+
+    asyncio.run(main())
