Report a resend that is refused before its id as unknown

What callers saw: "not-run" for a request that had run. A caller that resends a request with its id, after a lost answer, was told so by an entry that refused the resend before it looked the id up: without a configuration after its restart, or for a bad header, a body that is too large or too slow, or too many connections. As a request that has not run, it may then be sent with a new id.

Cause: the refusal spoke for the resend alone.

Ruled out: refusals after the id was admitted. Those that are not run remove the id, and have evidence of each exchange.

Change: a refusal before the id is admitted has an unknown outcome if the table knows the id, or it was issued by another start or is too old for the table. New ids, and requests without one, are not run as before.

Not covered: a request whose headers cannot be parsed, as its id cannot be read.

--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -113,9 +113,10 @@
         service = ""
         try:
             if connection.is_over_limit:
-                raise errors.RequestError(
+                error = errors.RequestError(
                     errors.Reason.OVERLOAD, errors.Step.ACCEPTED
                 )
+                raise self._cover_earlier_run(error, http)
             if http.path == "/entries" and _SERVICE_HEADER not in http.headers:
                 service = http.query.get("service", "")
                 return await self._get_addresses(http, service)
@@ -170,7 +171,10 @@
     async def _serve(
         self, http: web.BaseRequest, service: str
     ) -> web.StreamResponse:
-        request = await self._accept(http, service)
+        try:
+            request = await self._accept(http, service)
+        except errors.RequestError as error:
+            raise self._cover_earlier_run(error, http) from error
         try:
             attempt = await self._executor.execute(request)
         except errors.RequestError as error:
@@ -182,6 +186,21 @@
         self._table.record_status(request.id, attempt.response.status)
         return await self._send_response(http, request, attempt)
 
+    def _cover_earlier_run(
+        self, error: errors.RequestError, http: web.BaseRequest
+    ) -> errors.RequestError:
+        """Return the error with an outcome that covers an earlier submission.
+
+        Args:
+            error: Refusal of a request whose id is not admitted.
+            http: The request.
+        """
+        request_id = http.headers.get(_ID_HEADER, "")
+        now_ms = self._clock.now_ms()
+        return error.with_earlier_attempts(
+            self._table.may_be_resend(request_id, now_ms)
+        )
+
     async def _accept(
         self, http: web.BaseRequest, service: str
     ) -> requests.Request:
--- a/slatechute/requests.py
+++ b/slatechute/requests.py
@@ -111,6 +111,22 @@
                 errors.Reason.REQUEST_TABLE_FULL, errors.Step.ACCEPTED
             )
 
+    def may_be_resend(self, supplied_id: str, now_ms: float) -> bool:
+        """Return whether a request with this id may have run.
+
+        Args:
+            supplied_id: Id from the caller, empty if there is none.
+            now_ms: Current time.
+        """
+        parsed = identifiers.parse_request_id(supplied_id)
+        if parsed is None:
+            return False
+        return (
+            supplied_id in self._expiry_by_id
+            or parsed.boot_id != self._boot_id
+            or parsed.issued_ms + REQUEST_ID_LIFETIME_MS <= now_ms
+        )
+
     def record_status(self, request_id: str, status: int) -> None:
         """Store the status of a finished request."""
         if request_id in self._expiry_by_id:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -20,8 +20,11 @@
 
 
 class _Directory:
+    def __init__(self):
+        self.services = {"plans": models.Service(slots=2)}
+
     def configuration(self) -> models.Configuration:
-        return models.Configuration(services={"plans": models.Service(slots=2)})
+        return models.Configuration(services=self.services)
 
     def addresses_for(self, service: str) -> list[dict[str, str]]:
         return []
@@ -76,10 +79,11 @@
 
     async def __aenter__(self) -> "_Server":
         clock = clocks.MonotonicClock()
+        self.directory = _Directory()
         self._server = callers.CallerServer(
             self.settings,
             _Executor(),
-            _Directory(),
+            self.directory,
             requests.RequestTable("e1-aa", 10),
             clock,
             self.metrics,
@@ -151,6 +155,72 @@
     _run(scenario)
 
 
+def _post(request_id: str, *headers: str, body: str = "") -> bytes:
+    lines = [
+        "POST /x HTTP/1.1",
+        "Host: h",
+        "Slatechute-Service: plans",
+        f"Slatechute-Request-Id: {request_id}",
+        "Connection: close",
+        *headers,
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+
+
+@pytest.mark.parametrize(
+    ("request_id", "outcome"),
+    [
+        ("e1-aa.0.ran", "unknown"),
+        ("e1-bb.0.earlier-start", "unknown"),
+        ("e1-aa.0.new", "not-run"),
+        ("malformed", "not-run"),
+    ],
+)
+@pytest.mark.parametrize(
+    "reason",
+    ["starting", "unknown_service", "bad_request", "body_too_large"],
+)
+def test_refused_resend_of_a_request_that_may_have_run(
+    reason, request_id, outcome
+):
+    """Guards against "not-run" for a resend that is refused before its id.
+
+    The caller would take the request for not run, and send it as a new one.
+    """
+
+    async def scenario(server):
+        await server.send(_post("e1-aa.0.ran"))
+        data = _post(request_id)
+        if reason == "starting":
+            server.directory.services = {}
+        elif reason == "unknown_service":
+            server.directory.services = {"kits": models.Service(slots=2)}
+        elif reason == "bad_request":
+            data = _post(request_id, "Slatechute-Deadline-Ms: x")
+        else:
+            data = _post(request_id, "Content-Length: 32", body="x" * 32)
+        response = await server.send(data)
+        assert f"Slatechute-Reason: {reason}\r\n".encode() in response
+        assert f"Slatechute-Outcome: {outcome}\r\n".encode() in response
+
+    _run(scenario, max_body_bytes=16)
+
+
+def test_refused_resend_above_the_connection_limit():
+    """Guards against "not-run" for a resend on an excess connection."""
+
+    async def scenario(server):
+        await server.send(_post("e1-aa.0.ran"))
+        await server.connect()
+        await server.connect()
+        await asyncio.sleep(0.05)
+        response = await server.send(_post("e1-aa.0.ran"))
+        assert b"Slatechute-Reason: overload" in response
+        assert b"Slatechute-Outcome: unknown" in response
+
+    _run(scenario, max_connections=2)
+
+
 def test_truncated_response_is_counted_with_its_service():
     """Guards against truncated large responses that no counter shows."""
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -41,6 +41,25 @@
         assert error.outcome is errors.Outcome.UNKNOWN
 
 
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("e1-aa.900.x", True),
+        ("e1-aa.900.y", False),
+        ("e1-bb.900.y", True),
+        ("e1-aa.900", False),
+        ("", False),
+    ],
+)
+def test_ids_of_possible_resends(text, expected):
+    """Guards against "not-run" for an id that was accepted before."""
+    table = _table()
+    table.admit("e1-aa.900.x", False, 1000.0)
+    assert table.may_be_resend(text, 1001.0) is expected
+    expired_ms = 900 + requests.REQUEST_ID_LIFETIME_MS
+    assert table.may_be_resend("e1-aa.900.y", expired_ms)
+
+
 def test_request_that_did_not_run_may_be_resent():
     """Guards against refusing the resend of a request that did not run."""
     table = _table()
