Take a hedge that ends by an unexpected error for one that may have run

What callers would see: "not-run" for a repeatable request whose hedge has run, if the hedge ends by an error that is no failure of the exchange, and the first attempt is refused.

Cause: only failures of exchanges were merged into the outcome of the request. Another error of a further attempt was dropped without a log line.

Ruled out: such an error of the first attempt, which ends the request with status 500 and no outcome; further attempts that are cancelled, which have no slot or belong to a request that has ended.

Change: the outcome is unknown, and the error is logged as `unexpected_error`.

--- a/slatechute/racing.py
+++ b/slatechute/racing.py
@@ -6,9 +6,12 @@
 from slatechute import attempts
 from slatechute import budgets
 from slatechute import errors
+from slatechute import logs
+from slatechute.util import steps
 
 __all__ = ["HedgedAttempts", "MAX_ATTEMPTS"]
 
+_LOG = logs.get_logger(__name__)
 MAX_ATTEMPTS = 3
 _MIN_HEDGE_DELAY_MS = 5.0
 # Without a hedge a second exchange starts after this time, or after this many
@@ -186,6 +189,9 @@
             self._winner = self._winner or task
         elif isinstance(error, attempts.AttemptError):
             failure.merge(error)
+        else:
+            steps.log_unexpected_error(_LOG, "exchange", error)
+            failure.may_have_run = True
 
     def _winner_result(self, failure: BaseException) -> attempts.Attempt | None:
         if self._winner is None:
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -387,6 +387,33 @@
     _run(scenario)
 
 
+def test_run_of_a_hedge_with_an_unexpected_error_has_unknown_outcome():
+    """Guards against "not-run" when a hedge has ended by a fault of the entry.
+
+    The first attempt is shed after its hedge has run.
+    """
+
+    async def scenario(setup):
+        client = setup.executor._dependencies.client
+        send = client.send
+
+        async def fail_hedge(address, *args, **kwargs):
+            response = await send(address, *args, **kwargs)
+            if address == setup.proxies[1].address:
+                raise RuntimeError("unexpected")
+            return response
+
+        client.send = fail_hedge
+        setup.targets[0].shedding = True
+        setup.proxies[0].to_client.latency_ms = 100
+        setup.executor.set_rules(models.FleetRules(retry_ratio=0))
+        error = await _error(setup, setup.request(1))
+        assert setup.runs(1) == 1
+        assert error.outcome is errors.Outcome.UNKNOWN
+
+    _run(scenario)
+
+
 def test_retries_stay_within_their_budget():
     """Guards against retries that multiply the load on failing targets."""
 
