Test random repeats of responses at targets of the product's interface

Scripted targets over loopback run, refuse, fail and repeat any earlier response of the connection, before a response, after it and while the connection is idle, with and without the id of the request. No request that must not run twice does, none that ran is reported as not run, and each response is that of its request.

Seeds fix what targets do, not the order of events in time.

--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -6,6 +6,7 @@
 import dataclasses
 import io
 import json
+import random
 
 import pytest
 
@@ -734,3 +735,64 @@
             assert setup.metrics.value("misplaced_responses_total") == 0
 
     asyncio.run(main())
+
+
+def _random_script(
+    rng: random.Random, *, named: bool
+) -> scripted_target.Script:
+    """Return a script that mixes runs, refusals and repeated responses."""
+
+    async def script(http: scripted_target.Exchange) -> None:
+        if http.earlier_bytes and rng.random() < 0.3:
+            http.write(rng.choice(http.earlier_bytes))
+            await asyncio.sleep(rng.choice([0, 0.002]))
+        if rng.random() < 0.3:
+            data = _refusal(http, named=named or rng.random() < 0.1)
+            http.write(data)
+        else:
+            http.run()
+            await asyncio.sleep(rng.choice([0, 0.002]))
+            status = rng.choice([200, 200, 200, 500, 503])
+            data = scripted_target.response(
+                status, http.request_id, named=named
+            )
+            http.write(data)
+        if rng.random() < 0.2:
+            await asyncio.sleep(rng.choice([0, 0.001, 0.005]))
+            http.write(rng.choice([data, *http.earlier_bytes]))
+
+    return script
+
+
+@_NAMED
+@pytest.mark.parametrize("seed", range(3))
+def test_random_repeats_of_responses(named, seed):
+    """Guards against each order of repeated responses that no case names."""
+    rng = random.Random(seed)
+
+    async def send(setup, number):
+        await asyncio.sleep(number * 0.001)
+        repeatable = rng.random() < 0.3
+        request = setup.request(number, repeatable=repeatable)
+        try:
+            attempt = await setup.executor.execute(request)
+        except errors.RequestError as error:
+            outcome = error.outcome
+        else:
+            outcome = "served"
+            assert attempt.response.body == request.id.encode()
+        return request, outcome
+
+    async def scenario(setup):
+        setup.executor.set_rules(models.FleetRules(retry_ratio=1))
+        numbers = range(100)
+        results = await asyncio.gather(*(send(setup, n) for n in numbers))
+        await asyncio.sleep(0.05)
+        for request, outcome in results:
+            runs = sum(_run_count(t, request.id) for t in setup.targets)
+            assert runs <= 1 or request.rule.repeatable
+            assert runs == 0 or outcome != "not-run"
+        assert sum(outcome == "served" for _, outcome in results) > 50
+
+    scripts = [_random_script(rng, named=named) for _ in range(3)]
+    _run_scripted(scenario, *scripts)
