--- a/slatechute/exchange.py
+++ b/slatechute/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 import dataclasses
+import weakref
 
 import aiohttp
 import yarl
@@ -14,13 +15,16 @@
 
 __all__ = [
     "ExchangeError",
+    "MisplacedResponseError",
     "OUTCOME_HEADER",
+    "REQUEST_ID_HEADER",
     "TARGET_STATE_HEADER",
     "TargetClient",
     "TargetResponse",
 ]
 
 OUTCOME_HEADER = "Slatechute-Outcome"
+REQUEST_ID_HEADER = "Slatechute-Request-Id"
 TARGET_STATE_HEADER = "Slatechute-Target-State"
 # Responses up to this size are read completely before the caller receives the
 # first byte, so that a repeatable request can be retried if one is truncated.
@@ -30,10 +34,20 @@
 # A target may pass on the headers of a downstream refusal; with another status
 # it has run the request itself.
 _REFUSAL_STATUSES = frozenset({429, 503})
+# Headers by which an entry refuses a request. Those of a target would speak for
+# this entry.
+_DROPPED_HEADERS = util_headers.HOP_BY_HOP | {
+    "slatechute-outcome",
+    "slatechute-reason",
+    "slatechute-step",
+    "slatechute-peer",
+}
 _LONG_KEEPALIVE_S = 15.0
 # A request that must not run twice, and a retry, only use connections that have
 # been idle for less than this: others may have become unresponsive meanwhile.
 _SHORT_KEEPALIVE_S = 0.25
+# Protocols of the connections that have carried an exchange.
+_used_protocols: weakref.WeakSet[asyncio.Protocol] = weakref.WeakSet()
 
 
 class ExchangeError(errors.SlatechuteError):
@@ -50,6 +64,21 @@
         self.not_run = not_run
 
 
+class MisplacedResponseError(ExchangeError):
+    """A target has answered by the response to another request.
+
+    Attributes:
+        answered_id: Id in the response.
+        status: HTTP status of the response.
+    """
+
+    def __init__(self, answered_id: str, status: int):
+        detail = "the response is to another request"
+        super().__init__(errors.Step.READING, detail, not_run=False)
+        self.answered_id = answered_id
+        self.status = status
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class TargetResponse:
     """Response of a target whose headers have arrived.
@@ -58,7 +87,7 @@
         status: HTTP status.
         headers: End-to-end headers.
         body: Complete body, or None if it has to be streamed by `chunks`.
-        not_run: Whether the target reports that it did not run the request.
+        not_run: Whether the target has certainly not run the request.
         leaving: Whether the target reports that it is leaving.
     """
 
@@ -94,6 +123,74 @@
         self._response.close()
 
 
+class _Response(aiohttp.ClientResponse):
+    """Response that is compared with the request for which it arrived.
+
+    Attributes:
+        not_run: Whether it proves that the target did not run the request.
+    """
+
+    not_run = False
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        """Read the headers.
+
+        Raises:
+            MisplacedResponseError: The response names another request.
+        """
+        protocol = connection.protocol
+        is_new = protocol not in _used_protocols
+        _used_protocols.add(protocol)
+        await super().start(connection)
+        answered_id = self.headers.get(REQUEST_ID_HEADER, "")
+        is_named = answered_id == self.request_info.headers[REQUEST_ID_HEADER]
+        is_refusal = (
+            self.status in _REFUSAL_STATUSES
+            and self.headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN
+        )
+        if is_refusal or not is_named:
+            # The target may write it once more. The same request may follow a
+            # refusal, by a retry or resend, so that its id would not do.
+            self._prevent_reuse(protocol)
+        if answered_id and not is_named:
+            raise MisplacedResponseError(answered_id, self.status)
+        self.not_run = is_refusal and (is_named or is_new)
+        return self
+
+    def _prevent_reuse(
+        self, protocol: aiohttp.client_proto.ResponseHandler
+    ) -> None:
+        """Close the connection at the end of the response."""
+        if self.connection is None:
+            # The response is complete, and the connection in the pool.
+            protocol.close()
+        else:
+            protocol.force_close()
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Opens connections, and reuses those on which nothing has arrived."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return an idle or a new connection."""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            is_idle = not protocol.should_close
+            if is_idle or protocol not in _used_protocols:
+                return connection
+            # Bytes that arrived after the last response would be taken for the
+            # next one.
+            connection.close()
+
+
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -150,7 +247,7 @@
     def _create_session(
         self, keepalive_s: float, limit: int
     ) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(
+        connector = _Connector(
             limit=0,
             limit_per_host=limit,
             keepalive_timeout=keepalive_s,
@@ -166,6 +263,7 @@
             ),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             middlewares=(_send_once,),
+            response_class=_Response,
         )
 
     def _url(self, address: str, path: str) -> yarl.URL:
@@ -203,8 +301,8 @@
                 downstream requests as well.
 
         Raises:
-            ExchangeError: There was no response, or a buffered one was
-                truncated.
+            ExchangeError: There was no response to the request, or a buffered
+                one was truncated.
         """
         may_be_unresponsive = request.rule.repeatable and is_first
         keepalive_s = (
@@ -213,7 +311,7 @@
         session = self._session(request.service, keepalive_s)
         headers = [
             *request.headers,
-            ("Slatechute-Request-Id", request.id),
+            (REQUEST_ID_HEADER, request.id),
             ("Slatechute-Deadline-Ms", str(max(1, int(remaining_ms)))),
             ("Slatechute-Attempt", str(request.attempt + (not is_first))),
         ]
@@ -227,7 +325,7 @@
         return await _read_response(response)
 
 
-async def _read_response(response: aiohttp.ClientResponse) -> TargetResponse:
+async def _read_response(response: _Response) -> TargetResponse:
     headers = response.headers
     length = response.content_length
     body = None
@@ -238,11 +336,10 @@
         [
             (k, v)
             for k, v in headers.items()
-            if k.lower() not in util_headers.HOP_BY_HOP
+            if k.lower() not in _DROPPED_HEADERS
         ],
         body,
-        response.status in _REFUSAL_STATUSES
-        and headers.get(OUTCOME_HEADER) == errors.Outcome.NOT_RUN,
+        response.not_run,
         headers.get(TARGET_STATE_HEADER) == "leaving",
         response,
     )
