--- a/tests/gateway/test_stopped_entries.py
+++ b/tests/gateway/test_stopped_entries.py
@@ -11,6 +11,7 @@
 import dataclasses
 import os
 import random
+import signal
 import time
 
 from aiohttp import web
@@ -187,6 +188,11 @@
             ]
             tasks = [asyncio.create_task(c.run()) for c in callers]
             await asyncio.sleep(rng.uniform(0.8, 1.6))
+            asyncio.get_running_loop().call_later(
+                rng.uniform(0.1, 1.0),
+                entry.run.process.send_signal,
+                signal.SIGHUP,
+            )
             await fleet.stop(entry)
             async with asyncio.timeout(2 * _TIMEOUT_S):
                 await asyncio.gather(*tasks)
