Show that an answer without an id is passed on from a used connection

These tests fail: the fault is open.

What callers see: the body of an earlier request of the connection instead of their own, with status 200 or 500, and the request itself has run.

A response without an id that is no refusal is still attributed to the request that was sent, on a used connection as well (`_classify_response`). Through a peer, the entry does not know whether the peer's connection was new.

Ruled out: exact copies of a response without an id. Its connection is closed after it, so that a copy cannot reach a later request. The target has to write an earlier answer, or another one, without its id.

Three cases fail here (200, 500, 200 through a peer).

--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -380,6 +380,29 @@
     _run(check, script, _ok)
 
 
+@pytest.mark.parametrize("status", [200, 500])
+def test_answer_without_an_id_on_a_used_connection_is_not_passed_on(status):
+    """A caller got what an earlier request of the connection had left."""
+    stray = scripted_target.response(b"X\r\n\r\n", status, b"first")
+
+    def script(request: bytes) -> bytes:
+        own = scripted_target.response(request)
+        return own if len(target.requests) == 1 else stray + own
+
+    async def check(fixture, only):
+        nonlocal target
+        target = only
+        assert (await fixture.forward(repeatable=False)).status == 200
+        with pytest.raises(errors.RequestError) as caught:
+            await fixture.forward(repeatable=False)
+        assert caught.value.outcome is errors.Outcome.UNKNOWN
+        assert caught.value.status == 502
+        assert (len(target.requests), target.connections) == (2, 1)
+
+    target = None
+    _run(check, script)
+
+
 def test_retry_at_the_same_address_uses_a_new_connection():
     """A copy of the refusal that names the request stands for its response."""
 
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -218,6 +218,26 @@
     _run(check, script=script, repeatable=False)
 
 
+def test_answer_without_an_id_behind_the_hop_is_not_passed_on():
+    """A caller got what an earlier request had left at the peer."""
+    stray = scripted_target.response(b"X\r\n\r\n", 200, b"first")
+
+    def script(request):
+        own = scripted_target.response(request)
+        return own if len(received) == 1 else stray + own
+
+    received = []
+
+    async def check(fleet, target, apps, cuts):
+        nonlocal received
+        received = target.requests
+        assert (await _send(apps[0]))[::2] == (200, b"ok")
+        assert (await _send(apps[0]))[0] == 502
+        assert len(target.requests) == 2
+
+    _run(check, script=script, repeatable=False)
+
+
 def test_peer_that_stops_takes_no_new_request_and_ends_those_it_has():
     """A planned stop would cut requests that were just passed on."""
 
