--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -110,7 +110,7 @@
             request_id=headers.get("id", ""),
             signed="signed" in headers,
             not_run="not-run" in headers or status == 421,
-            reads_as_not_run=status in (421, 429, 503),
+            reads_as_not_run=status in (408, 421, 429, 503),
             wrong_target=status == 421,
             load=dialects.Load(*map(int, load.split(","))) if load else None,
             announcement=dialects.Announcement(
