Keep connections that were accepted in the last step of a stop

Cause: the event loop accepts a connection some steps before it creates its transport, which fails where the server was closed in between. The socket stays open until the process has ended.

Ruled out: a slow test process, as the log shows no connection at the end of the stop, and the time is that of the end of the process.

Change: the server stops to accept, lets what it has accepted be registered, and is closed then.

Measured: the new test fails on the commit before (no response) and passes with the change.

--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -37,6 +37,8 @@
 _FINISH_INTERVAL_S = 0.01
 # Time for the first request of a connection that was accepted last.
 _MIN_FINISH_S = 0.05
+# Steps of the event loop from the accept of a connection to its registration.
+_ACCEPT_STEPS = 3
 # Connections above the limit that stay open until their first request is
 # refused. Further ones are closed immediately.
 _MAX_REFUSED_CONNECTIONS = 64
@@ -224,9 +226,14 @@
         Callers end a connection once they have read its last response. Those
         that have connected just before get a response as well.
         """
+        loop = asyncio.get_running_loop()
         if self._server is not None:
+            # A server that is closed would drop what it has just accepted.
+            for sock in self._server.sockets:
+                loop.remove_reader(sock.fileno())
+            for _ in range(_ACCEPT_STEPS):
+                await asyncio.sleep(0)
             self._server.close()
-        loop = asyncio.get_running_loop()
         start_s = loop.time()
         while (
             self.active_requests
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server of a gateway entry."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -20,7 +21,7 @@
         self.release = asyncio.Event()
         self.release.set()
         [port] = small_fleet.free_ports(1)
-        self._address = ("127.0.0.1", port)
+        self.address = ("127.0.0.1", port)
         self.server = http_server.HttpServer(
             f"127.0.0.1:{port}",
             self._handle,
@@ -39,7 +40,7 @@
         return http_server.Response(200, request.target.encode())
 
     async def connect(self):
-        return await asyncio.open_connection(*self._address)
+        return await asyncio.open_connection(*self.address)
 
 
 def _run(check, **limits):
@@ -300,6 +301,24 @@
     _run(check)
 
 
+def test_connection_accepted_in_the_last_step_gets_a_response():
+    """It stayed open, without a response, until the process had ended."""
+
+    async def check(fixture):
+        with socket.create_connection(fixture.address) as sock:
+            sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            # The server accepts the connection, and does not register it yet.
+            for _ in range(2):
+                await asyncio.sleep(0)
+            assert not fixture.server.connections
+            await fixture.server.finish(0.2)
+            await fixture.server.stop()
+            sock.setblocking(False)
+            assert sock.recv(100).startswith(b"HTTP/1.1 200 ")
+
+    _run(check)
+
+
 def test_connections_above_the_limit_are_marked():
     """Their requests are refused instead of left without a response."""
 
