--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -33,8 +33,8 @@
 METRICS_PORT = 9464
 # A start takes 0.6 s; beside other test runs it has taken several seconds.
 _START_LIMIT_S = 15.0
-_HOST = "shop.example"
-_HEALTH_PATH = "/health"
+HOST = "shop.example"
+HEALTH_PATH = "/health"
 # Longest time for an answer after the deadline that the caller has set.
 _ANSWER_MARGIN_S = 1.0
 _DEADLINE_S = 0.9
@@ -186,7 +186,7 @@
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Run a request or answer a probe."""
         self.arrived_s.append(time.monotonic())
-        if request.path == _HEALTH_PATH:
+        if request.path == HEALTH_PATH:
             self.arrived_s.pop()
             return web.Response(headers=self._headers(""))
         request_id = request.headers["X-Request-Id"]
@@ -279,6 +279,8 @@
 
     # How long a caller keeps a list of addresses.
     _LIST_S = 0.5
+    # Longest time after its first byte until a request gives up, in seconds.
+    ANSWER_LIMIT_S = _DEADLINE_S + _ANSWER_MARGIN_S
 
     def __init__(
         self,
@@ -349,8 +351,8 @@
 
     async def _request(self) -> None:
         number = len(self.requests)
-        repeatable = self._prefix != "/once/"
-        service = "limited" if self._prefix == "/limited/" else "shop"
+        kind, service = self._fleet.ROUTE_BY_PREFIX[self._prefix]
+        repeatable = kind == "safe"
         request = CallerRequest(service, repeatable)
         self.requests.append(request)
         failed: set[str] = set()
@@ -373,6 +375,17 @@
             failed.add(address)
             await asyncio.sleep(0.02)
 
+    def _send(self, writer: asyncio.StreamWriter, attempt_id: str) -> None:
+        """Send a request."""
+        kind, _ = self._fleet.ROUTE_BY_PREFIX[self._prefix]
+        method = "GET" if kind == "safe" else "POST"
+        writer.write(
+            f"{method} {self._prefix}{attempt_id} HTTP/1.1\r\n"
+            f"Host: {HOST}\r\nX-Request-Id: {attempt_id}\r\n"
+            f"X-Deadline-Ms: {_DEADLINE_S * 1000:.0f}\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+
     async def _try(self, address: str, attempt_id: str) -> tuple[Outcome, int]:
         if self._streams is None:
             host, port = address.split(":")
@@ -383,14 +396,8 @@
                 return Outcome.NOT_RUN, 0
             self._address = address
         reader, writer = self._streams
-        method = "GET" if self._prefix != "/once/" else "POST"
-        writer.write(
-            f"{method} {self._prefix}{attempt_id} HTTP/1.1\r\n"
-            f"Host: {_HOST}\r\nX-Request-Id: {attempt_id}\r\n"
-            f"X-Deadline-Ms: {_DEADLINE_S * 1000:.0f}\r\n"
-            "Content-Length: 0\r\n\r\n".encode()
-        )
-        limit_s = _DEADLINE_S + _ANSWER_MARGIN_S
+        self._send(writer, attempt_id)
+        limit_s = self.ANSWER_LIMIT_S
         if self._rng.random() < self.leaving_share:
             limit_s = self._rng.uniform(0.0, _MAX_LEAVING_S)
         try:
@@ -485,6 +492,14 @@
     DATA_CENTRES = ("z1", "z1", "z1", "z1", "z2", "z2")
     # Time from the stop signal until the process would be killed.
     STOP_S = 2.4
+    # Kind and service of each route.
+    ROUTE_BY_PREFIX = {
+        "/repeat/": ("safe", "shop"),
+        "/once/": ("unsafe", "shop"),
+        "/limited/": ("safe", "limited"),
+    }
+    MAX_BODY_BYTES = 100_000
+    CALLER = Caller
     LIMIT_PER_S = 5.0
 
     def __init__(
@@ -578,24 +593,22 @@
                     "max_attempts": 3,
                 },
             }
-            for prefix, kind, service in (
-                ("/repeat/", "safe", "shop"),
-                ("/once/", "unsafe", "shop"),
-                ("/limited/", "safe", "limited"),
-            )
+            for prefix, (kind, service) in self.ROUTE_BY_PREFIX.items()
         ]
         content = {
             "version": f"r{version}",
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 100_000,
+                "max_body_bytes": self.MAX_BODY_BYTES,
                 "header_timeout_s": 3,
                 "idle_timeout_s": 15,
             },
-            "listeners": [{"host": _HOST, "routing_rules": rules}],
+            "listeners": [{"host": HOST, "routing_rules": rules}],
             "clusters": [
-                {"name": name, "health_path": _HEALTH_PATH}
-                for name in ("shop", "limited")
+                {"name": name, "health_path": HEALTH_PATH}
+                for name in dict.fromkeys(
+                    service for _, service in self.ROUTE_BY_PREFIX.values()
+                )
             ],
         }
         self.store.put("op/config", content)
@@ -631,13 +644,18 @@
         path.write_text(json.dumps(content))
         return path
 
+    def _command(self, entry: Entry, program: pathlib.Path) -> list[str]:
+        """Return the command that starts the program of an entry."""
+        del entry
+        return [sys.executable, str(program)]
+
     def start(self, entry: Entry, build: str) -> None:
         """Start the process of an entry."""
         root = self._build_by_name[build]
         log_path = self._folder / f"{entry.id}-{len(self.runs)}-{build}.log"
         with log_path.open("w") as log:
             process = subprocess.Popen(
-                [sys.executable, str(root / "platform" / "entry.py")],
+                self._command(entry, root / "platform" / "entry.py"),
                 cwd=root,
                 env=os.environ
                 | {"SLATECHUTE_BOOT": str(self._write_settings(entry))},
@@ -707,7 +725,7 @@
     ) -> Caller:
         """Return a new caller; its `run` sends the requests."""
         name = f"c{len(self.callers) + 1}"
-        caller = Caller(
+        caller = self.CALLER(
             name,
             self,
             prefix,
--- a/tests/gateway/soak.py
+++ b/tests/gateway/soak.py
@@ -98,20 +98,30 @@
         folder: Folder for settings and logs.
         seed: Seed of the faults, the callers and the targets.
         waves: Number of times that new faults begin.
+        build: Folder of the program of the entries.
     """
 
-    def __init__(self, folder: pathlib.Path, seed: int, waves: int):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        waves: int,
+        build: pathlib.Path = earlier_builds.CURRENT,
+    ):
         self.faults: list[str] = []
         self._waves = waves
         self._rng = random.Random(f"soak-{seed}")
-        self._fleet = mixed_fleet.MixedFleet(
-            folder, {mixed_fleet.CURRENT_BUILD: earlier_builds.CURRENT}, seed
+        self._fleet = self._create_fleet(
+            folder, {mixed_fleet.CURRENT_BUILD: build}, seed
         )
         self._switches: list[_Switch] = []
         self._busy_entries: set[str] = set()
         # Address, start and end of each stop by SIGTERM.
         self._planned_stops: list[tuple[str, float, float]] = []
 
+    # Services whose requests are checked.
+    SERVICES = ("shop",)
+
     async def run(self) -> None:
         """Play the run and check it.
 
@@ -119,24 +129,17 @@
             AssertionError: A check has failed.
         """
         async with self._fleet as fleet:
-            for data_centre in ("z1", "z1", "z1", "z2", "z2"):
-                await self._add_target(data_centre)
+            await self._add_targets()
             fleet.publish_configuration()
             for entry in fleet.entries:
                 fleet.start(entry, mixed_fleet.CURRENT_BUILD)
             for entry in fleet.entries:
                 await fleet.wait_ready(entry)
-            callers = [
-                fleet.add_caller(
-                    prefix, 0.05, is_sticky=sticky, leaving_share=share
-                )
-                for prefix in ("/once/", "/repeat/", "/once/")
-                for sticky in (False, True, True)
-                for share in (0.0, 0.0, 0.3)
-            ]
+            callers = self._add_callers()
             tasks = [asyncio.create_task(c.run()) for c in callers]
             await asyncio.sleep(1.0)
             await self._play_waves()
+            self._end_faults()
             await asyncio.sleep(_CALM_S - _CHECKED_CALM_S)
             before = [len(caller.requests) for caller in callers]
             await asyncio.sleep(_CHECKED_CALM_S)
@@ -152,8 +155,34 @@
             ]
             await self._check(calm)
 
-    async def _play_waves(self) -> None:
-        faults = (
+    def _create_fleet(
+        self,
+        folder: pathlib.Path,
+        build_by_name: dict[str, pathlib.Path],
+        seed: int,
+    ) -> mixed_fleet.MixedFleet:
+        return mixed_fleet.MixedFleet(folder, build_by_name, seed)
+
+    async def _add_targets(self) -> None:
+        for data_centre in ("z1", "z1", "z1", "z2", "z2"):
+            await self._add_target(data_centre)
+
+    def _add_callers(self) -> list[mixed_fleet.Caller]:
+        return [
+            self._fleet.add_caller(
+                prefix, 0.05, is_sticky=sticky, leaving_share=share
+            )
+            for prefix in ("/once/", "/repeat/", "/once/")
+            for sticky in (False, True, True)
+            for share in (0.0, 0.0, 0.3)
+        ]
+
+    def _end_faults(self) -> None:
+        """End what has to be over before the service has to be whole again."""
+
+    def _choices(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Return the faults, those that are more likely more often."""
+        return (
             self._freeze,
             self._freeze,
             self._kill,
@@ -169,6 +198,9 @@
             self._write_odd_entry,
             self._change_configuration,
         )
+
+    async def _play_waves(self) -> None:
+        faults = self._choices()
         running: list[asyncio.Task] = []
         for _ in range(self._waves):
             count = self._rng.randint(1, _MAX_FAULTS_PER_WAVE)
@@ -311,7 +343,11 @@
 
     async def _check(self, calm: list[mixed_fleet.CallerRequest]) -> None:
         runs = self._fleet.runs_by_try()
-        requests = self._fleet.requests("shop")
+        requests = [
+            request
+            for service in self.SERVICES
+            for request in self._fleet.requests(service)
+        ]
         assert len(requests) > 100, "hardly any request was sent"
         twice = [
             (attempt.id, runs[attempt.id])
