Show that a late copy of a success without an id is passed on

A target that writes a 200 once more without the id of its request makes the entry pass it on as the answer to the next request on the connection. Refusals without an id count only on a new connection since; successes on any. The copies of the other statuses are part of the run that passes.

--- a/tests/gateway/test_soak.py
+++ b/tests/gateway/test_soak.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 import os
 import pathlib
 
@@ -23,6 +24,8 @@
 # On 11fc0b6, a refusal or a copy of one was taken for the response to a later
 # request on the connection (3), which ran twice or was reported as not run.
 _LATE_COPY_SEEDS = [3]
+# Copies of successes without an id are passed on.
+_UNNAMED_COPY_SEEDS = [1]
 
 
 def _seeds(regression_seeds: list[int]) -> list[int]:
@@ -57,3 +60,12 @@
 def test_late_copies_and_lost_paths_break_no_promise(seed, tmp_path):
     """A response to another request was taken for that of a running one."""
     _play(late_copy_soak.LateCopySoak, seed, tmp_path)
+
+
+@pytest.mark.parametrize("seed", _seeds(_UNNAMED_COPY_SEEDS))
+def test_late_copy_without_id_is_not_passed_on(seed, tmp_path):
+    """A copy of a success that names no request was passed on as the answer."""
+    create = functools.partial(
+        late_copy_soak.LateCopySoak, copies_successes_without_id=True
+    )
+    _play(create, seed, tmp_path)
