Print what the soak has played, and close its addresses

A run without stops, early refusals or relayed requests looked like one with them. It prints their numbers now.

--- a/tests/gateway/faulty_targets.py
+++ b/tests/gateway/faulty_targets.py
@@ -93,6 +93,8 @@
             or 429 without saying that they have not run.
         copies_successes_without_id: Whether copies of a success may lack the
             id, as those of other responses may.
+        early_refusals: Number of requests that it has refused before their
+            bodies had arrived.
         altered: Ids of requests whose body was not that of the caller.
     """
 
@@ -104,6 +106,7 @@
         self.failed_share = 0.03
         self.unmarked_share = 0.005
         self.copies_successes_without_id = False
+        self.early_refusals = 0
         self.altered: list[str] = []
 
     @property
@@ -331,6 +334,7 @@
             length = 0
         self._respond(request_id, step, status, is_marked=True)
         if length:
+            self._target.early_refusals += 1
             await asyncio.sleep(self._target.rng.uniform(0.0, 0.1))
             await self._read_body(request_id, length)
 
--- a/tests/gateway/late_copy_soak.py
+++ b/tests/gateway/late_copy_soak.py
@@ -72,7 +72,7 @@
 
     Attributes:
         sent_by_id: What it has sent, by request id.
-        address: The only entry that it uses, if any.
+        fixed_address: Address of the only entry that it uses, if any.
         long_share: Share of its requests that run long.
         slow_share: Share of its bodies that are sent slowly.
     """
@@ -80,7 +80,7 @@
     def __init__(self, *args, **fields):
         super().__init__(*args, **fields)
         self.sent_by_id: dict[str, _Sent] = {}
-        self.address = ""
+        self.fixed_address = ""
         self.long_share = 0.02
         self.slow_share = 0.05
         self._upload: asyncio.Task | None = None
@@ -92,7 +92,9 @@
         return kind == "safe"
 
     async def _choose_address(self, failed: set[str]) -> str:
-        return self.address or await super()._choose_address(failed)
+        if self.fixed_address:
+            return self.fixed_address
+        return await super()._choose_address(failed)
 
     async def _try(
         self, address: str, attempt_id: str
@@ -175,8 +177,7 @@
         "/order/": ("unsafe", "orders")
     }
     MAX_BODY_BYTES = 1_000_000
-    # Longer than the deadlines of the callers by more than the time for which
-    # a stopping entry waits.
+    # Leaves time for several requests in a row before the process ends.
     STOP_S = 4.0
     CALLER = BodyCaller
 
@@ -186,13 +187,12 @@
         for entry in self.entries:
             entry.set_ports(_PORTS)
         self.records: list[faulty_targets.Record] = []
-        self._files = folder
         self._cuts_by_entry: dict[str, collections.Counter] = {}
         for entry in self.entries:
             self.cut(entry, [])
 
     def _cuts_path(self, entry: mixed_fleet.Entry) -> pathlib.Path:
-        return self._files / f"{entry.id}-cuts.json"
+        return self._folder / f"{entry.id}-cuts.json"
 
     def _command(
         self, entry: mixed_fleet.Entry, program: pathlib.Path
@@ -202,6 +202,13 @@
             sys.executable, str(_PROGRAM), str(program), entry.host, str(cuts)
         ]  # fmt: skip
 
+    async def open_address(self) -> faulty_targets.Address:
+        """Return an address that accepts connections."""
+        address = faulty_targets.Address(self.records)
+        await address.open()
+        self._exits.callback(address.close)
+        return address
+
     def cut(self, entry: mixed_fleet.Entry, addresses: list[str]) -> None:
         """Let no connection of an entry reach some addresses."""
         cuts = self._cuts_by_entry.setdefault(entry.id, collections.Counter())
@@ -216,7 +223,7 @@
     def write(self, name: str, items: list) -> None:
         """Write data classes to a file beside the logs."""
         content = [dataclasses.asdict(item) for item in items]
-        (self._files / name).write_text(json.dumps(content, indent=1))
+        (self._folder / name).write_text(json.dumps(content, indent=1))
 
     def _write_cuts(self, entry: mixed_fleet.Entry) -> None:
         cuts = self._cuts_by_entry[entry.id]
@@ -292,8 +299,7 @@
 
     async def _add_targets(self) -> None:
         for service, data_centre in zip(_SERVICES, _DATA_CENTRES, strict=True):
-            address = faulty_targets.Address(self._fleet.records)
-            await address.open()
+            address = await self._fleet.open_address()
             self._switches.append(address)
             self._start_target(address, service, data_centre)
         for entry in self._fleet.entries:
@@ -410,7 +416,7 @@
                 for _ in range(_STOP_CALLERS)
             ]
             for caller in callers:
-                caller.address = entry.callers
+                caller.fixed_address = entry.callers
                 caller.long_share = caller.slow_share = 0.4
             tasks = [asyncio.create_task(caller.run()) for caller in callers]
             await asyncio.sleep(self._rng.uniform(0.2, 0.6))
@@ -561,6 +567,19 @@
             for record in self._fleet.records
         )
         print(f"relayed runs {self._relayed_runs}, {dict(steps)}")
+        early = sum(target.early_refusals for target in self._fleet.targets)
+        during_stops = collections.Counter(
+            str(attempt.outcome)
+            for caller in self._fleet.callers
+            for request in caller.requests
+            for attempt in request.tries
+            if self._is_within_stop(attempt)
+        )
+        print(
+            f"refusals before the body {early}, "
+            f"planned stops {len(self._planned_stops)}, "
+            f"tries that ended in them {dict(during_stops)}"
+        )
         counts = collections.Counter(
             (
                 finding.rule.name,
