Name a copy of a request's own refusal as the cause of a second run

The search for the last copy ended at the refusal that came before the run, so that two cases on were printed without a cause: a request got 421, was sent again on the same connection to the successor of the target, which wrote the 421 once more and ran it.

--- a/tests/gateway/late_copy_soak.py
+++ b/tests/gateway/late_copy_soak.py
@@ -552,7 +552,10 @@
             for record in self._records_by_connection[run.connection]:
                 if record.step is faulty_targets.Step.COPY:
                     last = record
-                elif record.request_id == request_id and record.status:
+                elif (
+                    record.request_id == request_id
+                    and record.step is faulty_targets.Step.ANSWERED
+                ):
                     if record.status == status and status in (429, 503):
                         return f"{status} after a run"
                     break
