Give the entries of test fleets ports that no connection uses

Its port was a dynamic one, free on another address when it was chosen. The soak with late copies had the same once.

Change: all fleets use ports below the dynamic ones, each on addresses of its own.

--- a/tests/gateway/late_copy_soak.py
+++ b/tests/gateway/late_copy_soak.py
@@ -37,7 +37,6 @@
 _NOTICED_S = 0.3
 _DEADLINE_MARGIN_S = 0.05
 _STOP_CALLERS = 12
-_PORTS = list(range(18_081, 18_086))
 
 
 class Body(enum.StrEnum):
@@ -183,9 +182,6 @@
 
     def __init__(self, folder: pathlib.Path, *args):
         super().__init__(folder, *args)
-        # Connections from the host of an entry use the dynamic ports there.
-        for entry in self.entries:
-            entry.set_ports(_PORTS)
         self.records: list[faulty_targets.Record] = []
         self._cuts_by_entry: dict[str, collections.Counter] = {}
         for entry in self.entries:
--- a/tests/gateway/mixed_fleet.py
+++ b/tests/gateway/mixed_fleet.py
@@ -25,12 +25,14 @@
 import cbor2
 
 from tests.gateway import earlier_builds
-from tests.gateway import small_fleet
 
 # Statuses with which an entry promises that a request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # The metrics port of `platform/boot.py`, which has no setting.
 METRICS_PORT = 9464
+# Ports of each entry, on an address of its own. Dynamic ones may be those of a
+# connection when the entry starts.
+_PORTS = list(range(18_081, 18_086))
 # A start takes 0.6 s; beside other test runs it has taken several seconds.
 _START_LIMIT_S = 15.0
 HOST = "shop.example"
@@ -548,9 +550,8 @@
             Entry(number, data_centre, f"{network}.{number}")
             for number, data_centre in enumerate(self.DATA_CENTRES, 1)
         ]
-        ports = small_fleet.free_ports(5)
         for entry in self.entries:
-            entry.set_ports(ports)
+            entry.set_ports(_PORTS)
         self._store_address = ""
 
     async def __aenter__(self) -> "MixedFleet":
