Log the configuration that a request was decided by

Cause: a line on a request named the version that was active when the line was written, only for requests with a route, and nothing told how old the entry's view of the platform was. The hypotheses on the stale configuration could not be told apart.

Ruled out: deriving it from configuration_in_force lines, which say nothing of a view that is not confirmed any more.

Change: each line has version, version_age_ms and view_age_ms as of the decision. The view is confirmed by an answer of the platform and by heartbeats of peers that read it. slatechute_view_age_seconds shows the same for monitoring, and process_was_paused tells how much of the time the process used itself. No logic changes.

--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable, Sequence
 import contextlib
 import dataclasses
+import functools
 import math
 import random
+import time
 import zlib
 
 import cbor2
@@ -137,7 +139,9 @@
         self._request_arrived = asyncio.Event()
         self._dispatch_timer_by_service: dict[str, asyncio.TimerHandle] = {}
         self._first_read_share = random.random()
-        self.catalogue = catalogues.Catalogue(settings, dialect, self)
+        self.catalogue = catalogues.Catalogue(
+            settings, dialect, self, self.clock
+        )
         self._reader = reader.PlatformReader(
             source,
             self.catalogue,
@@ -269,6 +273,7 @@
                 self.balancer.cold_loads(self.clock.now_ms())
             ),
             unowned_slots=self._forwarder.unowned_slots,
+            view_age_s=self._view_age_s,
         )
         handlers = (
             (settings.readiness_address, self._get_readiness),
@@ -439,14 +444,17 @@
     async def _tick(self) -> None:
         periodic_steps = self._periodic_steps()
         due_ms_by_step = {name: 0.0 for name, _, _ in periodic_steps}
-        last_ms = self.clock.now_ms()
+        last_ms, last_used_s = self.clock.now_ms(), time.process_time()
         while True:
             await self._wait_tick()
-            now_ms = self.clock.now_ms()
+            now_ms, used_s = self.clock.now_ms(), time.process_time()
             pause_ms, last_ms = now_ms - last_ms, now_ms
+            used_ms, last_used_s = (used_s - last_used_s) * 1000, used_s
             if pause_ms > _MIN_PAUSE_MS:
                 steps.run_step(
-                    _LOG, "resume", lambda ms=pause_ms: self._handle_pause(ms)
+                    _LOG,
+                    "resume",
+                    functools.partial(self._handle_pause, pause_ms, used_ms),
                 )
             for name, interval_ms, action in periodic_steps:
                 if now_ms >= due_ms_by_step[name]:
@@ -550,15 +558,21 @@
         ]
         return max(self._reader.steady_ms(), *known, 0.0)
 
-    def _handle_pause(self, pause_ms: float) -> None:
+    def _handle_pause(self, pause_ms: float, used_ms: float) -> None:
         """Reset the peer timeouts after a process pause.
 
         The local view may be stale after a long pause, so the reader starts
         again with a snapshot.
+
+        Args:
+            pause_ms: Time in which no step of the event loop was taken.
+            used_ms: Processor time of this process meanwhile: hardly any if it
+                was frozen, and nearly all if a step took that long.
         """
         _LOG.warning(
             "process_was_paused",
             ms=round(pause_ms),
+            used_ms=round(used_ms),
             revision=self.catalogue.view.revision,
         )
         self.group.reset_timeouts()
@@ -631,6 +645,13 @@
         since_ms = min(self._evacuated_since_ms.values())
         return (self.clock.now_ms() - since_ms) / 1000
 
+    def _view_age_s(self) -> float:
+        """Return the time since the view was confirmed in s, NaN before."""
+        confirmed_ms = self.catalogue.confirmed_ms
+        if not math.isfinite(confirmed_ms):
+            return math.nan
+        return (self.clock.now_ms() - confirmed_ms) / 1000
+
     def _dispatch_later(self, service: str, delay_ms: float) -> None:
         """Dispatch the waiting requests of a service when it is their turn."""
         if service not in self._dispatch_timer_by_service:
@@ -715,6 +736,8 @@
         if isinstance(message, messages.Presence):
             if message.revision > self.catalogue.view.revision:
                 self._check_behind(self.clock.now_ms())
+            elif message.steady_ms > 0:
+                self.catalogue.confirm()
         elif isinstance(message, messages.LoadReport):
             self._sharing.handle_report(peer, message)
         elif isinstance(message, messages.TokenRequest):
--- a/slatechute/gateway/catalogue.py
+++ b/slatechute/gateway/catalogue.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 import functools
+import math
 from typing import Protocol
 
 from slatechute import logs
@@ -11,6 +12,7 @@
 from slatechute.gateway import published
 from slatechute.gateway import routing
 from slatechute.gateway import settings as gateway_settings
+from slatechute.util import clock as clocks
 from slatechute.util import steps
 
 __all__ = ["Catalogue", "Observer", "Source"]
@@ -71,6 +73,8 @@
         view: The published items.
         table: Active routing table, None before the first configuration.
         evacuations: Evacuations in force.
+        confirmed_ms: When the platform or a peer that reads it last showed that
+            the view lacks nothing, as clock time; minus infinity before.
     """
 
     def __init__(
@@ -78,10 +82,14 @@
         settings: gateway_settings.GatewaySettings,
         dialect: dialects.Dialect,
         observer: Observer,
+        clock: clocks.Clock,
     ):
         self.view = published.PublishedView()
         self.table: routing.RoutingTable | None = None
         self.evacuations = evacuations.Evacuations()
+        self.confirmed_ms = -math.inf
+        self._clock = clock
+        self._adopted_ms = -math.inf
         self._settings = settings
         self._dialect = dialect
         self._observer = observer
@@ -165,6 +173,7 @@
             )
             return
         self.table = table
+        self._adopted_ms = self._clock.now_ms()
         _LOG.info(
             "configuration_in_force",
             version=table.version,
@@ -237,6 +246,27 @@
         )
         self._observer.evacuation_ended(data_centre)
 
+    def confirm(self) -> None:
+        """Note that the view lacks nothing that its source knows."""
+        self.confirmed_ms = self._clock.now_ms()
+
+    def describe(self) -> dict[str, object]:
+        """Return the log fields of the active configuration.
+
+        `version_age_ms` is the time since it came into force here, and
+        `view_age_ms` that since the view was last confirmed.
+        """
+        if self.table is None:
+            return {"version": None}
+        now_ms = self._clock.now_ms()
+        fields: dict[str, object] = {
+            "version": self.table.version,
+            "version_age_ms": round(now_ms - self._adopted_ms),
+        }
+        if self.confirmed_ms > -math.inf:
+            fields["view_age_ms"] = round(now_ms - self.confirmed_ms)
+        return fields
+
     def targets(self, service: str) -> list[dialects.PublishedTarget]:
         """Return the registered targets of a service."""
         return [
--- a/slatechute/gateway/forwarding.py
+++ b/slatechute/gateway/forwarding.py
@@ -93,6 +93,7 @@
         steps: Log fields of each exchange, with its target, estimates and
             result.
         excluded: Ids of targets that must not receive the request again.
+        configuration: Log fields of the configuration that it was decided by.
     """
 
     exchanges: list[evidences.ExchangeRecord] = dataclasses.field(
@@ -101,6 +102,7 @@
     connect_failures: int = 0
     steps: list[dict] = dataclasses.field(default_factory=list)
     excluded: set[str] = dataclasses.field(default_factory=set)
+    configuration: dict[str, object] = dataclasses.field(default_factory=dict)
 
     @property
     def sent(self) -> int:
--- a/slatechute/gateway/reader.py
+++ b/slatechute/gateway/reader.py
@@ -193,6 +193,7 @@
                 # as the targets need to write them again.
                 self._connected_since_ms = self._clock.now_ms()
             self._catalogue.replace(items, revision, self._describe_source())
+            self._catalogue.confirm()
             self._has_snapshot = True
             self._on_change()
             return
@@ -201,6 +202,7 @@
         changes, revision = await self._source.watch(after, wait_s)
         self._record_success()
         self._catalogue.apply(changes, revision, self._describe_source())
+        self._catalogue.confirm()
         if not changes:
             return
         self._on_change()
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -273,6 +273,7 @@
                 raise errors.RequestError(
                     errors.Reason.OVERLOAD, errors.Step.ACCEPTED
                 )
+            trace.configuration = self._catalogue.describe()
             request = self._accept(http_request, arrived_ms)
             target_response = await self._forward(request, trace)
             response = self._build_response(request, target_response, trace)
@@ -602,12 +603,12 @@
         total_ms: float,
         **fields: object,
     ) -> None:
+        fields |= trace.configuration or self._catalogue.describe()
         if request is not None:
             fields |= {
                 "request_id": request.id,
                 "route": f"{request.route.host}{request.route.prefix}",
                 "service": request.service,
-                "version": self._catalogue.table.version,
                 "objective_left_ms": round(
                     request.objective_ms - request.arrived_ms
                 ),
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -210,6 +210,10 @@
             "unowned_slots",
             "Slots that no request gives back; 0 unless there is a fault.",
         )
+        self._view_age = self._gauge(
+            "view_age_seconds",
+            "Time since the published items were last confirmed.",
+        )
         self._adopted_s = math.nan
         self._age.set_function(lambda: time.monotonic() - self._adopted_s)
         self._services = _CappedLabel(MAX_SERVICES)
@@ -407,6 +411,7 @@
         retry_tokens: Callable[[], int] | None = None,
         cold_targets: Callable[[], int] | None = None,
         unowned_slots: Callable[[], int] | None = None,
+        view_age_s: Callable[[], float] | None = None,
     ) -> None:
         """Set the callbacks that gauges read on each export.
 
@@ -424,6 +429,8 @@
             retry_tokens: Returns the retries granted in the current window.
             cold_targets: Returns the cold targets with a rate limit.
             unowned_slots: Returns the slots that no request gives back.
+            view_age_s: Returns the time since the published items were last
+                confirmed in s, NaN before.
         """
         for gauge, read in (
             (self._in_flight, in_flight),
@@ -435,6 +442,7 @@
             (self._retry_tokens, retry_tokens),
             (self._cold_targets, cold_targets),
             (self._unowned_slots, unowned_slots),
+            (self._view_age, view_age_s),
         ):
             if read is not None:
                 gauge.set_function(read)
--- a/tests/gateway/test_catalogue.py
+++ b/tests/gateway/test_catalogue.py
@@ -3,6 +3,7 @@
 from slatechute.gateway import catalogue as catalogues
 from slatechute.gateway import dialects
 from slatechute.gateway import routing
+from slatechute.util import clock as clocks
 from tests.gateway import builders
 
 _CONNECTED = catalogues.Source("platform", 60_000.0)
@@ -36,6 +37,7 @@
             builders.gateway_settings(),
             self.dialect,
             self.observer,
+            clocks.MonotonicClock(),
         )
 
     def put(self, revision, target, source=_CONNECTED):
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -16,6 +16,7 @@
 from slatechute.gateway import published
 from slatechute.gateway import relaying
 from slatechute.gateway import routing
+from slatechute.util import clock as clocks
 from tests import waiting
 from tests.gateway import builders
 from tests.gateway import scripted_target
@@ -41,7 +42,10 @@
 @pytest.fixture
 def catalogue():
     result = catalogues.Catalogue(
-        builders.gateway_settings(), builders.PlainDialect(), _Observer()
+        builders.gateway_settings(),
+        builders.PlainDialect(),
+        _Observer(),
+        clocks.MonotonicClock(),
     )
     result.apply([_item(1, 9)], published.position(1, 9), _STEADY)
     return result
--- a/tests/gateway/test_restored_platform.py
+++ b/tests/gateway/test_restored_platform.py
@@ -9,6 +9,7 @@
 from slatechute.gateway import dialects
 from slatechute.gateway import published
 from slatechute.gateway import routing
+from slatechute.util import clock as clocks
 from tests import waiting
 from tests.gateway import builders
 from tests.gateway import scripted_target
@@ -90,7 +91,10 @@
         self.dialect = builders.PlainDialect()
         self.observer = _Recorder()
         self.catalogue = catalogues.Catalogue(
-            builders.gateway_settings(), self.dialect, self.observer
+            builders.gateway_settings(),
+            self.dialect,
+            self.observer,
+            clocks.MonotonicClock(),
         )
 
     def target(self, era, revision, target_id="t1", **fields):
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -106,6 +106,7 @@
     "slatechute_spread_faults": ("counter", "kind"),
     "slatechute_total_latency_seconds": ("histogram",),
     "slatechute_unowned_slots": ("gauge",),
+    "slatechute_view_age_seconds": ("gauge",),
 }
 
 # Options and arguments by command.
@@ -256,7 +257,7 @@
     "platform_regained": ["revision"],
     "probe_failed": ["error", "target"],
     "process_paused": ["ms"],
-    "process_was_paused": ["ms", "revision"],
+    "process_was_paused": ["ms", "revision", "used_ms"],
     "relay_failed": ["error", "peer"],
     "relayed_request_refused": ["error"],
     "retry_slack_used_up": ["active_entries", "in_use", "limit", "service"],
@@ -340,6 +341,8 @@
     "status",
     "total_ms",
     "version",
+    "version_age_ms",
+    "view_age_ms",
 }
 _REFUSED_FIELDS = _ANSWERED_FIELDS | {
     "best_ms",
