Test that crowds of callers do not exhaust an entry

Each test checks that the process lives, its peak memory and its descriptors, and that an ordinary request is answered while the crowd stays connected.

--- /dev/null
+++ b/tests/gateway/crowd.py
@@ -0,0 +1,96 @@
+"""One entry as a process on a small host, and a crowd of its callers."""
+
+import asyncio
+import json
+import pathlib
+
+from tests import crowd as crowds
+from tests.gateway import earlier_builds
+from tests.gateway import mixed_fleet
+
+# Limits of the host in the settings of the entry, which are the bounds of the
+# tests.
+MEMORY_MB = 128
+MAX_DESCRIPTORS = 1_024
+MAX_BODY_BYTES = 1_000_000
+HEAD = b"POST /once/crowd HTTP/1.1\r\nHost: shop.example\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class Fleet(mixed_fleet.MixedFleet):
+    """One entry on a small host, with one target."""
+
+    MAX_BODY_BYTES = MAX_BODY_BYTES
+    TIMEOUT_S = 30.0
+
+    @property
+    def entry(self) -> mixed_fleet.Entry:
+        """The entry."""
+        return self.entries[0]
+
+    @property
+    def pid(self) -> int:
+        """Process id of the entry."""
+        return self.entry.run.process.pid
+
+    def _write_settings(self, entry: mixed_fleet.Entry) -> pathlib.Path:
+        path = super()._write_settings(entry)
+        content = json.loads(path.read_text())
+        content["limits"] = {
+            "memory_mb": MEMORY_MB,
+            "max_fds": MAX_DESCRIPTORS,
+        }
+        path.write_text(json.dumps(content))
+        return path
+
+    async def start_entry(self) -> None:
+        """Start the entry and its target."""
+        target = await self.add_target("shop", "z1")
+        target.has_faults, target.SLOTS = False, 100
+        self.publish_configuration()
+        self.start(self.entry, mixed_fleet.CURRENT_BUILD)
+        await self.wait_ready(self.entry)
+
+    def check_alive(self) -> None:
+        """Check that the entry runs within the memory of its host."""
+        run = self.entry.run
+        assert run.process.poll() is None, run.log_path.read_text()[-2_000:]
+        assert crowds.peak_memory_mb(self.pid) < MEMORY_MB
+
+    async def ask(self) -> int:
+        """Return the status of one ordinary request on a new connection."""
+        return await crowds.ask(
+            self.entry.callers,
+            b"POST /once/ordinary HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Request-Id: ordinary\r\nX-Deadline-Ms: 30000\r\n",
+        )
+
+
+def play(folder: pathlib.Path, send) -> None:
+    """Let a crowd send, and check what must hold of the entry.
+
+    Args:
+        folder: Folder for settings and logs.
+        send: Coroutine function that gets the fleet and the crowd.
+    """
+
+    async def main() -> None:
+        builds = {mixed_fleet.CURRENT_BUILD: earlier_builds.CURRENT}
+        async with Fleet(folder, builds, 1) as fleet:
+            await fleet.start_entry()
+            assert await fleet.ask() == 200
+            crowd = crowds.Crowd(fleet.pid)
+            try:
+                await send(fleet, crowd)
+                fleet.check_alive()
+                assert await fleet.ask() == 200
+                fleet.check_alive()
+                assert crowd.descriptors <= MAX_DESCRIPTORS
+            finally:
+                print(
+                    f"peak {crowds.peak_memory_mb(fleet.pid):.0f} MB, "
+                    f"{crowd.descriptors} descriptors"
+                )
+                crowd.close()
+
+    asyncio.run(main())
