Parse the input of callers in turns at the product's own interface

What callers would see: an entry that others take for dead, or that decides by an older configuration, while some callers send bodies in chunks of one byte.

Cause: the same as at gateway entries. aiohttp parses all that a read has returned, and each connection did so in the same step of the event loop.

Change: connections of the listener use the turns of util/input_turns.py. They respect the flow control of aiohttp: nothing is parsed or read while that holds the connection.

--- a/slatechute/listener.py
+++ b/slatechute/listener.py
@@ -7,6 +7,7 @@
 
 from slatechute import errors
 from slatechute.util import addresses
+from slatechute.util import input_turns
 
 __all__ = [
     "HEADERS_TIMEOUT_S",
@@ -45,19 +46,42 @@
         is_serving: Whether a request with complete headers is being processed.
     """
 
-    __slots__ = ("header_started_s", "is_over_limit", "is_serving")
+    __slots__ = ("_input", "header_started_s", "is_over_limit", "is_serving")
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self.is_over_limit = False
         self.header_started_s = 0.0
         self.is_serving = False
+        self._input = input_turns.SlicedInput(self._feed)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Parse what arrives in turns with the other connections."""
+        self._input.attach(transport)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Drop what was not parsed."""
+        self._input.detach()
+        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Record when the headers of a request begin."""
+        """Record when the headers of a request begin, and parse in turns."""
         if not self.is_serving and not self.header_started_s:
             self.header_started_s = self._loop.time()
-        super().data_received(data)
+        if data:
+            self._input.receive(data)
+        else:
+            # The base class continues with what its parser holds.
+            super().data_received(data)
+
+    def _feed(self, data: memoryview) -> bool:
+        super().data_received(bytes(data))
+        return not (self._reading_paused or self._buffer_paused)
+
+    def _resume_transport_reading(self) -> None:
+        """Go on with input that waits before more is read."""
+        self._input.resume()
 
     def handle_error(
         self,
--- a/slatechute/util/input_turns.py
+++ b/slatechute/util/input_turns.py
@@ -95,8 +95,8 @@
     No more is read from the connection while some bytes wait.
 
     Args:
-        feed: Parses a slice; returns whether to go on with the next one. If
-            not, `resume` goes on with the rest.
+        feed: Parses a slice; returns whether to go on. If not, nothing is
+            parsed or read until `resume`.
         turns: Turns of the process.
 
     Attributes:
@@ -144,7 +144,8 @@
             self._pause()
             self._request_turn()
             return
-        self._parse(data, now_s)
+        if not self._parse(data, now_s):
+            self._pause()
         self._turns.count(self.used_s)
 
     def resume(self) -> None:
@@ -159,8 +160,7 @@
         self._has_turn = False
         data, self._rest = self._rest, b""
         if data:
-            self._parse(data, self._turns.now_s())
-            if not self._rest:
+            if self._parse(data, self._turns.now_s()) and not self._rest:
                 self._read_on()
 
     def _request_turn(self) -> None:
@@ -168,9 +168,11 @@
             self._has_turn = True
             self._turns.add(self)
 
-    def _parse(self, data: bytes | memoryview, start_s: float) -> None:
+    def _parse(self, data: bytes | memoryview, start_s: float) -> bool:
+        """Parse for the time of a turn; return whether to go on after it."""
         view = memoryview(data)
         now_s = start_s
+        goes_on = True
         while view:
             goes_on = self._feed(view[: self._slice_bytes])
             view = view[self._slice_bytes :]
@@ -188,8 +190,9 @@
                     self._pause()
                     if goes_on:
                         self._request_turn()
-                return
+                return goes_on
         self.used_s += now_s - start_s
+        return goes_on
 
     def _pause(self) -> None:
         if self._transport is not None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
@@ -14,6 +15,7 @@
 from slatechute import settings as entry_settings
 from slatechute.configuration import models
 from slatechute.fakes import local_fleet
+from slatechute.peers import link
 from slatechute.util import clock as clocks
 
 _REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\nSlatechute-Service: plans\r\n\r\n"
@@ -61,7 +63,11 @@
 
 
 class _Executor:
+    def __init__(self):
+        self.requests = []
+
     async def execute(self, request):
+        self.requests.append(request)
         return _Attempt()
 
 
@@ -75,14 +81,15 @@
             **settings,
         )
         self.metrics = metrics_module.Metrics()
-        self._writers: list[asyncio.StreamWriter] = []
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def __aenter__(self) -> "_Server":
         clock = clocks.MonotonicClock()
         self.directory = _Directory()
+        self.executor = _Executor()
         self._server = callers.CallerServer(
             self.settings,
-            _Executor(),
+            self.executor,
             self.directory,
             requests.RequestTable("e1-aa", 10),
             clock,
@@ -92,14 +99,14 @@
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
-        for writer in self._writers:
+        for writer in self.writers:
             writer.close()
         await self._server.stop()
 
     async def connect(self, data: bytes = b"") -> asyncio.StreamReader:
         host, port = self.settings.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        self._writers.append(writer)
+        self.writers.append(writer)
         writer.write(data)
         await writer.drain()
         return reader
@@ -351,3 +358,24 @@
         assert server.refused(errors.Reason.BODY_TOO_LARGE, **labels) == 1
 
     _run(scenario, max_body_bytes=16)
+
+
+def test_bodies_in_tiny_chunks_leave_the_loop_to_the_links():
+    """Peers took the entry for dead, as it parsed all that had arrived."""
+
+    async def scenario(server):
+        body = "1\r\nx\r\n" * 30_000 + "0\r\n\r\n"
+        for _ in range(40):
+            await server.connect()
+        for number, writer in enumerate(server.writers):
+            headers = "Transfer-Encoding: chunked"
+            writer.write(_post(f"e1-aa.0.{number}", headers, body=body))
+        longest_s, last_s = 0.0, time.process_time()
+        for _ in range(200):
+            await asyncio.sleep(0)
+            now_s = time.process_time()
+            longest_s, last_s = max(longest_s, now_s - last_s), now_s
+        # A link without a frame for this long counts as broken.
+        assert longest_s < link.SILENCE_TIMEOUT_MS / 1000
+
+    _run(scenario)
