--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -205,13 +205,7 @@
         self, http: web.BaseRequest, service: str
     ) -> requests.Request:
         now_ms = self._clock.now_ms()
-        if not self._directory.is_caught_up():
-            await self._directory.wait_until_caught_up()
-        configuration = self._directory.configuration()
-        rules = configuration.services.get(service)
-        if rules is None:
-            raise _unknown_service_error(configuration, errors.Step.ACCEPTED)
-        rule = rules.rule_for(http.method, http.path)
+        rule = await self._current_rule(http, service)
         headers = http.headers
         deadline_ms = _parse_header_number(
             headers, _DEADLINE_HEADER, rule.deadline_ms
@@ -219,6 +213,9 @@
         attempt_number = _parse_header_number(headers, _ATTEMPT_HEADER, 0)
         total_ms = min(deadline_ms, _MAX_DEADLINE_MS)
         body = await self._read_body(http, total_ms)
+        if body:
+            # The configuration may have changed while the body arrived.
+            rule = await self._current_rule(http, service)
         id_text = headers.get(_ID_HEADER, "")
         request_id = self._table.admit(id_text, rule.repeatable, now_ms)
         return requests.Request(
@@ -236,6 +233,22 @@
             attempt_number,
         )
 
+    async def _current_rule(
+        self, http: web.BaseRequest, service: str
+    ) -> models.RequestRule:
+        """Return the rule of a request in the active configuration.
+
+        Raises:
+            errors.RequestError: The service is not configured.
+        """
+        if not self._directory.is_caught_up():
+            await self._directory.wait_until_caught_up()
+        configuration = self._directory.configuration()
+        rules = configuration.services.get(service)
+        if rules is None:
+            raise _unknown_service_error(configuration, errors.Step.ACCEPTED)
+        return rules.rule_for(http.method, http.path)
+
     async def _read_body(self, http: web.BaseRequest, limit_ms: float) -> bytes:
         """Return the body of a request.
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -360,6 +360,32 @@
     _run(scenario, max_body_bytes=16)
 
 
+def test_rule_is_that_of_the_end_of_the_body():
+    """A request went by the rules from before its body, however slow it was."""
+
+    async def scenario(server):
+        server.directory.services = {"plans": _service(repeatable=True)}
+        host, port = server.settings.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = _post("e1-aa.0.slow", "Content-Length: 2", body="a")
+        writer.write(head)
+        await asyncio.sleep(0.1)
+        server.directory.services = {"plans": _service(repeatable=False)}
+        writer.write(b"b")
+        async with asyncio.timeout(10):
+            await reader.read()
+        writer.close()
+        [request] = server.executor.requests
+        assert not request.rule.repeatable
+
+    _run(scenario)
+
+
+def _service(*, repeatable: bool) -> models.Service:
+    route = models.Route(path="/x", repeatable=repeatable)
+    return models.Service(slots=2, routes={"x": route})
+
+
 def test_bodies_in_tiny_chunks_leave_the_loop_to_the_links():
     """Peers took the entry for dead, as it parsed all that had arrived."""
 
