Write long bodies to targets in parts

What callers would see: an entry on a host of 300 MB was killed by one request of 64 MB, which is legal, in calm.

Cause: the body was joined from its pieces, joined with the head, and copied by the transport, beside the pieces themselves.

Change: a body of more than 64 KB is written in parts as the target reads it. A connection whose request is not written completely when its response ends is closed. Frames of peers are copied, as a body may be a buffer now.

--- a/slatechute/gateway/connections.py
+++ b/slatechute/gateway/connections.py
@@ -78,6 +78,9 @@
 # connection may be unresponsive, and such a request cannot be sent again.
 _MAX_IDLE_NON_REPEATABLE_S = 1.0
 _MAX_IDLE_PER_TARGET = 8
+# Longer bodies are written in parts of this size, as the target reads them, so
+# that the transport does not copy the whole.
+_WRITTEN_PART_BYTES = 64 * 1024
 
 
 class Attribution(enum.Enum):
@@ -197,6 +200,9 @@
         self._keep_alive = False
         self._ends_with_connection = False
         self._body = bytearray()
+        # The rest of the request that is not written.
+        self._unwritten = memoryview(b"")
+        self._is_writing_paused = False
         self._received = 0
         self._informational = 0
         self._attribute = _attribute_to_request
@@ -224,6 +230,15 @@
             return
         self._parse(data)
 
+    def pause_writing(self) -> None:
+        """Write no more until the target has read what was written."""
+        self._is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with the request."""
+        self._is_writing_paused = False
+        self._write_rest()
+
     def eof_received(self) -> None:
         """Complete a response whose end is that of the connection."""
         self._is_ended = True
@@ -234,6 +249,7 @@
         """Fail the in-flight exchange."""
         self._transport = None
         self._unparsed = b""
+        self._unwritten = memoryview(b"")
         self._fail(str(exc) if exc else _CLOSED_BY_TARGET)
 
     # Exchanges.
@@ -251,6 +267,7 @@
     def close(self) -> None:
         """Abort the connection, so that the target cancels the request."""
         self._unparsed = b""
+        self._unwritten = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
@@ -276,7 +293,7 @@
         """
         self.exchanges += 1
         try:
-            data = _encode_request(method, path, headers, body)
+            head = _encode_head(method, path, headers, len(body))
         except ValueError as error:
             self.close()
             raise ExchangeError(
@@ -293,7 +310,12 @@
         self._received = self._informational = self._misplaced = 0
         self._attribute = attribute
         self._status = 0
-        self._transport.write(data)
+        if len(body) <= _WRITTEN_PART_BYTES:
+            self._transport.write(head + body)
+        else:
+            self._transport.write(head)
+            self._unwritten = memoryview(body)
+            self._write_rest()
         try:
             response = await self._response
         except BaseException:
@@ -306,6 +328,16 @@
         self._prepare_reuse(response)
         return response
 
+    def _write_rest(self) -> None:
+        while (
+            self._unwritten
+            and not self._is_writing_paused
+            and self._transport is not None
+        ):
+            part = self._unwritten[:_WRITTEN_PART_BYTES]
+            self._unwritten = self._unwritten[_WRITTEN_PART_BYTES:]
+            self._transport.write(part)
+
     def _is_receiving(self) -> bool:
         return self._response is not None and not self._response.done()
 
@@ -501,6 +533,7 @@
             and self._keep_alive
             and not self._has_excess
             and not self._unparsed
+            and not self._unwritten
             and not self._is_ended
             and not transport.get_write_buffer_size()
         )
@@ -548,15 +581,15 @@
 _MEMORY = ResponseMemory(_MAX_BUFFERED_BYTES)
 
 
-def _encode_request(
-    method: str, path: str, headers: list[tuple[str, str]], body: bytes
+def _encode_head(
+    method: str, path: str, headers: list[tuple[str, str]], body_length: int
 ) -> bytes:
-    r"""Return the bytes of a request.
+    r"""Return the bytes of a request in front of its body.
 
     Raises:
         ValueError: It cannot be sent as a request of HTTP/1.1.
 
-    >>> _encode_request("GET", "/a", [("Host", "h")], b"")
+    >>> _encode_head("GET", "/a", [("Host", "h")], 0)
     b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
     """
     if not _TOKEN.fullmatch(method) or not _TARGET.fullmatch(path):
@@ -576,11 +609,11 @@
         lines.append(f"{name}: {value}\r\n")
     if hosts != 1:
         raise ValueError("a request needs one Host header")
-    if length != str(len(body)):
+    if length != str(body_length):
         raise ValueError("the length of the body is not that of the header")
     lines.append("\r\n")
     try:
-        return "".join(lines).encode("latin-1") + body
+        return "".join(lines).encode("latin-1")
     except UnicodeEncodeError as error:
         raise ValueError("illegal character in a header") from error
 
--- a/slatechute/gateway/relaying.py
+++ b/slatechute/gateway/relaying.py
@@ -133,7 +133,8 @@
     """
     length = int.from_bytes(content[:_LENGTH_BYTES], "big")
     end = _LENGTH_BYTES + length
-    return messages.decode(content[_LENGTH_BYTES:end]), content[end:]
+    frame = bytes(content[_LENGTH_BYTES:end])
+    return messages.decode(frame), content[end:]
 
 
 class RelayClient:
