Bound what callers make a gateway entry hold, all together

What callers would see: the process ran out of memory and ended, with all of its requests, when many callers sent bodies within their limits and stopped just short of the end, sent trailers without end or did not read their responses.

Cause: each limit held for one request. Nothing counted bodies, pieces, heads, trailers, waiting requests and unread responses of all callers, and the ports for peers, addresses, readiness and metrics accepted 1,064 connections each beside those of callers. Pieces were kept as objects, trailers by the parser without a limit.

Ruled out: a lower limit for each body, as one of the largest size must be served.

Change: util/memory.py is one account for all ports of a process. Above its limit, which follows from memory_mb of the host, the largest request that has not arrived is refused as not run with Retry-After, or the largest unread response is given up. Bodies are buffers in place of lists. Trailers and chunk extensions between two pieces of a body are limited like headers. Ports have a share of the descriptors each, and a connection that has not sent a request gives way to a new one. Metrics: slatechute_caller_memory_bytes, slatechute_given_up_total, reason memory.

--- a/slatechute/errors.py
+++ b/slatechute/errors.py
@@ -56,6 +56,7 @@
     EXPIRED_REQUEST_ID = "expired_request_id"
     FOREIGN_REQUEST_ID = "foreign_request_id"
     LEASE_STALE = "lease_stale"
+    MEMORY = "memory"
     NO_PATH = "no_path"
     NO_TARGETS = "no_targets"
     OVERLOAD = "overload"
--- a/slatechute/gateway/application.py
+++ b/slatechute/gateway/application.py
@@ -45,6 +45,7 @@
 from slatechute.gateway import token_sharing
 from slatechute.util import addresses
 from slatechute.util import clock as clocks
+from slatechute.util import memory
 from slatechute.util import steps
 
 __all__ = ["GatewayApplication"]
@@ -101,6 +102,19 @@
 _DEFLATE_QUERY = "encoding=deflate"
 _DEFLATE_LEVEL = 1
 _MAX_VIEW_BYTES = 64 * 1024 * 1024
+# Memory of the process, with idle connections, and of the responses of
+# targets, in MB. What callers make it hold is a share of the rest, as a request
+# is copied once on its way through a peer.
+_PROCESS_MB = 64.0
+_RESPONSES_MB = 48.0
+_CALLER_SHARE = 0.5
+_MIN_CALLER_MB = 4.0
+_BODY_MARGIN = 1.25
+_MAX_BODY_SHARE = 0.8
+# Connections to the ports for peers and addresses, and to each of those for
+# readiness and metrics, as shares of the descriptors.
+_PORT_SHARE = 1 / 16
+_CHECKS_SHARE = 1 / 64
 # Processor time of a relayed exchange, as a share of that of a request.
 _RELAYED_REQUEST_SHARE = 0.4
 # The body of a relayed request follows the frame with its headers.
@@ -257,6 +271,9 @@
             self._announcements.report,
             lambda: self._state == peer_groups.LEAVING,
         )
+        self._account = memory.MemoryAccount(
+            self._caller_memory_bytes, self.metrics.count_given_up
+        )
         self._caller_server = server.CallerServer(
             settings,
             self._dialect,
@@ -267,6 +284,7 @@
             self.metrics,
             self._request_arrived.set,
             self._resumption.wait,
+            self._account,
         )
         self.metrics.bind_gauges(
             in_flight=lambda: self._caller_server.in_flight,
@@ -284,18 +302,24 @@
             ),
             unowned_slots=self._forwarder.unowned_slots,
             view_age_s=self._view_age_s,
+            caller_memory_bytes=lambda: self._account.total,
+        )
+        metrics_address = addresses.join_address(
+            settings.host, settings.metrics_port
         )
         handlers = (
-            (settings.readiness_address, self._get_readiness),
-            (settings.directory_address, self._get_addresses),
-            (
-                addresses.join_address(settings.host, settings.metrics_port),
-                self._get_metrics,
-            ),
+            (settings.readiness_address, self._get_readiness, _CHECKS_SHARE),
+            (settings.directory_address, self._get_addresses, _PORT_SHARE),
+            (metrics_address, self._get_metrics, _CHECKS_SHARE),
         )
         self._auxiliary_servers = [
-            http_server.HttpServer(address, handler)
-            for address, handler in handlers
+            http_server.HttpServer(
+                address,
+                handler,
+                max_connections=int(settings.max_descriptors * share),
+                account=self._account,
+            )
+            for address, handler, share in handlers
             if address
         ]
         self._control_server: http_server.HttpServer | None = None
@@ -304,9 +328,24 @@
                 settings.control_address,
                 self._handle_peer_request,
                 limits=self._peer_request_limits,
+                max_connections=int(settings.max_descriptors * _PORT_SHARE),
+                account=self._account,
             )
             self._auxiliary_servers.append(self._control_server)
 
+    def _caller_memory_bytes(self) -> int:
+        """Return the memory for what is held for all callers, in bytes.
+
+        It is enough for one body of the largest size, unless the host has less.
+        """
+        spare = self.settings.memory_mb - _PROCESS_MB
+        share = (spare - _RESPONSES_MB) * _CALLER_SHARE
+        table = self.catalogue.table
+        if table is not None:
+            body_mb = table.limits.max_body_bytes / 1e6 * _BODY_MARGIN
+            share = max(share, min(body_mb, spare * _MAX_BODY_SHARE))
+        return int(max(share, _MIN_CALLER_MB) * 1e6)
+
     @property
     def is_reading(self) -> bool:
         """Whether this entry is a platform reader of its data centre."""
--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -17,6 +17,7 @@
 from slatechute import logs
 from slatechute.util import addresses
 from slatechute.util import input_turns
+from slatechute.util import memory
 from slatechute.util import steps
 
 __all__ = ["Connection", "HttpServer", "Limits", "Request", "Response"]
@@ -41,8 +42,21 @@
 # Steps of the event loop from the accept of a connection to its registration.
 _ACCEPT_STEPS = 3
 # Connections above the limit that stay open until their first request is
-# refused. Further ones are closed immediately.
+# refused, at most this number and share of the limit. Further ones are closed
+# immediately.
 _MAX_REFUSED_CONNECTIONS = 64
+_MAX_REFUSED_SHARE = 0.25
+# Memory of a header beside its characters, in bytes.
+_HEADER_OVERHEAD_BYTES = 256
+# Shorter bodies are copied, as `bytes` take less memory than a buffer that
+# grew.
+_MIN_BUFFER_BYTES = 64 * 1024
+# A long response is written in parts of this size as the caller reads it.
+_WRITTEN_PART_BYTES = 256 * 1024
+# Of a server that has no account in common with others.
+_DEFAULT_MEMORY_BYTES = 64 * 1024 * 1024
+# Time after which a caller may try again whose request was given up for memory.
+_MEMORY_RETRY_AFTER_S = 0.3
 _BODILESS_STATUSES = frozenset({204, 304})
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n"
@@ -79,6 +93,7 @@
         headers: Headers in order, with names as received.
         header_by_name: First header of each name, by lower-case name.
         body: Complete body.
+        held_bytes: Memory of its headers and its body.
         connection: Connection on which it arrived.
         started_s: Event loop time at which its headers were complete.
         keep_alive: Whether the caller expects the connection to stay open.
@@ -89,6 +104,7 @@
         "connection",
         "header_by_name",
         "headers",
+        "held_bytes",
         "keep_alive",
         "method",
         "started_s",
@@ -100,7 +116,8 @@
         self.target = ""
         self.headers: list[tuple[str, str]] = []
         self.header_by_name: dict[str, str] = {}
-        self.body = b""
+        self.body: bytes | bytearray = b""
+        self.held_bytes = 0
         self.connection = connection
         self.started_s = 0.0
         self.keep_alive = True
@@ -131,6 +148,13 @@
         >>> Response(503, b"x").encode(None).splitlines()[:2]
         [b'HTTP/1.1 503 Service Unavailable', b'Content-Length: 1']
         """
+        head = self.encode_head()
+        if request is not None and request.method == "HEAD":
+            return head
+        return head + self.body
+
+    def encode_head(self) -> bytes:
+        """Return the bytes of its status line and its headers."""
         line = _STATUS_LINES.get(self.status) or f"HTTP/1.1 {self.status} \r\n"
         lines = [line]
         lines += [f"{name}: {value}\r\n" for name, value in self.headers]
@@ -139,10 +163,7 @@
         if self.close:
             lines.append("Connection: close\r\n")
         lines.append("\r\n")
-        head = "".join(lines).encode("latin-1")
-        if request is not None and request.method == "HEAD":
-            return head
-        return head + self.body
+        return "".join(lines).encode("latin-1")
 
 
 class _RefusedError(Exception):
@@ -156,6 +177,16 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def _refuse_for_memory(request: Request | None) -> Response:
+    """Return the response to a request that is given up for memory."""
+    del request
+    return Response(
+        503,
+        f"{errors.Reason.MEMORY}\n".encode(),
+        [("Retry-After", str(_MEMORY_RETRY_AFTER_S))],
+    )
+
+
 class HttpServer:
     """Accepts connections and calls a handler for each complete request.
 
@@ -178,6 +209,10 @@
         refuse_early: Callable[[Request], Response | None] = lambda _: None,
         max_connections: int = 1_000,
         on_refused: Callable[[errors.Reason], None] = lambda reason: None,
+        account: memory.MemoryAccount | None = None,
+        refuse_for_memory: Callable[
+            [Request | None], Response
+        ] = _refuse_for_memory,
     ):
         """Create the server; `start` opens the port.
 
@@ -190,8 +225,13 @@
             max_connections: Connections that are served at a time.
             on_refused: Called with the reason for each connection or request
                 that is refused or closed without a call of the handler.
+            account: Memory that is held for callers, of this server alone if
+                it has none in common with others.
+            refuse_for_memory: Returns the refusal of a request that has not
+                arrived completely, or of one whose headers have not.
         """
-        self.connections: set[Connection] = set()
+        # Used as an ordered set.
+        self.connections: dict[Connection, None] = {}
         self.active_requests = 0
         self.requests = 0
         self.last_request_s = 0.0
@@ -200,6 +240,10 @@
         self.refuse_early = refuse_early
         self.max_connections = max_connections
         self.on_refused = on_refused
+        self.refuse_for_memory = refuse_for_memory
+        self.account = account or memory.MemoryAccount(
+            lambda: _DEFAULT_MEMORY_BYTES
+        )
         self._address = address
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -258,15 +302,36 @@
 
     def add(self, connection: "Connection") -> bool:
         """Register a new connection; return whether it is above the limit."""
-        self.connections.add(connection)
+        self.connections[connection] = None
         if self._sweeper is None:
             self._schedule_sweep()
         excess = len(self.connections) - self.max_connections
-        if excess > _MAX_REFUSED_CONNECTIONS:
+        if excess > 0 and self._close_unused(connection):
+            return False
+        refused = int(self.max_connections * _MAX_REFUSED_SHARE)
+        if excess > min(_MAX_REFUSED_CONNECTIONS, max(1, refused)):
             self.on_refused(errors.Reason.OVERLOAD)
             connection.abort()
         return excess > 0
 
+    def _close_unused(self, newest: "Connection") -> bool:
+        """Close the oldest connection that has not sent a request, if any.
+
+        Connections that stop within their first headers would otherwise keep
+        all others out.
+        """
+        for connection in self.connections:
+            if connection.is_unused and connection is not newest:
+                self.on_refused(errors.Reason.OVERLOAD)
+                self.remove(connection)
+                connection.abort()
+                return True
+        return False
+
+    def remove(self, connection: "Connection") -> None:
+        """Forget a connection that has ended."""
+        self.connections.pop(connection, None)
+
     def _schedule_sweep(self) -> None:
         loop = asyncio.get_running_loop()
         self._sweep_due_s = loop.time() + _SWEEP_INTERVAL_S
@@ -294,11 +359,13 @@
             first request is refused.
         is_lingering: Whether the last response was written, and the end of the
             caller's output is awaited.
+        is_unused: Whether it has not sent a complete request.
     """
 
     def __init__(self, server: HttpServer):
         self.is_over_limit = False
         self.is_lingering = False
+        self.is_unused = True
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -308,9 +375,13 @@
         self._url = b""
         self._head_bytes = 0
         self._head_started_s = 0.0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._max_body_bytes = 0
+        # Bytes since the last ones of a body.
+        self._bodiless_bytes = 0
+        # Memory of complete requests, and of the response that is written.
+        self._requests_bytes = 0
+        self._response_bytes = 0
         # Requests that wait for the response to the running one.
         self._pending: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task | None = None
@@ -336,7 +407,8 @@
         """Cancel the request that is running."""
         self._transport = None
         self._input.detach()
-        self._server.connections.discard(self)
+        self._server.remove(self)
+        self._server.account.release(self)
         unfinished = len(self._pending)
         if self._incoming is not None and self._incoming.started_s:
             unfinished += 1
@@ -350,11 +422,14 @@
         """Parse received bytes, or let them wait for a turn."""
         if not self._is_input_ended and self._transport is not None:
             self._input.receive(data)
+            if self._input.waiting_bytes:
+                self._count_memory()
 
     def _feed(self, data: memoryview) -> bool:
         """Parse a slice and return whether to go on with the next one."""
         if self._is_input_ended or self._transport is None:
             return True
+        body_bytes = len(self._body)
         is_head = self._incoming is None or self._is_in_head()
         if is_head:
             self._start_head()
@@ -382,8 +457,44 @@
             and self._head_bytes > self._server.limits().max_header_bytes
         ):
             self._refuse(431, errors.Reason.BAD_REQUEST)
+        if is_head or self._incoming is None or len(self._body) > body_bytes:
+            self._bodiless_bytes = 0
+        else:
+            self._check_bodiless(len(data))
+        self._count_memory()
         return len(self._pending) < _MAX_PIPELINED
 
+    def _check_bodiless(self, count: int) -> None:
+        """Refuse trailers and chunk extensions that are too long."""
+        self._bodiless_bytes += count
+        if self._bodiless_bytes > self._server.limits().max_header_bytes:
+            self._refuse(431, errors.Reason.BAD_REQUEST)
+
+    def _count_memory(self) -> None:
+        """Report to the account what is held for the caller."""
+        if self._transport is None:
+            return
+        incoming = len(self._body) + self._input.waiting_bytes
+        if self._incoming is not None:
+            incoming += self._incoming.held_bytes + self._head_bytes
+        held = incoming + self._requests_bytes + self._response_bytes
+        # A response waits for its caller while the transport has some of it.
+        unread = self._response_bytes if self._writable is not None else 0
+        self._server.account.hold(self, held, incoming + unread)
+
+    def give_way(self) -> None:
+        """Give up the request that is arriving, or an unread response."""
+        if self._writable is not None and self._response_bytes:
+            self._server.on_refused(errors.Reason.MEMORY)
+            self._server.account.release(self)
+            self.abort()
+            return
+        if self._incoming is not None or self._input.waiting_bytes:
+            request = self._incoming
+            self._end_with(self._server.refuse_for_memory(request))
+            self._input.discard()
+        self._count_memory()
+
     def _is_in_head(self) -> bool:
         return self._incoming is not None and not self._incoming.started_s
 
@@ -408,8 +519,7 @@
         """Begin a request."""
         self._incoming = Request(self)
         self._url = b""
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
@@ -426,11 +536,12 @@
             raise errors.RequestError(
                 errors.Reason.BAD_REQUEST, errors.Step.ACCEPTED, status=431
             )
-        text = name.decode("latin-1")
-        content = value.decode("latin-1").strip(" \t")
         if request.started_s:
             return  # Trailers of a chunked body are not forwarded.
+        text = name.decode("latin-1")
+        content = value.decode("latin-1").strip(" \t")
         request.headers.append((text, content))
+        request.held_bytes += _HEADER_OVERHEAD_BYTES + len(text) + len(content)
         request.header_by_name.setdefault(text.lower(), content)
 
     def on_headers_complete(self) -> None:
@@ -477,15 +588,17 @@
         Raises:
             errors.RequestError: The body is too large.
         """
-        self._body_bytes += len(data)
-        self._check_body_size(self._body_bytes)
-        self._body.append(data)
+        self._check_body_size(len(self._body) + len(data))
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Run the request, or let it wait for the running one."""
         request, self._incoming = self._incoming, None
-        request.body = b"".join(self._body)
-        self._body = []
+        self.is_unused = False
+        body, self._body = self._body, bytearray()
+        request.body = body if len(body) > _MIN_BUFFER_BYTES else bytes(body)
+        request.held_bytes += len(body)
+        self._requests_bytes += request.held_bytes
         self._pending.append(request)
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._run())
@@ -502,6 +615,9 @@
                         return
                 finally:
                     self._server.active_requests -= 1
+                    self._requests_bytes -= request.held_bytes
+                    self._response_bytes = 0
+                    self._count_memory()
                 self._input.resume()
         finally:
             self._task = None
@@ -520,13 +636,35 @@
         response.close = self._is_input_ended and not self._pending
         if self._transport is None:
             return False
-        self._transport.write(response.encode(request))
-        if self._writable is not None:
-            await self._writable
+        await self._write(response, request)
         if response.close:
             self._linger()
         return not response.close
 
+    async def _write(self, response: Response, request: Request) -> None:
+        """Write a response, a long one in parts as the caller reads it."""
+        if len(response.body) <= _WRITTEN_PART_BYTES:
+            content = response.encode(request)
+            self._response_bytes = len(content)
+            self._transport.write(content)
+            await self._wait_writable()
+            return
+        self._transport.write(response.encode_head())
+        body = memoryview(response.body)
+        if request.method == "HEAD":
+            body = body[:0]
+        self._response_bytes = len(body)
+        while body and self._transport is not None:
+            self._transport.write(body[:_WRITTEN_PART_BYTES])
+            body = body[_WRITTEN_PART_BYTES:]
+            await self._wait_writable()
+
+    async def _wait_writable(self) -> None:
+        """Wait until the kernel has what was written."""
+        if self._writable is not None:
+            self._count_memory()
+            await self._writable
+
     def recheck_incoming(self) -> None:
         """Refuse the request that is being received if it is refused now."""
         if self._incoming is not None and self._incoming.started_s:
@@ -552,6 +690,7 @@
         """Parse no further bytes; return the request that was incomplete."""
         self._is_input_ended = True
         request, self._incoming = self._incoming, None
+        self._body = bytearray()
         if request is not None and request.started_s:
             self._server.active_requests -= 1
         return request
--- a/slatechute/gateway/server.py
+++ b/slatechute/gateway/server.py
@@ -22,6 +22,7 @@
 from slatechute.gateway import splitting
 from slatechute.util import clock as clocks
 from slatechute.util import headers as util_headers
+from slatechute.util import memory
 
 __all__ = ["CallerServer"]
 
@@ -44,6 +45,9 @@
 # Retry-After of a draining entry: the caller can retry at another address
 # immediately.
 _DRAINING_RETRY_AFTER_MS = 20
+# Retry-After of a request that was given up for memory. Callers that stop
+# within a body hold it for some seconds.
+_MEMORY_RETRY_AFTER_MS = 300
 # Longest time for the last responses of a stop on their way to callers.
 _LAST_RESPONSES_S = 0.2
 # Time from the start of an entry until it has read its configuration, unless
@@ -127,6 +131,7 @@
         counters: metrics.Metrics,
         on_request: Callable[[], None] = lambda: None,
         wait_confirmed: Callable[[], Awaitable[None]] | None = None,
+        account: memory.MemoryAccount | None = None,
     ):
         self.body_bytes = 0
         self._on_request = on_request
@@ -151,6 +156,8 @@
             on_refused=lambda reason: counters.count_refusal(
                 reason, errors.Outcome.NOT_RUN, ""
             ),
+            account=account,
+            refuse_for_memory=self._refuse_for_memory,
         )
 
     @property
@@ -247,6 +254,23 @@
             self._clock.now_ms(),
         )
 
+    def _refuse_for_memory(
+        self, http_request: http_server.Request | None
+    ) -> http_server.Response:
+        """Refuse a request that has not arrived, as others need the memory."""
+        error = errors.RequestError(
+            errors.Reason.MEMORY,
+            errors.Step.ACCEPTED,
+            retry_after_ms=_MEMORY_RETRY_AFTER_MS,
+        )
+        return self._build_refusal(
+            http_request or http_server.Request(None),
+            None,
+            error,
+            forwarding.Trace(),
+            self._clock.now_ms(),
+        )
+
     def _starting_error(self) -> errors.RequestError:
         """Return the error for requests before the first configuration."""
         uptime_ms = self._clock.now_ms() - self._started_ms
--- a/slatechute/gateway/settings.py
+++ b/slatechute/gateway/settings.py
@@ -76,6 +76,8 @@
             Also how long a target is paused when another target uses its
             address.
         max_connections: Limit of open connections from callers.
+        max_descriptors: Limit of open descriptors of the process.
+        memory_mb: Memory that the process may use, in MB.
         processor_share: Processor time that the entry may use, in units of a
             core of usual speed. Hosts with more of it serve callers first.
         link_mbps: Bandwidth of the network link of the host, in Mbit/s.
@@ -103,6 +105,8 @@
     probes_per_s: float = 10.0
     expired_target_hold_s: float = 2.0
     max_connections: int = 1500
+    max_descriptors: int = 4096
+    memory_mb: float = 300.0
     processor_share: float = 1.0
     link_mbps: float = 1_000.0
     is_first_start: bool = False
--- a/slatechute/metrics.py
+++ b/slatechute/metrics.py
@@ -214,6 +214,13 @@
             "view_age_seconds",
             "Time since the published items were last confirmed.",
         )
+        self._caller_memory = self._gauge(
+            "caller_memory_bytes", "Memory that is held for callers."
+        )
+        self._given_up = self._counter(
+            "given_up",
+            "Requests and responses that were given up for memory.",
+        )
         self._adopted_s = math.nan
         self._age.set_function(lambda: time.monotonic() - self._adopted_s)
         self._services = _CappedLabel(MAX_SERVICES)
@@ -282,6 +289,10 @@
                 self._refusal_by_labels[key] = increment
         increment()
 
+    def count_given_up(self) -> None:
+        """Count a request or response that was given up for memory."""
+        self._given_up.inc()
+
     def count_retry(self, reason: errors.Reason) -> None:
         """Count an exchange that is repeated after a failure."""
         self._retry_by_reason[reason]()
@@ -412,6 +423,7 @@
         cold_targets: Callable[[], int] | None = None,
         unowned_slots: Callable[[], int] | None = None,
         view_age_s: Callable[[], float] | None = None,
+        caller_memory_bytes: Callable[[], int] | None = None,
     ) -> None:
         """Set the callbacks that gauges read on each export.
 
@@ -431,6 +443,7 @@
             unowned_slots: Returns the slots that no request gives back.
             view_age_s: Returns the time since the published items were last
                 confirmed in s, NaN before.
+            caller_memory_bytes: Returns the memory held for callers.
         """
         for gauge, read in (
             (self._in_flight, in_flight),
@@ -443,6 +456,7 @@
             (self._cold_targets, cold_targets),
             (self._unowned_slots, unowned_slots),
             (self._view_age, view_age_s),
+            (self._caller_memory, caller_memory_bytes),
         ):
             if read is not None:
                 gauge.set_function(read)
--- a/slatechute/util/input_turns.py
+++ b/slatechute/util/input_turns.py
@@ -117,6 +117,13 @@
         self._has_turn = False
         self._slice_bytes = _MIN_SLICE_BYTES
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of the reads of which some wait."""
+        if isinstance(self._rest, memoryview):
+            return len(self._rest.obj)
+        return len(self._rest)
+
     def attach(self, transport: asyncio.Transport) -> None:
         """Set the transport, which is paused while bytes wait."""
         self._transport = transport
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -4,7 +4,7 @@
 import contextlib
 import pathlib
 
-__all__ = ["PATIENCE_S", "Crowd", "descriptors", "peak_memory_mb"]
+__all__ = ["PATIENCE_S", "Crowd", "ask", "descriptors", "peak_memory_mb"]
 
 # Longest time for the crowd to send, and for an ordinary request, both far
 # beyond what they take. No test depends on it otherwise.
@@ -67,12 +67,13 @@
             writer.transport.abort()
 
 
-async def ask(address: str, head: bytes) -> int:
+async def ask(address: str, head: bytes, body: bytes = b"hello") -> int:
     """Return the status of one request on a new connection."""
     host, port = address.split(":")
     async with asyncio.timeout(PATIENCE_S):
         reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(head + b"Content-Length: 5\r\n\r\nhello")
+        writer.write(head + b"Content-Length: %d\r\n\r\n" % len(body))
+        writer.write(body)
         head = await reader.readuntil(b"\r\n\r\n")
         writer.close()
         return int(head.split()[1])
--- a/tests/gateway/test_crowds.py
+++ b/tests/gateway/test_crowds.py
@@ -5,9 +5,13 @@
 request while the crowd stays connected.
 """
 
+import asyncio
+import contextlib
+
 import pytest
 
 from tests.gateway import crowd
+from tests.gateway import mixed_fleet
 
 _CALLERS = 200
 _LARGE = crowd.MAX_BODY_BYTES - 1
@@ -143,3 +147,83 @@
             await callers.send(address, 600, b"GET / HTTP/1.1\r\n")
 
     crowd.play(tmp_path, send)
+
+
+class _CalmFleet(crowd.Fleet):
+    """A host and a largest body of the users' sizes."""
+
+    MEMORY_MB = 300
+    MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+def test_one_body_of_the_largest_size_is_served(tmp_path):
+    """A limit for all callers together must leave room for each of them."""
+
+    async def send(fleet, callers):
+        assert await fleet.ask(b"x" * fleet.MAX_BODY_BYTES) == 200
+        assert await fleet.ask(b"x" * fleet.MAX_BODY_BYTES) == 200
+
+    crowd.play(tmp_path, send, _CalmFleet)
+
+
+def test_responses_that_callers_do_not_read(tmp_path):
+    """They waited in the entry, however many and however large."""
+
+    async def send(fleet, callers):
+        fleet.target.response_bytes = 12_000_000
+        head = (
+            b"GET /repeat/large HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Request-Id: large\r\nX-Deadline-Ms: 30000\r\n\r\n"
+        )
+        for _ in range(20):
+            await callers.send(fleet.entry.callers, 2, head)
+            await asyncio.sleep(0.1)
+        fleet.target.response_bytes = 2
+
+    crowd.play(tmp_path, send)
+
+
+async def _send_without_end(writer, start, part):
+    with contextlib.suppress(OSError):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + start)
+        while True:
+            writer.write(part)
+            await writer.drain()
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"X: ", b"x" * 65_536),
+        (b"", b"X: x\r\n" * 10_000),
+        (b"\r\n", b"x" * 65_536),
+        (b"Transfer-Encoding: chunked\r\n\r\n", b"2\r\nxx\r\n" * 8_000),
+    ],
+    ids=["header", "headers", "body", "chunks"],
+)
+def test_targets_that_send_without_end(start, part, tmp_path):
+    """An entry kept what was no answer, for each of its callers."""
+
+    async def send(fleet, callers):
+        async def answer(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                await _send_without_end(writer, start, part)
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        faulty = mixed_fleet.Target("faulty", "shop", "z1", None)
+        faulty.address = f"{host}:{port}"
+        fleet.register(faulty)
+        head = (
+            b"GET /repeat/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Request-Id: x\r\nX-Deadline-Ms: 2000\r\n\r\n"
+        )
+        for _ in range(10):
+            await callers.send(fleet.entry.callers, 20, head)
+            await asyncio.sleep(0.2)
+        fleet.store.put("servers/faulty", None)
+        server.close()
+        await asyncio.sleep(1.0)
+
+    crowd.play(tmp_path, send)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -7,9 +7,12 @@
 
 from slatechute import errors
 from slatechute.gateway import http_server
+from slatechute.util import memory
 from tests import waiting
 from tests.gateway import small_fleet
 
+_MEMORY_BYTES = 300_000
+
 
 class _Fixture:
     """A server whose handler can be held, and raw connections to it."""
@@ -28,6 +31,7 @@
             limits=lambda: http_server.Limits(**limits),
             max_connections=2,
             on_refused=self.refused.append,
+            account=memory.MemoryAccount(lambda: _MEMORY_BYTES),
         )
 
     async def _handle(self, request):
@@ -419,3 +423,92 @@
         await waiting.until(lambda: not fixture.server.active_requests)
 
     _run(check)
+
+
+def _head(length):
+    return b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % length
+
+
+def test_largest_unfinished_body_gives_way_to_the_others():
+    """Bodies within their limits took all memory when they came together."""
+
+    async def check(fixture):
+        large_reader, large = await fixture.connect()
+        large.write(_head(250_000) + b"x" * 249_999)
+        account = fixture.server.account
+        await waiting.until(lambda: account.total > 249_000)
+        reader, writer = await fixture.connect()
+        writer.write(_head(100_000) + b"x" * 100_000)
+        head = await large_reader.readuntil(b"\r\n\r\n")
+        assert b" 503 " in head
+        assert b"Retry-After: " in head
+        assert await _read_response(reader) == (200, b"/a")
+        assert fixture.server.active_requests == 0
+
+    _run(check, max_body_bytes=250_000)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        _head(5) + b"hello",
+        _head(100_000) + b"x" * 100_000,
+        _head(5) + b"hell",
+        _head(900_000),
+        b"POST /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 1_000,
+        b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n" * 30,
+        b"\x00",
+    ],
+    ids=["small", "large", "cut", "too-large", "in-head", "pipelined", "bad"],
+)
+def test_nothing_is_held_for_a_caller_that_has_left(data):
+    """What is counted and not given back is refused to others for ever."""
+
+    async def check(fixture):
+        fixture.release.clear()
+        reader, writer = await fixture.connect()
+        writer.write(data)
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        # The end of a connection with many requests is seen after some of them.
+        fixture.release.set()
+        await waiting.until(lambda: not fixture.server.connections)
+        await asyncio.sleep(0)
+        assert fixture.server.account.total == 0
+        reader, writer = await fixture.connect()
+        writer.write(_head(5) + b"hello")
+        await _read_response(reader)
+        await waiting.until(lambda: not fixture.server.active_requests)
+        assert fixture.server.account.total == 0
+
+    _run(check, max_body_bytes=250_000)
+
+
+@pytest.mark.parametrize(("count", "status"), [(1_000, 200), (40_000, 431)])
+def test_trailers_are_limited_like_headers(count, status):
+    """A trailer without end was kept by the parser."""
+
+    async def check(fixture):
+        response = await _exchange(
+            fixture,
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nx\r\n0\r\nT: " + b"t" * count + b"\r\n\r\n",
+        )
+        assert response[0] == status
+
+    _run(check, max_header_bytes=16_384)
+
+
+def test_connection_without_a_request_gives_way_to_a_new_one():
+    """Connections that stop within their headers kept all callers out."""
+
+    async def check(fixture):
+        idle = [await fixture.connect() for _ in range(2)]
+        idle[0][1].write(b"GET /a HTTP/1.1\r\n")
+        await waiting.until(lambda: len(fixture.server.connections) == 2)
+        request = b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+        assert await _exchange(fixture, request) == (200, b"/b")
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await idle[0][0].readexactly(1)
+
+    _run(check)
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -107,6 +107,8 @@
     "slatechute_total_latency_seconds": ("histogram",),
     "slatechute_unowned_slots": ("gauge",),
     "slatechute_view_age_seconds": ("gauge",),
+    "slatechute_caller_memory_bytes": ("gauge",),
+    "slatechute_given_up": ("counter",),
 }
 
 # Options and arguments by command.
