Bound what callers make an entry hold at the product's own interface

What callers would see: the entry ran out of memory when many of them sent bodies within the limit and stopped short of the end, and was out of reach while connections that had sent a part of a request filled its limit.

Cause: as at gateway entries, the limit held for one body. The port for operators accepted any number of connections.

Change: bodies count in one account, with the input that waits to be parsed, until their requests end. Above body_memory_bytes, 256 MB by default, the largest body that is arriving is refused as not run (reason memory). The port for operators uses the listener of callers, with 64 connections. At the limit, a connection that has begun a request and not ended its headers, or has been silent for a second, gives way to a new one; the same now holds at the ports of gateway entries, where any silent connection had given way since.

--- a/slatechute/admin.py
+++ b/slatechute/admin.py
@@ -5,6 +5,8 @@
 
 from aiohttp import web
 
+from slatechute import errors
+from slatechute import listener
 from slatechute import logs
 from slatechute import metrics as metrics_module
 from slatechute import settings as entry_settings
@@ -16,6 +18,7 @@
 
 # Operators' requests are short, so the shutdown need not wait long for them.
 _SHUTDOWN_TIMEOUT_S = 1.0
+_MAX_CONNECTIONS = 64
 
 _LOG = logs.get_logger(__name__)
 
@@ -48,7 +51,13 @@
         self._metrics = metrics
         self._readiness = readiness
         self._status = status
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
+        self._handler_by_path = {
+            "/metrics": self._get_metrics,
+            "/health": self._get_health,
+            "/ready": self._get_ready,
+            "/status": self._get_status,
+        }
 
     @property
     def address(self) -> str:
@@ -68,22 +77,13 @@
         Raises:
             OSError: The address is in use or not on this host.
         """
-        app = web.Application()
-        app.router.add_get("/metrics", self._get_metrics)
-        app.router.add_get("/health", self._get_health)
-        app.router.add_get("/ready", self._get_ready)
-        app.router.add_get("/status", self._get_status)
-        runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+        self._runner = await listener.serve(
+            self._handle,
+            self._settings.admin_address,
+            max_connections=_MAX_CONNECTIONS,
+            on_refused=self._count_refusal,
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         )
-        await runner.setup()
-        host, port = addresses.split_address(self._settings.admin_address)
-        try:
-            await web.TCPSite(runner, host, port).start()
-        except OSError:
-            await runner.cleanup()
-            raise
-        self._runner = runner
         _LOG.info("admin_listening", address=self.address)
 
     async def stop(self) -> None:
@@ -92,25 +92,45 @@
         if runner is not None:
             await runner.cleanup()
 
-    async def _get_metrics(self, request: web.Request) -> web.Response:
+    def _count_refusal(self, reason: errors.Reason) -> None:
+        self._metrics.count_refusal(reason, errors.Outcome.NOT_RUN, "")
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        connection = request.protocol
+        connection.start_request()
+        try:
+            if connection.is_over_limit:
+                raise web.HTTPServiceUnavailable
+            handler = self._handler_by_path.get(request.path)
+            if handler is None:
+                raise web.HTTPNotFound
+            if request.method not in ("GET", "HEAD"):
+                raise web.HTTPMethodNotAllowed(request.method, ["GET", "HEAD"])
+            return await handler(request)
+        except web.HTTPException as error:
+            return web.Response(status=error.status, text=error.text)
+        finally:
+            connection.is_serving = False
+
+    async def _get_metrics(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.Response(
             body=self._metrics.export(),
             headers={"Content-Type": metrics_module.CONTENT_TYPE},
         )
 
-    async def _get_health(self, request: web.Request) -> web.Response:
+    async def _get_health(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.json_response({"state": "alive"})
 
-    async def _get_ready(self, request: web.Request) -> web.Response:
+    async def _get_ready(self, request: web.BaseRequest) -> web.Response:
         del request
         state = self._readiness()
         return web.json_response(
             {"state": state}, status=200 if state == READY else 503
         )
 
-    async def _get_status(self, request: web.Request) -> web.Response:
+    async def _get_status(self, request: web.BaseRequest) -> web.Response:
         del request
         try:
             return web.json_response(self._status())
--- a/slatechute/callers.py
+++ b/slatechute/callers.py
@@ -21,6 +21,7 @@
 from slatechute.configuration import models
 from slatechute.util import clock as clocks
 from slatechute.util import headers as util_headers
+from slatechute.util import memory
 
 __all__ = ["CallerServer", "Directory"]
 
@@ -84,7 +85,11 @@
         self._clock = clock
         self._counters = counters
         self._runner: web.ServerRunner | None = None
+        self._account = memory.MemoryAccount(
+            lambda: settings.body_memory_bytes, counters.count_given_up
+        )
         self.inflight = 0
+        counters.bind_gauges(caller_memory_bytes=lambda: self._account.total)
 
     async def start(self) -> None:
         """Listen on the callers' address.
@@ -99,6 +104,7 @@
             on_refused=lambda reason: self._counters.count_refusal(
                 reason, errors.Outcome.NOT_RUN, ""
             ),
+            account=self._account,
         )
 
     async def stop(self) -> None:
@@ -108,8 +114,7 @@
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         connection = http.protocol
-        connection.is_serving = True
-        connection.header_started_s = 0.0
+        connection.start_request()
         service = ""
         try:
             if connection.is_over_limit:
@@ -146,9 +151,9 @@
         if error.reason is errors.Reason.DUPLICATE_REQUEST_ID:
             self._counters.count_duplicate()
         response = _refusal_response(error)
-        if (
-            connection.is_over_limit
-            or error.reason is errors.Reason.REQUEST_TOO_SLOW
+        if connection.is_over_limit or error.reason in (
+            errors.Reason.REQUEST_TOO_SLOW,
+            errors.Reason.MEMORY,
         ):
             response.force_close()
         return response
@@ -170,9 +175,15 @@
 
     async def _serve(
         self, http: web.BaseRequest, service: str
+    ) -> web.StreamResponse:
+        with listener.HeldBody(self._account) as body:
+            return await self._serve_body(http, service, body)
+
+    async def _serve_body(
+        self, http: web.BaseRequest, service: str, body: listener.HeldBody
     ) -> web.StreamResponse:
         try:
-            request = await self._accept(http, service)
+            request = await self._accept(http, service, body)
         except errors.RequestError as error:
             raise self._cover_earlier_run(error, http) from error
         try:
@@ -202,7 +213,7 @@
         )
 
     async def _accept(
-        self, http: web.BaseRequest, service: str
+        self, http: web.BaseRequest, service: str, held_body: listener.HeldBody
     ) -> requests.Request:
         now_ms = self._clock.now_ms()
         rule = await self._current_rule(http, service)
@@ -212,7 +223,7 @@
         )
         attempt_number = _parse_header_number(headers, _ATTEMPT_HEADER, 0)
         total_ms = min(deadline_ms, _MAX_DEADLINE_MS)
-        body = await self._read_body(http, total_ms)
+        body = await self._read_body(http, total_ms, held_body)
         if body:
             # The configuration may have changed while the body arrived.
             rule = await self._current_rule(http, service)
@@ -249,7 +260,9 @@
             raise _unknown_service_error(configuration, errors.Step.ACCEPTED)
         return rules.rule_for(http.method, http.path)
 
-    async def _read_body(self, http: web.BaseRequest, limit_ms: float) -> bytes:
+    async def _read_body(
+        self, http: web.BaseRequest, limit_ms: float, body: listener.HeldBody
+    ) -> bytes:
         """Return the body of a request.
 
         The limit keeps a caller that stops sending from occupying the entry
@@ -264,7 +277,7 @@
         try:
             async with asyncio.timeout(limit_ms / 1000):
                 return await listener.read_body(
-                    http, self._settings.max_body_bytes
+                    http, self._settings.max_body_bytes, body
                 )
         except TimeoutError as err:
             raise errors.RequestError(
--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -46,6 +46,9 @@
 # immediately.
 _MAX_REFUSED_CONNECTIONS = 64
 _MAX_REFUSED_SHARE = 0.25
+# Time in which a caller begins its first request. Later, or once it has begun
+# and not ended, its connection gives way to a new one at the limit.
+_MAX_SILENCE_S = 1.0
 # Memory of a header beside its characters, in bytes.
 _HEADER_OVERHEAD_BYTES = 256
 # Shorter bodies are copied, as `bytes` take less memory than a buffer that
@@ -320,8 +323,9 @@
         Connections that stop within their first headers would otherwise keep
         all others out.
         """
+        oldest_s = asyncio.get_running_loop().time() - _MAX_SILENCE_S
         for connection in self.connections:
-            if connection.is_unused and connection is not newest:
+            if connection is not newest and connection.is_unused(oldest_s):
                 self.on_refused(errors.Reason.OVERLOAD)
                 self.remove(connection)
                 connection.abort()
@@ -359,13 +363,12 @@
             first request is refused.
         is_lingering: Whether the last response was written, and the end of the
             caller's output is awaited.
-        is_unused: Whether it has not sent a complete request.
     """
 
     def __init__(self, server: HttpServer):
         self.is_over_limit = False
         self.is_lingering = False
-        self.is_unused = True
+        self._has_sent_request = False
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -594,7 +597,7 @@
     def on_message_complete(self) -> None:
         """Run the request, or let it wait for the running one."""
         request, self._incoming = self._incoming, None
-        self.is_unused = False
+        self._has_sent_request = True
         body, self._body = self._body, bytearray()
         request.body = body if len(body) > _MIN_BUFFER_BYTES else bytes(body)
         request.held_bytes += len(body)
@@ -665,6 +668,17 @@
             self._count_memory()
             await self._writable
 
+    def is_unused(self, oldest_s: float) -> bool:
+        """Return whether the caller keeps others out without a request.
+
+        Args:
+            oldest_s: A connection that was opened earlier, as event loop time,
+                should have sent something.
+        """
+        if self._has_sent_request or self.is_lingering:
+            return False
+        return self._incoming is not None or self._idle_since_s < oldest_s
+
     def recheck_incoming(self) -> None:
         """Refuse the request that is being received if it is refused now."""
         if self._incoming is not None and self._incoming.started_s:
--- a/slatechute/settings.py
+++ b/slatechute/settings.py
@@ -62,6 +62,7 @@
         fan_out: Dispatchers that a slot request is first sent to.
         spread_degree: Neighbours that documents are sent to.
         max_body_bytes: Largest request body.
+        body_memory_bytes: Memory that the bodies of all requests may take.
         max_connections: Callers' connections accepted at a time.
         request_table_size: Request ids kept to detect resends.
         drain_limit_ms: Longest wait of a planned stop for requests in flight.
@@ -93,6 +94,7 @@
     fan_out: int = pydantic.Field(default=6, ge=1, le=64)
     spread_degree: int = pydantic.Field(default=6, ge=1, le=64)
     max_body_bytes: int = pydantic.Field(default=1 << 20, ge=0, le=1 << 28)
+    body_memory_bytes: int = pydantic.Field(default=1 << 28, ge=1 << 20)
     max_connections: int = pydantic.Field(default=10_000, ge=1)
     request_table_size: int = pydantic.Field(default=200_000, ge=1)
     drain_limit_ms: int = pydantic.Field(default=600_000, ge=0)
--- a/tests/test_outer_names.py
+++ b/tests/test_outer_names.py
@@ -148,6 +148,7 @@
     "entry": [
         "--address",
         "--admin-address",
+        "--body-memory-bytes",
         "--data-centre",
         "--drain-limit-ms",
         "--entry-id",
@@ -176,6 +177,7 @@
     "settings": [
         "--address",
         "--admin-address",
+        "--body-memory-bytes",
         "--data-centre",
         "--drain-limit-ms",
         "--entry-id",
