--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -428,7 +428,7 @@
             if self._input.waiting_bytes:
                 self._count_memory()
 
-    def _feed(self, data: memoryview) -> bool:
+    def _feed(self, data: bytes | memoryview) -> bool:
         """Parse a slice and return whether to go on with the next one."""
         if self._is_input_ended or self._transport is None:
             return True
--- a/slatechute/listener.py
+++ b/slatechute/listener.py
@@ -101,7 +101,7 @@
             # The base class continues with what its parser holds.
             super().data_received(data)
 
-    def _feed(self, data: memoryview) -> bool:
+    def _feed(self, data: bytes | memoryview) -> bool:
         super().data_received(bytes(data))
         self._count_memory()
         return not (self._reading_paused or self._buffer_paused)
--- a/slatechute/util/input_turns.py
+++ b/slatechute/util/input_turns.py
@@ -106,7 +106,7 @@
 
     def __init__(
         self,
-        feed: Callable[[memoryview], bool],
+        feed: Callable[[bytes | memoryview], bool],
         turns: InputTurns = _TURNS,
     ):
         self.used_s = 0.0
@@ -151,7 +151,12 @@
             self._pause()
             self._request_turn()
             return
-        if not self._parse(data, now_s):
+        if len(data) <= _MIN_SLICE_BYTES:
+            goes_on = self._feed(data)
+            self.used_s = self._turns.now_s() - now_s
+        else:
+            goes_on = self._parse(data, now_s)
+        if not goes_on:
             self._pause()
         self._turns.count(self.used_s)
 
