--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -46,6 +46,9 @@
 # immediately.
 _MAX_REFUSED_CONNECTIONS = 64
 _MAX_REFUSED_SHARE = 0.25
+# Smaller changes of what a connection holds are not reported to the account,
+# which would cost more than ordinary requests are worth.
+_UNREPORTED_BYTES = 8 * 1024
 # Time in which a caller begins its first request. Later, or once it has begun
 # and not ended, its connection gives way to a new one at the limit.
 _MAX_SILENCE_S = 1.0
@@ -385,6 +388,8 @@
         # Memory of complete requests, and of the response that is written.
         self._requests_bytes = 0
         self._response_bytes = 0
+        # What the account has been told of: bytes held, and those to give up.
+        self._reported = 0, 0
         # Requests that wait for the response to the running one.
         self._pending: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task | None = None
@@ -481,9 +486,18 @@
         if self._incoming is not None:
             incoming += self._incoming.held_bytes + self._head_bytes
         held = incoming + self._requests_bytes + self._response_bytes
-        # A response waits for its caller while the transport has some of it.
-        unread = self._response_bytes if self._writable is not None else 0
-        self._server.account.hold(self, held, incoming + unread)
+        yieldable = incoming
+        if self._writable is not None:
+            # The response waits for its caller.
+            yieldable += self._response_bytes
+        reported_held, reported_yieldable = self._reported
+        if (
+            abs(held - reported_held) < _UNREPORTED_BYTES
+            and abs(yieldable - reported_yieldable) < _UNREPORTED_BYTES
+        ):
+            return
+        self._reported = held, yieldable
+        self._server.account.hold(self, held, yieldable)
 
     def give_way(self) -> None:
         """Give up the request that is arriving, or an unread response."""
@@ -639,19 +653,19 @@
         response.close = self._is_input_ended and not self._pending
         if self._transport is None:
             return False
-        await self._write(response, request)
-        if response.close:
-            self._linger()
-        return not response.close
-
-    async def _write(self, response: Response, request: Request) -> None:
-        """Write a response, a long one in parts as the caller reads it."""
-        if len(response.body) <= _WRITTEN_PART_BYTES:
+        if len(response.body) > _WRITTEN_PART_BYTES:
+            await self._write_parts(response, request)
+        else:
             content = response.encode(request)
             self._response_bytes = len(content)
             self._transport.write(content)
             await self._wait_writable()
-            return
+        if response.close:
+            self._linger()
+        return not response.close
+
+    async def _write_parts(self, response: Response, request: Request) -> None:
+        """Write a long response in parts, as the caller reads it."""
         self._transport.write(response.encode_head())
         body = memoryview(response.body)
         if request.method == "HEAD":
