Report it to the account when a connection holds nothing

Cause: a last change of less than 8 KB was not reported, so that idle connections counted for the rest of what pipelined requests had held, up to 8 KB each.

Change: nothing is always reported. The new test fails before (537 bytes left), in three of three runs; the account is empty after each of its requests now.

--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -491,10 +491,11 @@
             # The response waits for its caller.
             yieldable += self._response_bytes
         reported_held, reported_yieldable = self._reported
-        if (
+        is_small = (
             abs(held - reported_held) < _UNREPORTED_BYTES
             and abs(yieldable - reported_yieldable) < _UNREPORTED_BYTES
-        ):
+        )
+        if is_small and (held or not reported_held):
             return
         self._reported = held, yieldable
         self._server.account.hold(self, held, yieldable)
--- a/slatechute/listener.py
+++ b/slatechute/listener.py
@@ -51,6 +51,9 @@
 class Connection(web.RequestHandler):
     """Connection of a caller.
 
+    Private members of the flow control of `aiohttp` are used, since it has no
+    hook between a read and its parser.
+
     Attributes:
         is_over_limit: Whether the connection is above the limit, so that its
             first request is refused.
--- a/slatechute/util/memory.py
+++ b/slatechute/util/memory.py
@@ -48,7 +48,7 @@
         self.total = 0
         self._limit = limit
         self._on_given_up = on_given_up
-        self._is_full = False
+        self._is_making_room = False
         self._held_by_holder: dict[Holder, int] = {}
         self._yieldable_by_holder: dict[Holder, int] = {}
 
@@ -61,14 +61,14 @@
             yieldable: Those of them that it can give up.
         """
         self._set(holder, held, yieldable)
-        if self.total <= self._limit() or self._is_full:
+        if self.total <= self._limit() or self._is_making_room:
             return
         # Holders that give way report here again.
-        self._is_full = True
+        self._is_making_room = True
         try:
             self._make_room()
         finally:
-            self._is_full = False
+            self._is_making_room = False
 
     def _make_room(self) -> None:
         while self.total > self._limit() and self._yieldable_by_holder:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -512,3 +512,19 @@
             await idle[0][0].readexactly(1)
 
     _run(check)
+
+
+def test_idle_connection_holds_nothing():
+    """The account must be empty when no request is in flight."""
+
+    async def check(fixture):
+        reader, writer = await fixture.connect()
+        for lengths in ([20_000], [5], [100_000, 5], [9_000, 9_000]):
+            for length in lengths:
+                writer.write(_head(length) + b"x" * length)
+            for _ in lengths:
+                assert (await _read_response(reader))[0] == 200
+            await waiting.until(lambda: not fixture.server.active_requests)
+            assert fixture.server.account.total == 0
+
+    _run(check, max_body_bytes=250_000)
