Go on with other connections after an unexpected error in a turn

What callers would see: input of all callers that waited was not parsed any more until some other input was deferred.

Cause: a turn was called without the guard that other loops have.

Change: turns run as steps, which log an unexpected error. The connection of a failed turn is closed, as asyncio closes one whose input cannot be handled. The new test does not end before the change, as the turns stop.

--- a/slatechute/util/input_turns.py
+++ b/slatechute/util/input_turns.py
@@ -11,8 +11,13 @@
 from collections.abc import Callable
 import time
 
+from slatechute import logs
+from slatechute.util import steps
+
 __all__ = ["InputTurns", "SlicedInput"]
 
+_LOG = logs.get_logger(__name__)
+
 # Processor time of all connections of a process in one step of the event loop,
 # and of one of them in a turn, in seconds.
 _MAX_STEP_S = 0.002
@@ -80,7 +85,7 @@
                 break
             queue = self._fresh or self._costly
             if queue:
-                queue.popleft().take_turn()
+                steps.run_step(_LOG, "parse", queue.popleft().take_turn)
         if len(self) and not self._is_scheduled:
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._run)
@@ -171,9 +176,17 @@
         """Parse waiting bytes for the time of one turn."""
         self._has_turn = False
         data, self._rest = self._rest, b""
-        if data:
-            if self._parse(data, self._turns.now_s()) and not self._rest:
-                self._read_on()
+        if not data:
+            return
+        try:
+            goes_on = self._parse(data, self._turns.now_s())
+        except Exception:
+            # As asyncio does when input that arrives cannot be handled.
+            if self._transport is not None:
+                self._transport.abort()
+            raise
+        if goes_on and not self._rest:
+            self._read_on()
 
     def _request_turn(self) -> None:
         if not self._has_turn:
--- a/tests/util/test_input_turns.py
+++ b/tests/util/test_input_turns.py
@@ -13,7 +13,7 @@
 
     def __init__(self, process, byte_s):
         self.parsed = 0
-        self.is_paused = False
+        self.is_paused = self.is_aborted = False
         self.input = input_turns.SlicedInput(self._feed, process.turns)
         self.input.attach(self)
         self._process = process
@@ -32,6 +32,9 @@
     def resume_reading(self):
         self.is_paused = False
 
+    def abort(self):
+        self.is_aborted = True
+
 
 class _Process:
     def __init__(self):
@@ -128,3 +131,24 @@
         assert source.parsed == parsed
 
     asyncio.run(main())
+
+
+def test_error_of_one_connection_leaves_the_others_their_turns():
+    """An unexpected error would have stopped all input that waited."""
+
+    async def main():
+        process = _Process()
+        faulty, sound = (_Source(process, _COSTLY_BYTE_S) for _ in range(2))
+        for source in (faulty, sound):
+            source.input.receive(b"x" * 65_536)
+
+        def fail(data):
+            raise ZeroDivisionError
+
+        faulty.input._feed = fail
+        async for _ in process.steps():
+            pass
+        assert sound.parsed == 65_536
+        assert faulty.is_aborted
+
+    asyncio.run(main())
