Hold requests after a pause even if the confirmation cannot be asked for

Cause: an unexpected error while peers are asked would have been raised to the request that noticed the pause.

Change: asking is a step, which logs the error; the wait ends after its limit.

--- a/slatechute/gateway/resumption.py
+++ b/slatechute/gateway/resumption.py
@@ -12,6 +12,7 @@
 
 from slatechute import logs
 from slatechute.util import clock as clocks
+from slatechute.util import steps
 
 __all__ = ["MIN_PAUSE_MS", "Resumption"]
 
@@ -68,7 +69,7 @@
             loop = asyncio.get_running_loop()
             self._confirmed = loop.create_future()
             loop.call_later(_MAX_WAIT_S, self._give_up, self._confirmed)
-            self._confirm()
+            steps.run_step(_LOG, "confirm", self._confirm)
 
     def _give_up(self, confirmed: asyncio.Future) -> None:
         if confirmed is self._confirmed:
