Keep an error of a holder that gives way from the one that needs room

What callers would see: an innocent connection would have been closed for an unexpected error in another one.

Change: giving way is a step, which logs the error.

--- a/slatechute/util/memory.py
+++ b/slatechute/util/memory.py
@@ -8,8 +8,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from slatechute import logs
+from slatechute.util import steps
+
 __all__ = ["Holder", "MemoryAccount"]
 
+_LOG = logs.get_logger(__name__)
+
 
 class Holder(Protocol):
     """Something that holds memory for a caller."""
@@ -78,7 +83,7 @@
             # Taken out first, so that a holder that keeps its memory is not
             # asked again and again.
             del self._yieldable_by_holder[largest]
-            largest.give_way()
+            steps.run_step(_LOG, "give_way", largest.give_way)
             self._on_given_up()
 
     def release(self, holder: Holder) -> None:
