Drop a result that nothing reads from the wait after a pause

The future of the wait held whether the view was confirmed, which no caller looked at. Three comments called wall time processor time; one on small changes is reworded. Behaviour is unchanged; the tests of the wait, of the configuration in force, of the turns, of both servers and of planned stops pass.

--- a/slatechute/gateway/http_server.py
+++ b/slatechute/gateway/http_server.py
@@ -46,8 +46,8 @@
 # immediately.
 _MAX_REFUSED_CONNECTIONS = 64
 _MAX_REFUSED_SHARE = 0.25
-# Smaller changes of what a connection holds are not reported to the account,
-# which would cost more than ordinary requests are worth.
+# Smaller changes of what a connection holds are not reported to the account, to
+# keep ordinary requests cheap.
 _UNREPORTED_BYTES = 8 * 1024
 # Time in which a caller begins its first request. Later, or once it has begun
 # and not ended, its connection gives way to a new one at the limit.
--- a/slatechute/gateway/resumption.py
+++ b/slatechute/gateway/resumption.py
@@ -38,7 +38,7 @@
         self._confirm = confirm
         # Infinite before the first step.
         self._last_step_ms = math.inf
-        self._confirmed: asyncio.Future[bool] | None = None
+        self._confirmed: asyncio.Future[None] | None = None
 
     def step(self) -> float:
         """Note a step of the event loop; return the time since the last in ms.
@@ -52,8 +52,10 @@
         return pause_ms
 
     def confirmed(self) -> None:
-        """Let the requests go on, as the view is confirmed."""
-        self._end(True)
+        """Let the requests go on, if any wait."""
+        if self._confirmed is not None:
+            self._confirmed.set_result(None)
+            self._confirmed = None
 
     async def wait(self) -> None:
         """Wait until the view is confirmed if the process was paused."""
@@ -74,9 +76,4 @@
     def _give_up(self, confirmed: asyncio.Future) -> None:
         if confirmed is self._confirmed:
             _LOG.warning("view_not_confirmed", waited_s=_MAX_WAIT_S)
-            self._end(False)
-
-    def _end(self, is_confirmed: bool) -> None:
-        if self._confirmed is not None:
-            self._confirmed.set_result(is_confirmed)
-            self._confirmed = None
+            self.confirmed()
--- a/slatechute/util/input_turns.py
+++ b/slatechute/util/input_turns.py
@@ -18,8 +18,8 @@
 
 _LOG = logs.get_logger(__name__)
 
-# Processor time of all connections of a process in one step of the event loop,
-# and of one of them in a turn, in seconds.
+# Time of all connections of a process in one step of the event loop, and of one
+# of them in a turn, in seconds.
 _MAX_STEP_S = 0.002
 _MAX_TURN_S = 0.0005
 # Outside the steps, input is parsed as it arrives for `_MAX_STEP_S` of this
@@ -30,7 +30,7 @@
 _MAX_FRESH_S = 0.002
 _MIN_SLICE_BYTES = 1024
 _MAX_SLICE_BYTES = 8 * 1024
-# Processor time of a slice above which the next ones are as small as possible.
+# Time of a slice, in seconds, above which the next ones are the smallest.
 _SLOW_SLICE_S = 0.0002
 
 
@@ -41,7 +41,7 @@
     request does not wait for the turns of those that send costly input.
 
     Args:
-        now_s: Clock of the processor time, in seconds.
+        now_s: Clock, in seconds.
     """
 
     def __init__(self, now_s: Callable[[], float] = time.perf_counter):
@@ -105,8 +105,8 @@
         turns: Turns of the process.
 
     Attributes:
-        used_s: Processor time that the waiting bytes and those before them have
-            taken since none waited, in seconds.
+        used_s: Time that the waiting bytes and those before them have taken
+            since none waited, in seconds.
     """
 
     def __init__(
