Let the server answer errors at the port for operators, and close refused callers

What operators would see: a 405 without Allow, which lost as it turned errors into responses by hand, and refused connections that stayed open above the limit until they were idle for 75 s.

Change: errors are left to aiohttp, as before, and the refusal above the limit closes its connection. Both tests fail before.

--- a/slatechute/admin.py
+++ b/slatechute/admin.py
@@ -100,15 +100,15 @@
         connection.start_request()
         try:
             if connection.is_over_limit:
-                raise web.HTTPServiceUnavailable
+                response = web.Response(status=503)
+                response.force_close()
+                return response
             handler = self._handler_by_path.get(request.path)
             if handler is None:
                 raise web.HTTPNotFound
             if request.method not in ("GET", "HEAD"):
                 raise web.HTTPMethodNotAllowed(request.method, ["GET", "HEAD"])
             return await handler(request)
-        except web.HTTPException as error:
-            return web.Response(status=error.status, text=error.text)
         finally:
             connection.is_serving = False
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -112,3 +112,38 @@
             _ = second.address
 
     _run(check)
+
+
+def test_method_that_is_not_allowed_names_those_that_are():
+    """The header got lost as the server became that of callers."""
+
+    async def check(server):
+        url = f"http://{server.address}/health"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url) as response,
+        ):
+            assert response.status == 405
+            assert "GET" in response.headers["Allow"]
+
+    _run(check)
+
+
+def test_connection_above_the_limit_is_closed_after_its_refusal(monkeypatch):
+    """It would have kept its place above the limit until it was idle."""
+    monkeypatch.setattr(admin, "_MAX_CONNECTIONS", 1)
+
+    async def check(server):
+        host, port = server.address.rsplit(":", 1)
+        request = b"GET /health HTTP/1.1\r\nHost: h\r\n\r\n"
+        first_reader, first = await asyncio.open_connection(host, int(port))
+        first.write(request)
+        await first_reader.readuntil(b"alive")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request)
+        async with asyncio.timeout(5):
+            assert b" 503 " in await reader.read()
+        for each in (first, writer):
+            each.close()
+
+    _run(check)
