--- a/review/standins-2/smallfleet.py
+++ b/review/standins-2/smallfleet.py
@@ -422,6 +422,8 @@
         self.starts = 0
         self.started_s = 0.0
         self.process: subprocess.Popen | None = None
+        # Address of the store, if not its own.
+        self.store_address = ""
         self._fleet = fleet
 
     def address(self, port_name: str) -> str:
@@ -446,7 +448,7 @@
                 fleet.port_by_name["peers"] + 15,
             ],
             "platform": {
-                "address": fleet.store.address,
+                "address": self.store_address or fleet.store.address,
                 "form": "read",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
