Add review case 10: downloads are broken off during a planned stop

Cause: the answers of all targets may hold 32 MB while they arrive; above it the largest one is broken off, and its request ends with 502. No code of the product is changed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # the standard library only.
 set -e
 cd "$(dirname "$0")"
-python3 -m compileall -q standins-2 6 7 8 9
+python3 -m compileall -q standins-2 6 7 8 9 10
