Let review case 7 change the settings with its signal

Cause: the SIGHUP of the case came without a changed settings file. Change: the seeds in the file change before it.

--- a/review/standins-2/smallfleet.py
+++ b/review/standins-2/smallfleet.py
@@ -430,11 +430,12 @@
         """Return one of its addresses."""
         return f"{self.host}:{self._fleet.port_by_name[port_name]}"
 
-    def start(self) -> None:
-        """Start the process with the command of the deploy file."""
+    @property
+    def _settings_path(self) -> pathlib.Path:
+        return self._fleet.folder / f"{self.name}.json"
+
+    def _write_settings(self, seeds: list["Entry"]) -> None:
         fleet = self._fleet
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        command = deploy["roles"]["entry"]["run"].split()
         settings = {
             "node": self.name,
             "ip": self.host,
@@ -456,7 +457,7 @@
                 "value_bytes": 1048576,
                 "min_ttl_s": 1,
             },
-            "seeds": [entry.address("control") for entry in fleet.entries[:3]],
+            "seeds": [entry.address("control") for entry in seeds],
             "bootstrap": not self.starts,
             "limits": {
                 "cpu_share": 0.86,
@@ -469,15 +470,26 @@
             "bounds": BOUNDS,
             "hedging": {"share": 0.1, "max_per_s": 20},
         }
-        path = fleet.folder / f"{self.name}.json"
-        path.write_text(json.dumps(settings))
+        self._settings_path.write_text(json.dumps(settings))
+
+    def change_settings(self) -> None:
+        """Write settings with other seeds and send SIGHUP."""
+        self._write_settings(self._fleet.entries[-1:])
+        self.signal(signal.SIGHUP)
+
+    def start(self) -> None:
+        """Start the process with the command of the deploy file."""
+        fleet = self._fleet
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        command = deploy["roles"]["entry"]["run"].split()
+        self._write_settings(fleet.entries[:3])
         environment = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
             if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
-        environment["SLATECHUTE_BOOT"] = str(path)
+        environment["SLATECHUTE_BOOT"] = str(self._settings_path)
         with (fleet.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
                 command,
