--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""The two readers of a zone are cut off from the store at the same time."""
+"""A request that crashes instances, while the entries are restarted in turn."""
 
 import asyncio
 import pathlib
@@ -10,141 +10,143 @@
 
 import smallfleet  # noqa: E402
 
-ZONES = ["inverness"] * 5
-CUT_MACHINES = 2
-CUT_S = 5.5
-# Time from the cut until the operator writes the configuration.
-CHANGE_AFTER_S = 0.1
-OLD_SERVICE, NEW_SERVICE = "plans-desk", "kit-store"
-DEADLINE_S = 0.8
-
-
-class Cut:
-    """The path of one machine to the store, which can be cut silently."""
-
-    def __init__(self, store_address: str):
-        self.address = ""
-        self._store_address = store_address
-        self._is_open = asyncio.Event()
-        self._is_open.set()
-        self._server: asyncio.Server | None = None
-
-    async def start(self, host: str) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{host}:{port}"
-
-    def begin(self) -> None:
-        """Let nothing pass any more, in either direction."""
-        self._is_open.clear()
-
-    def end(self) -> None:
-        """Let everything pass again."""
-        self._is_open.set()
-
-    async def _serve(self, reader, writer) -> None:
-        host, _, port = self._store_address.rpartition(":")
-        try:
-            await self._is_open.wait()
-            from_store, to_store = await asyncio.open_connection(
-                host, int(port)
-            )
-            await asyncio.gather(
-                self._pass(reader, to_store), self._pass(from_store, writer)
-            )
-        except (OSError, asyncio.CancelledError):
-            writer.close()
-
-    async def _pass(self, reader, writer) -> None:
-        while data := await reader.read(2**16):
-            await self._is_open.wait()
-            writer.write(data)
-        writer.close()
-
-
-def _routes(service: str) -> list[dict[str, object]]:
-    return [
-        {
-            "prefix": prefix,
-            "kind": "safe",
-            "service": name,
-            "timeout_s": DEADLINE_S,
-        }
-        for prefix, name in (("/plan/", service), ("/kit/", NEW_SERVICE))
-    ]
-
-
-async def _ask_machine(fleet, entry, end_s: float, answers: list) -> None:
-    """Send requests on the changed route to one machine."""
-    connection = await fleet.connect(entry)
-    while fleet.record.now_s() < end_s:
-        answer = await fleet.ask(
-            connection, "plan", "GET", "/plan/2f", DEADLINE_S
-        )
-        answers.append((entry, answer))
-        await asyncio.sleep(0.05)
+ZONES = ["scl-nunoa", "scl-quilicura"] * 3
+SERVICE = "expediente"
+POISON_PATH = "/case/7f3a"
+# "The instance is back after some seconds."
+DOWN_S = 2.0
+MAX_RETRIES = 3
+CONTACT_S = smallfleet.BOUNDS["contact_s"]
+# An entry gets the request again once it has run for longer than `contact_s`.
+IN_TOUCH_S = CONTACT_S + 0.5
+# Time for the instances to come back.
+PAUSE_S = DOWN_S + 0.5
+
+
+class Instance(smallfleet.Instance):
+    """An instance that one request crashes."""
+
+    async def _work(self, path, headers, reader):
+        await self.read_body(reader, headers)
+        if path == POISON_PATH:
+            await asyncio.sleep(0.05)
+            self._fleet.crashes.append(self._fleet.record.now_s())
+            self._fleet.tasks.add(asyncio.create_task(self.crash(DOWN_S)))
+            await asyncio.sleep(60)
+        await asyncio.sleep(self.work_s)
+
+
+async def _send_bystanders(fleet) -> None:
+    """Send ordinary requests that may run once at most."""
+    while True:
+        await asyncio.sleep(0.1)
+        entry = random.choice(fleet.entries)
+        if not fleet.is_open(entry):
+            continue
+        fleet.tasks.add(asyncio.create_task(_send_bystander(fleet, entry)))
+
+
+async def _send_bystander(fleet, entry) -> None:
+    try:
+        connection = await fleet.connect(entry)
+    except (OSError, TimeoutError):
+        return
+    answer = await fleet.ask(
+        connection, "award", "POST", "/award/", 2.0, b"award"
+    )
     connection[1].close()
+    fleet.bystanders.append(answer)
+
+
+async def _send_poison(fleet) -> None:
+    """Let the request come again, at each machine in turn."""
+    for entry in fleet.entries:
+        connection = await fleet.connect(entry)
+        # As the same caller: its ids are new, all else is the same.
+        answer = await fleet.ask(connection, "poison", "GET", POISON_PATH, 1.5)
+        connection[1].close()
+        fleet.poison_by_id[answer.request_id] = (entry, entry.started_s)
+        await asyncio.sleep(0.5)
 
 
 async def check(fleet, is_disrupted: bool) -> bool:
     """Return whether the rule held."""
-    cuts = []
-    for entry in fleet.entries[:CUT_MACHINES]:
-        cut = Cut(fleet.store.address)
-        await cut.start(fleet.platform_host)
-        entry.store_address = cut.address
-        cuts.append(cut)
-    for number in range(6):
-        service = OLD_SERVICE if number < 3 else NEW_SERVICE
-        instance = smallfleet.Instance(fleet, f"i-{number}", service, ZONES[0])
-        instance.work_s = 0.02
+    fleet.crashes, fleet.tasks, fleet.bystanders = [], set(), []
+    fleet.poison_by_id = {}
+    stopping = set()
+    fleet.is_open = lambda entry: entry not in stopping
+    for number in range(10):
+        instance = Instance(fleet, f"i-{number}", SERVICE, ZONES[number % 2])
+        instance.work_s = 0.25
         fleet.instances.append(instance)
         await instance.start()
-    fleet.publish(_routes(OLD_SERVICE))
-    await fleet.start_entries()
-    # All machines and the store are in touch by then.
-    wait_s = smallfleet.BOUNDS["contact_s"] + random.uniform(1.0, 4.0)
-    await asyncio.sleep(wait_s)
-    if is_disrupted:
-        for cut in cuts:
-            cut.begin()
-        names = [entry.name for entry in fleet.entries[:CUT_MACHINES]]
-        fleet.record.add("cut_off_from_store", entries=",".join(names))
-    await asyncio.sleep(CHANGE_AFTER_S)
-    fleet.publish(_routes(NEW_SERVICE))
-    acknowledged_s = fleet.record.now_s()
-    answers: list = []
-    await asyncio.gather(
-        *(
-            _ask_machine(fleet, entry, acknowledged_s + CUT_S, answers)
-            for entry in fleet.entries[CUT_MACHINES:]
-        )
+    fleet.publish(
+        [
+            {
+                "prefix": "/case/",
+                "kind": "safe",
+                "service": SERVICE,
+                "timeout_s": 1.5,
+            },
+            {
+                "prefix": "/award/",
+                "kind": "unsafe",
+                "service": SERVICE,
+                "timeout_s": 2.0,
+            },
+        ]
     )
-    for cut in cuts:
-        cut.end()
-    return _judge(fleet, answers, acknowledged_s)
-
-
-def _judge(fleet, answers, acknowledged_s: float) -> bool:
-    service_by_id = {
-        run.request_id: instance.service
+    await fleet.start_entries()
+    await asyncio.sleep(IN_TOUCH_S)
+    bystanders = asyncio.create_task(_send_bystanders(fleet))
+    await _send_poison(fleet)
+    for entry in fleet.entries:
+        await asyncio.sleep(PAUSE_S)
+        if is_disrupted:
+            stopping.add(entry)
+            await entry.stop()
+            entry.start()
+            await entry.wait_ready()
+            stopping.discard(entry)
+        await asyncio.sleep(IN_TOUCH_S)
+        await _send_poison(fleet)
+    bystanders.cancel()
+    await asyncio.sleep(1.0)
+    return _judge(fleet)
+
+
+def _judge(fleet) -> bool:
+    runs = sorted(
+        (run.started_s, run.request_id)
         for instance in fleet.instances
         for run in instance.runs
-    }
-    limit_s = acknowledged_s + smallfleet.BOUNDS["config_apply_s"]
-    late = 0
-    last_by_entry = {entry.name: 0.0 for entry, _ in answers}
-    for entry, answer in answers:
-        if service_by_id.get(answer.request_id) != OLD_SERVICE:
+        if run.path == POISON_PATH
+    )
+    third_s = sorted(fleet.crashes)[2] if len(fleet.crashes) > 2 else None
+    retries = 0
+    for started_s, request_id in runs:
+        entry, entry_started_s = fleet.poison_by_id[request_id]
+        if third_s is None or started_s <= third_s + CONTACT_S:
             continue
-        after_s = answer.sent_s - acknowledged_s
-        last_by_entry[entry.name] = max(last_by_entry[entry.name], after_s)
-        late += answer.sent_s > limit_s
-    for name, after_s in last_by_entry.items():
-        fleet.record.add("last_by_old_service", entry=name, after_s=after_s)
-    fleet.record.add("result", requests=len(answers), late=late)
-    return not late
+        if started_s - entry_started_s > CONTACT_S:
+            retries += 1
+            fleet.record.add(
+                "counted", request=request_id, entry=entry.name, at=started_s
+            )
+    lost = sum(
+        not answer.is_served and answer.status in (0, 502, 504)
+        for answer in fleet.bystanders
+    )
+    fleet.record.add(
+        "result",
+        crashes=len(fleet.crashes),
+        third_crash_s=third_s,
+        counted_retries=retries,
+        allowed=MAX_RETRIES,
+        others=len(fleet.bystanders),
+        others_lost=lost,
+    )
+    return retries <= MAX_RETRIES
 
 
 smallfleet.main(FOLDER, check, ZONES)
