--- a/review/standins-2/smallfleet.py
+++ b/review/standins-2/smallfleet.py
@@ -795,12 +795,21 @@
         sys.exit(COULD_NOT_RUN)
 
     async def run() -> int:
+        # Ends the entries as well.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as name:
             fleet = Fleet(pathlib.Path(name), zones)
             try:
                 async with asyncio.timeout(TIME_LIMIT_S), fleet:
                     has_held = await check(fleet, is_disrupted)
-            except (CannotRunError, TimeoutError, OSError) as error:
+            except (
+                CannotRunError,
+                TimeoutError,
+                OSError,
+                asyncio.CancelledError,
+            ) as error:
                 fleet.record.add("could_not_run", error=repr(error))
                 return COULD_NOT_RUN
             finally:
